Serve a request end to end through separate processes

A caller asks any router for the entries, sends a completion or a call of a plain service, and is billed once in the platform's table. Stand-ins for the platform, the engines and the service take the place of the outside.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+GO ?= go
+LINT := bin/golangci-lint
+
+.PHONY: all build demo up down test bench lint fmt generate tools fuzz
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	scripts/demo.sh
+
+up: build
+	scripts/fleet.sh up
+
+down:
+	scripts/fleet.sh down
+
+test:
+	$(GO) test -race ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+tools:
+	$(GO) build -modfile=tools/go.mod -o bin/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+	$(GO) build -modfile=tools/go.mod -o bin/stringer golang.org/x/tools/cmd/stringer
+
+lint: tools
+	$(LINT) run ./...
+	$(LINT) fmt --diff ./...
+
+fmt: tools
+	$(LINT) fmt ./...
+
+generate: tools build
+	$(GO) generate ./...
--- /dev/null
+++ b/cmd/rosevalve/main.go
@@ -0,0 +1,13 @@
+// Program rosevalve runs a router or sends operators' commands to one.
+package main
+
+import (
+	"context"
+	"os"
+
+	"rosevalve/internal/cmd/rosevalve"
+)
+
+func main() {
+	os.Exit(rosevalve.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/budget/ledger/grant.go
@@ -0,0 +1,181 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"rosevalve/internal/platform/table"
+)
+
+const grantPrefix = "grant/"
+
+// ErrBudgetExists reports that a budget to be created exists already.
+var ErrBudgetExists = errors.New("budget exists already")
+
+// grantRow records that a command has granted tokens.
+type grantRow struct {
+	Budget string `json:"budget"`
+	Tokens int64  `json:"tokens"`
+}
+
+// Create makes a budget with tokens; a command id that was applied before changes nothing.
+//
+// Errors are ErrBudgetExists and those of the table.
+func (l *Ledger) Create(ctx context.Context, id BudgetID, tokens int64, commandID string) error {
+	if err := l.grant(ctx, id, tokens, commandID, true); err != nil {
+		return fmt.Errorf("create budget %q: %w", id, err)
+	}
+	return nil
+}
+
+// TopUp adds tokens to a budget; a command id that was applied before changes nothing.
+//
+// Errors are ErrNoBudget and those of the table.
+func (l *Ledger) TopUp(ctx context.Context, id BudgetID, tokens int64, commandID string) error {
+	if err := l.grant(ctx, id, tokens, commandID, false); err != nil {
+		return fmt.Errorf("top up budget %q: %w", id, err)
+	}
+	return nil
+}
+
+func (l *Ledger) grant(ctx context.Context, id BudgetID, tokens int64, commandID string, create bool) error {
+	var lastErr error
+	for range maxCommitTries {
+		var done bool
+		done, lastErr = l.tryGrant(ctx, id, tokens, commandID, create)
+		if done || !retryable(lastErr) {
+			return lastErr
+		}
+	}
+	return fmt.Errorf("%w: %w", ErrContended, lastErr)
+}
+
+// tryGrant reports whether the command has been applied, now or before.
+func (l *Ledger) tryGrant(ctx context.Context, id BudgetID, tokens int64, commandID string, create bool) (bool, error) {
+	grantKey := grantPrefix + commandID
+	rows, err := l.Get(ctx, BudgetKey(id), grantKey)
+	if err != nil {
+		return false, err
+	}
+	var budget BudgetRow
+	var version uint64
+	for _, r := range rows {
+		if r.Key == grantKey {
+			return true, nil
+		}
+		version = r.Version
+		if err := r.Decode(&budget); err != nil {
+			return false, err
+		}
+	}
+	if create && version != 0 {
+		return false, ErrBudgetExists
+	}
+	if !create && version == 0 {
+		return false, ErrNoBudget
+	}
+	budget.Granted += tokens
+	var c table.Commit
+	c.Require(BudgetKey(id), version)
+	c.Require(grantKey, 0)
+	if err := c.Set(BudgetKey(id), budget); err != nil {
+		return false, err
+	}
+	if err := c.Set(grantKey, grantRow{Budget: id.String(), Tokens: tokens}); err != nil {
+		return false, err
+	}
+	_, err = l.Commit(ctx, c)
+	return err == nil, err
+}
+
+// NamedBudget is a budget's row with its id.
+type NamedBudget struct {
+	ID  BudgetID
+	Row BudgetRow
+	// Spent is the sum billed by open and closed holdings.
+	Spent int64
+}
+
+// List returns the budgets of a workspace, or of all if it is empty, with what is billed.
+func (l *Ledger) List(ctx context.Context, workspace string) ([]NamedBudget, error) {
+	prefix := budgetPrefix
+	holdings := holdingPrefix
+	if workspace != "" {
+		prefix += workspace + "/"
+		holdings += workspace + "/"
+	}
+	spent, err := l.spentByBudget(ctx, holdings)
+	if err != nil {
+		return nil, fmt.Errorf("list budgets: %w", err)
+	}
+	var out []NamedBudget
+	err = l.scanAll(ctx, prefix, func(r table.Row) error {
+		var row BudgetRow
+		if err := r.Decode(&row); err != nil {
+			return err
+		}
+		id := parseBudgetKey(r.Key)
+		out = append(out, NamedBudget{ID: id, Row: row, Spent: row.Billed + spent[id]})
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("list budgets: %w", err)
+	}
+	return out, nil
+}
+
+func (l *Ledger) spentByBudget(ctx context.Context, prefix string) (map[BudgetID]int64, error) {
+	out := make(map[BudgetID]int64)
+	err := l.scanAll(ctx, prefix, func(r table.Row) error {
+		var h HoldingRow
+		if err := r.Decode(&h); err != nil {
+			return err
+		}
+		out[BudgetID{Workspace: h.Workspace, Name: h.Budget}] += h.Billed
+		return nil
+	})
+	return out, err
+}
+
+// Bills returns the bills of a workspace, or of all if it is empty, in the order of their keys.
+func (l *Ledger) Bills(ctx context.Context, workspace string) ([]BillRow, error) {
+	prefix := billPrefix
+	if workspace != "" {
+		prefix += workspace + "/"
+	}
+	var out []BillRow
+	err := l.scanAll(ctx, prefix, func(r table.Row) error {
+		var b BillRow
+		if err := r.Decode(&b); err != nil {
+			return err
+		}
+		out = append(out, b)
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("list bills: %w", err)
+	}
+	return out, nil
+}
+
+// scanAll visits every row with the prefix.
+func (l *Ledger) scanAll(ctx context.Context, prefix string, visit func(table.Row) error) error {
+	after := ""
+	for {
+		rows, err := l.Scan(ctx, prefix, after, scanRows)
+		if err != nil {
+			return err
+		}
+		for _, r := range rows {
+			if err := visit(r); err != nil {
+				return err
+			}
+		}
+		if len(rows) < scanRows {
+			return nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
--- /dev/null
+++ b/internal/cmd/rosevalve/main.go
@@ -0,0 +1,77 @@
+package rosevalve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// errUsage marks errors of the command line itself.
+var errUsage = errors.New("usage")
+
+// subcommand is a command with the sources of its flags.
+type subcommand struct {
+	command *ff.Command
+	options []ff.Option
+}
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	subcommands := []subcommand{
+		routerCommand(stdout, stderr),
+		ctlCommand(os.Stdin, stdout),
+		versionCommand(stdout),
+	}
+	if len(args) > 0 {
+		for _, s := range subcommands {
+			if s.command.Name == args[0] {
+				return run(ctx, s, args[1:], stdout, stderr)
+			}
+		}
+	}
+	root := &ff.Command{
+		Name:      "rosevalve",
+		Usage:     "rosevalve SUBCOMMAND [FLAGS]",
+		ShortHelp: "routers for prepaid token budgets",
+	}
+	for _, s := range subcommands {
+		root.Subcommands = append(root.Subcommands, s.command)
+	}
+	fmt.Fprintln(stderr, ffhelp.Command(root))
+	if len(args) > 0 && (args[0] == "--help" || args[0] == "-h" || args[0] == "help") {
+		return exitOK
+	}
+	return exitUsage
+}
+
+func run(ctx context.Context, s subcommand, args []string, stdout, stderr io.Writer) int {
+	err := s.command.Parse(args, s.options...)
+	if errors.Is(err, ff.ErrHelp) {
+		fmt.Fprintln(stdout, ffhelp.Command(s.command))
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "rosevalve %s: %v\n", s.command.Name, err)
+		return exitUsage
+	}
+	if err := s.command.Run(ctx); err != nil {
+		fmt.Fprintf(stderr, "rosevalve %s: %v\n", s.command.Name, err)
+		if errors.Is(err, errUsage) {
+			return exitUsage
+		}
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/cmd/standin/main.go
@@ -0,0 +1,31 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &ff.Command{
+		Name:        "rosevalve-standin",
+		Usage:       "rosevalve-standin SUBCOMMAND [FLAGS]",
+		ShortHelp:   "stand-ins for the systems around the routers",
+		Subcommands: []*ff.Command{platformCommand(), engineCommand(), serviceCommand()},
+	}
+	err := root.ParseAndRun(ctx, args)
+	switch {
+	case errors.Is(err, ff.ErrHelp) || errors.Is(err, ff.ErrNoExec):
+		fmt.Fprintln(stdout, ffhelp.Command(root.GetSelected()))
+		return 0
+	case err != nil:
+		fmt.Fprintf(stderr, "rosevalve-standin: %v\n", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fleet/router/serve.go
@@ -0,0 +1,158 @@
+package router
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/pool"
+	"rosevalve/internal/workspace/operator"
+)
+
+const (
+	operatorTimeout = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
+)
+
+var requestsServed = expvar.NewInt("requests")
+
+// State is the dump of the process's state.
+type State struct {
+	ID       string            `json:"id"`
+	Version  uint64            `json:"config_version"`
+	Ready    bool              `json:"ready"`
+	Draining bool              `json:"draining"`
+	Books    []allotment.State `json:"books"`
+	Targets  []pool.State      `json:"targets"`
+	Members  []inner.Member    `json:"members"`
+	Runs     []RunState        `json:"runs"`
+}
+
+// RunState describes one run for the dump.
+type RunState struct {
+	ID        string    `json:"id"`
+	Workspace string    `json:"workspace"`
+	Began     time.Time `json:"began"`
+	Events    int       `json:"events"`
+}
+
+func (r *Router) server() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      r.handle,
+		ErrorHandler:                 r.badRequest,
+		MaxRequestBodySize:           int(r.Settings.MaxBody),
+		IdleTimeout:                  idleTimeout,
+		CloseOnShutdown:              true,
+		NoDefaultServerHeader:        true,
+		DisablePreParseMultipartForm: true,
+	}
+}
+
+func (r *Router) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		r.serveReady(ctx)
+	case "/debug/vars":
+		expvarhandler.ExpvarHandler(ctx)
+	case "/debug/state":
+		writeJSON(ctx, r.state())
+	case "/v1/operator":
+		r.serveOperator(ctx)
+	default:
+		requestsServed.Add(1)
+		r.gateway.Handle(ctx)
+	}
+}
+
+// badRequest answers what the HTTP library could not read.
+func (r *Router) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(answer.Invalid(status, "body", "request could not be read: %v", err).JSON(""))
+}
+
+func (r *Router) serveReady(ctx *fasthttp.RequestCtx) {
+	if !r.catalogue.Ready() {
+		ctx.Error("configuration not read yet\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (r *Router) serveOperator(ctx *fasthttp.RequestCtx) {
+	want := "Bearer " + r.Settings.OperatorKey
+	got := ctx.Request.Header.Peek("Authorization")
+	if r.Settings.OperatorKey == "" || subtle.ConstantTimeCompare([]byte(want), got) != 1 {
+		writeError(ctx, answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "operator key is not valid"))
+		return
+	}
+	var req operator.Request
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a command: %v", err))
+		return
+	}
+	if req.CommandID == "" {
+		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "command_id", "field \"command_id\" is missing"))
+		return
+	}
+	opCtx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	result, err := r.executor.Execute(opCtx, "first", req)
+	if err != nil {
+		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "command", "%v", err))
+		return
+	}
+	writeJSON(ctx, result)
+}
+
+func (r *Router) state() State {
+	s := State{
+		ID:       r.id,
+		Version:  r.catalogue.Current().Version(),
+		Ready:    r.catalogue.Ready(),
+		Draining: r.draining.Load(),
+		Books:    r.purse.State(),
+		Targets:  r.targets.State(),
+		Members:  r.view.Members(),
+	}
+	for _, run := range r.register.Runs() {
+		s.Runs = append(s.Runs, RunState{
+			ID:        run.ID(),
+			Workspace: run.Key().Workspace,
+			Began:     run.Began(),
+			Events:    run.Log().Len(),
+		})
+	}
+	return s
+}
+
+func writeError(ctx *fasthttp.RequestCtx, e *answer.Error) {
+	ctx.SetStatusCode(e.Status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(e.JSON(""))
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error("internal error", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
--- /dev/null
+++ b/internal/fleet/settings/load.go
@@ -0,0 +1,87 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"gopkg.in/ini.v1"
+)
+
+const envPrefix = "ROSEVALVE"
+
+// Flags is a flag set with a flag for each option.
+type Flags struct {
+	settings Settings
+	options  []*Option
+	set      *ff.FlagSet
+	file     string
+	problems []error // found while the INI file was read
+}
+
+// NewFlags returns the flags of a router, with a flag for the INI file.
+func NewFlags(name string) *Flags {
+	f := &Flags{set: ff.NewFlagSet(name)}
+	f.options = f.settings.Options()
+	f.set.StringVar(&f.file, 0, "config", "", "INI file with the settings")
+	for _, o := range f.options {
+		f.set.StringVar(&o.value, 0, o.Name(), o.fallback, fmt.Sprintf("%s (%s)", o.doc, o.allowed))
+	}
+	return f
+}
+
+// FlagSet returns the flag set for a command.
+func (f *Flags) FlagSet() *ff.FlagSet { return f.set }
+
+// ParseOptions returns the sources besides the command line.
+func (f *Flags) ParseOptions() []ff.Option {
+	return []ff.Option{
+		ff.WithEnvVarPrefix(envPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(f.parseINI),
+	}
+}
+
+// Settings returns the checked settings, or all that is wrong with them.
+func (f *Flags) Settings() (Settings, error) {
+	problems := f.problems
+	for _, o := range f.options {
+		if err := o.check(); err != nil {
+			problems = append(problems, err)
+		}
+	}
+	if len(problems) > 0 {
+		return Settings{}, fmt.Errorf("settings of %q: %w", f.file, errors.Join(problems...))
+	}
+	return f.settings, nil
+}
+
+// parseINI hands the keys of an INI file to the flags and collects the unknown ones.
+func (f *Flags) parseINI(r io.Reader, set func(name, value string) error) error {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{}, text)
+	if err != nil {
+		return fmt.Errorf("parse settings: %w", err)
+	}
+	known := make(map[string]bool)
+	for _, o := range f.options {
+		known[o.Name()] = true
+	}
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			name := section.Name() + "." + key.Name()
+			if !known[name] {
+				f.problems = append(f.problems, fmt.Errorf("section [%s], key %q does not exist", section.Name(), key.Name()))
+				continue
+			}
+			if err := set(name, key.Value()); err != nil {
+				return fmt.Errorf("set %s: %w", name, err)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/chat/chat.go
@@ -0,0 +1,120 @@
+package chat
+
+import "encoding/json"
+
+// Header names between router and engine.
+const (
+	// HeaderRun names the run; the engine repeats it in its answer.
+	HeaderRun = "X-Run-Id"
+	// HeaderOffset is the number of tokens that the caller of a resumed run already has.
+	HeaderOffset = "X-Resume-Offset"
+	// HeaderDeclined is set by a target that refuses a request before running it.
+	HeaderDeclined = "X-Not-Run"
+)
+
+// Priorities of a request.
+const (
+	PriorityUrgent = "urgent"
+	PriorityLong   = "long"
+)
+
+// Paths of the API.
+const (
+	PathCompletions = "/v1/chat/completions"
+	PathModels      = "/v1/models"
+	// PathRuns precedes a run id; DELETE cancels the run and answers with its usage.
+	PathRuns = "/v1/runs/"
+)
+
+// DoneEvent is the data of the last event of a stream.
+const DoneEvent = "[DONE]"
+
+// Message is one turn of a conversation.
+type Message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Request is the part of a completion request that the system reads.
+type Request struct {
+	Model               string          `json:"model"`
+	Messages            []Message       `json:"messages"`
+	MaxTokens           *int64          `json:"max_tokens,omitempty"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens,omitempty"`
+	N                   *int64          `json:"n,omitempty"`
+	Stream              bool            `json:"stream,omitempty"`
+	StreamOptions       *StreamOptions  `json:"stream_options,omitempty"`
+	Priority            string          `json:"priority,omitempty"`
+	Tools               json.RawMessage `json:"tools,omitempty"`
+}
+
+// StreamOptions selects what a stream contains besides the answer.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Usage counts the tokens of a run.
+type Usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
+}
+
+// Chunk is one event of a streamed answer.
+type Chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []ChunkChoice `json:"choices"`
+	Usage   *Usage        `json:"usage,omitempty"`
+}
+
+// ChunkChoice is the part of an answer that an event adds.
+type ChunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        Delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Delta is the text that an event adds.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Completion is a whole answer.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
+// Choice is one whole answer text.
+type Choice struct {
+	Index        int         `json:"index"`
+	Message      TextMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+// TextMessage is a message whose content is one text.
+type TextMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ModelList is the answer to a request for the models.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// Model is one model that a workspace may use.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
--- /dev/null
+++ b/internal/protocol/inner/inner.go
@@ -0,0 +1,54 @@
+package inner
+
+//go:generate ../../../bin/stringer -type=MemberState -linecomment
+
+// ProtocolVersion is the version that both ends of a connection must speak.
+const ProtocolVersion = 1
+
+// Methods of the protocol.
+const (
+	MethodHello     = "hello"
+	MethodHeartbeat = "heartbeat"
+)
+
+// MemberState is what is believed of a router.
+type MemberState int
+
+// The states of a router, in the order in which they override each other.
+const (
+	Alive   MemberState = iota // alive
+	Suspect                    // suspect
+	Leaving                    // leaving
+	Dead                       // dead
+)
+
+// Hello opens a connection.
+type Hello struct {
+	ProtocolVersion int    `json:"protocol_version"`
+	Sender          Member `json:"sender"`
+}
+
+// Member is one router incarnation.
+type Member struct {
+	// ID names the incarnation; a restarted router gets another.
+	ID string `json:"id"`
+	// InnerAddr is where its peers connect.
+	InnerAddr string `json:"inner_addr"`
+	// CallerAddr is where callers connect.
+	CallerAddr    string      `json:"caller_addr"`
+	FailureDomain string      `json:"failure_domain"`
+	Region        string      `json:"region"`
+	State         MemberState `json:"state"`
+	// Counter grows with each statement that the router makes about itself.
+	Counter uint64 `json:"counter"`
+}
+
+// Heartbeat tells a peer what the sender believes.
+type Heartbeat struct {
+	Members []Member `json:"members"`
+}
+
+// HeartbeatAck answers with what the receiver believes.
+type HeartbeatAck struct {
+	Members []Member `json:"members"`
+}
--- /dev/null
+++ b/internal/request/admission/admission.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/workspace/catalogue"
+)
+
+const (
+	maxKeyLength = 200
+	// tokensPerMessage covers the tokens with which an engine frames a message.
+	tokensPerMessage = 8
+	bearerPrefix     = "Bearer "
+)
+
+// Limits bound what a request may ask for.
+type Limits struct {
+	// MaxTokens is the largest number of completion tokens, and the default.
+	MaxTokens int64
+	// DefaultTokens is the number of completion tokens if the request gives none.
+	DefaultTokens int64
+}
+
+// Request is a checked completion request.
+type Request struct {
+	workspace catalogue.Workspace
+	model     string
+	prompt    int64
+	max       int64
+	stream    bool
+	usage     bool
+	urgent    bool
+	body      []byte
+	bodyHash  uint64
+}
+
+// Workspace returns the workspace that pays.
+func (r *Request) Workspace() catalogue.Workspace { return r.workspace }
+
+// Model returns the model's name.
+func (r *Request) Model() string { return r.model }
+
+// WorstCase returns the most tokens that the request can use.
+func (r *Request) WorstCase() int64 { return r.prompt + r.max }
+
+// WorstPrompt returns the most tokens that the prompt can have.
+func (r *Request) WorstPrompt() int64 { return r.prompt }
+
+// Stream reports whether the caller wants the answer as a stream.
+func (r *Request) Stream() bool { return r.stream }
+
+// IncludeUsage reports whether a stream ends with the usage.
+func (r *Request) IncludeUsage() bool { return r.usage }
+
+// Urgent reports whether the request goes before long work.
+func (r *Request) Urgent() bool { return r.urgent }
+
+// Body returns the body for the engine: the caller's, but streamed, with usage and with explicit limits.
+func (r *Request) Body() []byte { return r.body }
+
+// BodyHash identifies the caller's body.
+func (r *Request) BodyHash() uint64 { return r.bodyHash }
+
+// Authenticate returns the workspace whose key the caller has sent.
+func Authenticate(s *catalogue.Snapshot, header []byte) (catalogue.Workspace, *answer.Error) {
+	key, ok := strings.CutPrefix(string(header), bearerPrefix)
+	if !ok {
+		return catalogue.Workspace{}, answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "header Authorization with \"Bearer\" and a workspace key is missing")
+	}
+	w, ok := s.WorkspaceByKey(key)
+	if !ok {
+		return catalogue.Workspace{}, answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "workspace key is not valid")
+	}
+	return w, nil
+}
+
+// CheckKey checks an idempotency key that the caller has sent.
+func CheckKey(key string) *answer.Error {
+	if len(key) > maxKeyLength {
+		return answer.Invalid(fasthttp.StatusBadRequest, "Idempotency-Key", "idempotency key has %d bytes; at most %d are allowed", len(key), maxKeyLength)
+	}
+	if strings.ContainsAny(key, "/ \t") {
+		return answer.Invalid(fasthttp.StatusBadRequest, "Idempotency-Key", "idempotency key %q contains a slash or a space", key)
+	}
+	return nil
+}
+
+// Parse checks a completion request of the workspace.
+func Parse(s *catalogue.Snapshot, w catalogue.Workspace, body []byte, limits Limits) (*Request, *answer.Error) {
+	var in chat.Request
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a completion request: %v", err)
+	}
+	if fail := check(s, in, limits); fail != nil {
+		return nil, fail
+	}
+	r := &Request{
+		workspace: w,
+		model:     in.Model,
+		prompt:    worstPrompt(in),
+		max:       completionTokens(in, limits),
+		stream:    in.Stream,
+		usage:     in.StreamOptions != nil && in.StreamOptions.IncludeUsage,
+		urgent:    in.Priority != chat.PriorityLong,
+		bodyHash:  Hash(body),
+	}
+	engineBody, err := rewrite(body, r.max)
+	if err != nil {
+		return nil, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a completion request: %v", err)
+	}
+	r.body = engineBody
+	return r, nil
+}
+
+// Hash identifies a body.
+func Hash(body []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+func check(s *catalogue.Snapshot, in chat.Request, limits Limits) *answer.Error {
+	switch {
+	case in.Model == "":
+		return answer.Invalid(fasthttp.StatusBadRequest, "model", "field \"model\" is missing")
+	case !s.HasModel(in.Model):
+		return answer.Invalid(fasthttp.StatusNotFound, "model", "model %q does not exist", in.Model)
+	case len(in.Messages) == 0:
+		return answer.Invalid(fasthttp.StatusBadRequest, "messages", "field \"messages\" is empty")
+	case in.N != nil && *in.N != 1:
+		return answer.Invalid(fasthttp.StatusBadRequest, "n", "field \"n\" is %d; only 1 is allowed", *in.N)
+	}
+	for _, f := range []struct {
+		name  string
+		value *int64
+	}{{"max_tokens", in.MaxTokens}, {"max_completion_tokens", in.MaxCompletionTokens}} {
+		if f.value != nil && (*f.value < 1 || *f.value > limits.MaxTokens) {
+			return answer.Invalid(fasthttp.StatusBadRequest, f.name, "field %q is %d; 1 to %d are allowed", f.name, *f.value, limits.MaxTokens)
+		}
+	}
+	switch in.Priority {
+	case "", chat.PriorityUrgent, chat.PriorityLong:
+		return nil
+	default:
+		return answer.Invalid(fasthttp.StatusBadRequest, "priority", "field \"priority\" is %q; %q and %q are allowed", in.Priority, chat.PriorityUrgent, chat.PriorityLong)
+	}
+}
+
+// worstPrompt bounds the prompt's tokens: a token covers at least one byte.
+func worstPrompt(in chat.Request) int64 {
+	n := int64(len(in.Tools))
+	for _, m := range in.Messages {
+		n += int64(len(m.Content)) + tokensPerMessage
+	}
+	return n
+}
+
+func completionTokens(in chat.Request, limits Limits) int64 {
+	if in.MaxCompletionTokens != nil {
+		return *in.MaxCompletionTokens
+	}
+	if in.MaxTokens != nil {
+		return *in.MaxTokens
+	}
+	return limits.DefaultTokens
+}
+
+// rewrite sets the fields that the system relies on and keeps all others.
+func rewrite(body []byte, maxTokens int64) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, fmt.Errorf("decode body: %w", err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["max_tokens"] = json.RawMessage(fmt.Sprint(maxTokens))
+	delete(fields, "max_completion_tokens")
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fmt.Errorf("encode body: %w", err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/request/gateway/gateway.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/fleet/entry"
+	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/request/admission"
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/claim"
+	"rosevalve/internal/request/dispatch"
+	"rosevalve/internal/request/register"
+	"rosevalve/internal/workspace/catalogue"
+)
+
+// Header names between caller and router.
+const (
+	HeaderKey       = "Idempotency-Key"
+	HeaderBudget    = "X-Budget"
+	HeaderRequestID = "X-Request-Id"
+	// HeaderReplayed is set on answers that an earlier request of the same key produced.
+	HeaderReplayed = "X-Replayed"
+)
+
+const (
+	pathServices = "/v1/services/"
+	pathEntries  = "/v1/entries"
+
+	jsonType = "application/json"
+
+	defaultAbandonGrace   = 10 * time.Second
+	defaultReserveTimeout = time.Second
+	exhaustedRetry        = 30 * time.Second
+	tableRetry            = 2 * time.Second
+)
+
+// Gateway serves callers.
+type Gateway struct {
+	// Snapshot returns the configuration in force.
+	Snapshot func() *catalogue.Snapshot
+	// Register knows the runs.
+	Register *register.Register
+	// Purse reserves and bills tokens.
+	Purse *allotment.Purse
+	// Dispatcher runs requests at targets.
+	Dispatcher *dispatch.Dispatcher
+	// Claims guards calls that may run at most once.
+	Claims *claim.Registry
+	// Entries lists the addresses that callers may use.
+	Entries func(r *fasthttp.RequestCtx) entry.Answer
+	// Draining reports whether new requests are refused.
+	Draining func() bool
+	// Limits bound what a request may ask for.
+	Limits admission.Limits
+	// AbandonGrace is how long a run with a caller's key goes on without a reader.
+	AbandonGrace time.Duration
+	// ReserveTimeout bounds the wait for tokens.
+	ReserveTimeout time.Duration
+	// Holder is the router incarnation that signs bills.
+	Holder string
+	// Log receives one record for each request.
+	Log *log.Logger
+}
+
+// Handle answers one request of a caller.
+func (g *Gateway) Handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == chat.PathCompletions && ctx.IsPost():
+		g.completions(ctx)
+	case path == chat.PathModels && ctx.IsGet():
+		g.models(ctx)
+	case path == pathEntries && ctx.IsGet():
+		writeJSON(ctx, g.Entries(ctx))
+	case strings.HasPrefix(path, pathServices):
+		g.service(ctx, strings.TrimPrefix(path, pathServices))
+	default:
+		g.fail(ctx, "", answer.Invalid(fasthttp.StatusNotFound, "path", "path %q with method %s does not exist", path, ctx.Method()))
+	}
+}
+
+// models lists what the caller's workspace may use.
+func (g *Gateway) models(ctx *fasthttp.RequestCtx) {
+	snapshot := g.Snapshot()
+	if _, fail := admission.Authenticate(snapshot, ctx.Request.Header.Peek("Authorization")); fail != nil {
+		g.fail(ctx, "", fail)
+		return
+	}
+	out := chat.ModelList{Object: "list", Data: []chat.Model{}}
+	for _, m := range snapshot.Models() {
+		out.Data = append(out.Data, chat.Model{ID: m, Object: "model", OwnedBy: "rosevalve"})
+	}
+	writeJSON(ctx, out)
+}
+
+// requestKey returns the caller's idempotency key, or a new one.
+func requestKey(ctx *fasthttp.RequestCtx) (key string, given bool, fail *answer.Error) {
+	key = string(ctx.Request.Header.Peek(HeaderKey))
+	if key == "" {
+		return rand.Text(), false, nil
+	}
+	return key, true, admission.CheckKey(key)
+}
+
+// reserve takes the tokens from the first of the workspace's budgets that has them.
+func (g *Gateway) reserve(run *register.Run, budget string, tokens int64) (*allotment.Reservation, *answer.Error) {
+	ctx, cancel := contextWithTimeout(run, g.reserveTimeout())
+	defer cancel()
+	ids, err := g.budgets(ctx, run.Key().Workspace, budget)
+	if err != nil {
+		return nil, reserveFailure(err)
+	}
+	last := error(allotment.ErrInsufficient)
+	for _, id := range ids {
+		r, err := g.Purse.Reserve(ctx, id, tokens)
+		if err == nil {
+			return r, nil
+		}
+		last = err
+	}
+	return nil, reserveFailure(last)
+}
+
+func (g *Gateway) reserveTimeout() time.Duration {
+	if g.ReserveTimeout == 0 {
+		return defaultReserveTimeout
+	}
+	return g.ReserveTimeout
+}
+
+// reserveFailure is the answer to a request that got no tokens.
+func reserveFailure(err error) *answer.Error {
+	switch {
+	case errors.Is(err, allotment.ErrInsufficient):
+		return answer.Busy(fasthttp.StatusTooManyRequests, "budget_exhausted", exhaustedRetry, "the workspace's budgets have too few tokens left for this request")
+	case errors.Is(err, ledger.ErrNoBudget):
+		return answer.Invalid(fasthttp.StatusNotFound, HeaderBudget, "budget does not exist in this workspace")
+	default:
+		return answer.Busy(fasthttp.StatusServiceUnavailable, "budget_unavailable", tableRetry, "tokens could not be drawn now")
+	}
+}
+
+// fail sends the final answer to a request that failed.
+func (g *Gateway) fail(ctx *fasthttp.RequestCtx, requestID string, fail *answer.Error) {
+	ctx.SetStatusCode(fail.Status)
+	ctx.SetContentType(jsonType)
+	if after := fail.RetryAfterHeader(); after != "" {
+		ctx.Response.Header.Set("Retry-After", after)
+	}
+	ctx.SetBody(fail.JSON(requestID))
+	g.Log.Info("request refused", "request_id", requestID, "status", fail.Status, "code", fail.Code, "run", fail.Run)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error("internal error", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType(jsonType)
+	ctx.SetBody(b)
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,68 @@
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HeaderCall names the call whose runs are counted.
+const HeaderCall = "X-Run-Id"
+
+// Server answers every path with the number of times it has run.
+type Server struct {
+	// Delay is the time that each call takes.
+	Delay time.Duration
+
+	mu   sync.Mutex // guards runs
+	runs map[string]int
+}
+
+// Answer is the outcome of a call.
+type Answer struct {
+	Path string `json:"path"`
+	Call string `json:"call"`
+	Runs int    `json:"runs"`
+}
+
+// Run serves on addr until the listener fails.
+func (s *Server) Run(addr string) error {
+	s.runs = make(map[string]int)
+	if err := fasthttp.ListenAndServe(addr, s.handle); err != nil {
+		return fmt.Errorf("serve service on %s: %w", addr, err)
+	}
+	return nil
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/counts" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		reply(ctx, s.runs)
+		return
+	}
+	call := string(ctx.Request.Header.Peek(HeaderCall))
+	runs := s.count(call)
+	time.Sleep(s.Delay)
+	reply(ctx, Answer{Path: string(ctx.Path()), Call: call, Runs: runs})
+}
+
+func (s *Server) count(call string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[call]++
+	return s.runs[call]
+}
+
+func reply(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
