--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, reserveFailure(err)
 	}
-	last := error(allotment.ErrInsufficient)
+	last := allotment.ErrInsufficient
 	for _, id := range ids {
 		r, err := g.Purse.Reserve(ctx, id, tokens)
 		if err == nil {
