--- a/internal/cmd/rosevalve/router.go
+++ b/internal/cmd/rosevalve/router.go
@@ -71,12 +71,12 @@
 }
 
 func newLogger(cfg settings.Settings, w io.Writer) *log.Logger {
-	level, err := log.ParseLevel(cfg.LogLevel)
+	level, err := log.ParseLevel(cfg.Log.Level)
 	if err != nil {
 		level = log.InfoLevel
 	}
 	formatter := log.TextFormatter
-	if cfg.LogFormat == "json" {
+	if cfg.Log.Format == "json" {
 		formatter = log.JSONFormatter
 	}
 	return log.NewWithOptions(w, log.Options{Level: level, Formatter: formatter, ReportTimestamp: true})
--- /dev/null
+++ b/internal/fleet/router/fleet.go
@@ -0,0 +1,45 @@
+package router
+
+import (
+	"rosevalve/internal/fleet/entry"
+	"rosevalve/internal/fleet/membership"
+	"rosevalve/internal/fleet/peer"
+	"rosevalve/internal/protocol/inner"
+)
+
+// connectFleet builds the links to other routers and the view of them.
+func (r *Router) connectFleet() {
+	cfg := r.Settings
+	r.links = &peer.Links{}
+	r.view = &membership.View{Seeds: cfg.Fleet.Seeds, Interval: cfg.Fleet.HeartbeatInterval, Call: r.links.Call}
+	r.links.Self = r.view.Self
+	r.links.Handlers = map[string]peer.Handler{inner.MethodHeartbeat: r.view.HandleHeartbeat}
+	r.view.Join(inner.Member{
+		ID:            r.id,
+		InnerAddr:     cfg.Router.InnerListen,
+		CallerAddr:    cfg.Router.Listen,
+		FailureDomain: cfg.Router.FailureDomain,
+		Region:        cfg.Router.Region,
+	})
+	r.directory = &entry.Directory{Routers: r.entries, MaxAge: cfg.Router.EntryMaxAge}
+	r.directory.Start()
+}
+
+// entries lists the routers that take new callers.
+func (r *Router) entries() []entry.Entry {
+	var out []entry.Entry
+	for _, m := range r.view.Members() {
+		if m.State == inner.Alive {
+			out = append(out, entry.Entry{URL: "http://" + m.CallerAddr, FailureDomain: m.FailureDomain})
+		}
+	}
+	return out
+}
+
+func (r *Router) routerRows() [][]string {
+	var out [][]string
+	for _, m := range r.view.Members() {
+		out = append(out, []string{m.ID, m.CallerAddr, m.FailureDomain, m.State.String()})
+	}
+	return out
+}
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -49,7 +49,7 @@
 	return &fasthttp.Server{
 		Handler:                      r.handle,
 		ErrorHandler:                 r.badRequest,
-		MaxRequestBodySize:           int(r.Settings.MaxBody),
+		MaxRequestBodySize:           int(r.Settings.Request.MaxBody),
 		IdleTimeout:                  idleTimeout,
 		CloseOnShutdown:              true,
 		NoDefaultServerHeader:        true,
@@ -95,9 +95,9 @@
 }
 
 func (r *Router) serveOperator(ctx *fasthttp.RequestCtx) {
-	want := "Bearer " + r.Settings.OperatorKey
+	want := "Bearer " + r.Settings.Operator.Key
 	got := ctx.Request.Header.Peek("Authorization")
-	if r.Settings.OperatorKey == "" || subtle.ConstantTimeCompare([]byte(want), got) != 1 {
+	if r.Settings.Operator.Key == "" || subtle.ConstantTimeCompare([]byte(want), got) != 1 {
 		writeError(ctx, answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "operator key is not valid"))
 		return
 	}
--- /dev/null
+++ b/internal/fleet/settings/router.go
@@ -0,0 +1,30 @@
+package settings
+
+import "time"
+
+// Router holds the options of a router process.
+type Router struct {
+	// Listen is the address for callers and operators.
+	Listen string
+	// InnerListen is the address for other routers.
+	InnerListen string
+	// FailureDomain is where the VM stands.
+	FailureDomain string
+	// Region is the group of failure domains.
+	Region string
+	// EntryMaxAge is how long callers may keep a list of routers.
+	EntryMaxAge time.Duration
+	// DrainLimit is the longest duration of a graceful stop.
+	DrainLimit time.Duration
+}
+
+func (s *Router) options() []*Option {
+	return []*Option{
+		addrOption("router", "listen", "127.0.0.1:7001", "address for callers and operators", &s.Listen),
+		addrOption("router", "inner_listen", "127.0.0.1:7101", "address for other routers", &s.InnerListen),
+		wordOption("router", "failure_domain", "fd-1", "failure domain of this VM", &s.FailureDomain),
+		wordOption("router", "region", "region-1", "region of this VM", &s.Region),
+		durationOption("router", "entry_max_age", "5s", "how long callers may keep a list of routers", time.Second, time.Hour, &s.EntryMaxAge),
+		durationOption("router", "drain_limit", "5m", "longest duration of a graceful stop", time.Second, time.Hour, &s.DrainLimit),
+	}
+}
