Witness holdings and reclaim those of dead routers

A killed router kept its tokens for ever and lost the bills that it had not settled; a return whose answer was lost made its tokens free again although they had gone back; requests queued behind one draw during an outage.

Each holding now names a witness that acknowledges every attempt before it is sent and every bill before the answer ends. A router that suspects the holder seals the book and closes the holding on that evidence by one conditional commit. Entries without an outcome stay reserved until the holder reports them or their target tells what they used. What no witness can tell of stays in doubt until it is released.

--- a/internal/budget/allotment/book.go
+++ b/internal/budget/allotment/book.go
@@ -2,81 +2,138 @@
 
 import (
 	"sync"
+	"time"
 
 	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/protocol/inner"
 )
 
-// book is what this router holds of one budget, in tokens.
-//
-// Invariant: billed + pending + reserved <= drawn.
+// book is what this router holds of one budget.
 type book struct {
 	id ledger.BudgetID
 
-	// lane serialises the table operations on this budget.
-	lane sync.Mutex
+	// lane serialises the table operations on this budget's holdings.
+	lane lane
 
 	mu       sync.Mutex // guards the fields below
-	drawn    int64      // as last read from the table
-	billed   int64      // as last read from the table
-	pending  int64      // billed here, not yet settled
-	reserved int64      // worst cases of requests in flight
-	bills    []ledger.BillRow
-	settling int // bills at the front that a settlement carries
+	current  *holding
+	former   []*holding // closed by other routers, with requests or bills left
+	demand   demand
+	flight   *flight
+	retryAt  time.Time // earliest time of the next draw after a failed one
+	lastFail error
+	// failedLeast is the smallest request that the last failure is about.
+	failedLeast int64
 }
 
-func (b *book) free() int64 { return b.drawn - b.billed - b.pending - b.reserved }
+// flight is one draw that any number of requests wait for.
+type flight struct {
+	done chan struct{}
+	err  error // valid after done is closed
+}
 
-// reserve takes n tokens if they are free.
-func (b *book) reserve(n int64) bool {
+// reserve takes n tokens if they are free, and returns the holding that they come from.
+func (b *book) reserve(n int64) *holding {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.free() < n {
-		return false
+	h := b.current
+	if h.free() < n {
+		return nil
 	}
-	b.reserved += n
-	return true
+	h.reserved += n
+	return h
 }
 
-func (b *book) release(n int64) {
+// release ends a reservation whose request did not run.
+func (b *book) release(r *Reservation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reserved -= n
+	h := r.holding
+	h.reserved -= r.tokens
+	h.note(inner.WitnessEntry{RunID: r.runID, State: inner.EntryDropped}, nil)
 }
 
-// bill turns a reservation of n tokens into a bill of at most n tokens.
-func (b *book) bill(n int64, row ledger.BillRow) {
+// bill turns a reservation into a bill; done receives the witness's answer.
+func (b *book) bill(r *Reservation, row ledger.BillRow, done chan error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reserved -= n
-	b.pending += row.Tokens()
-	b.bills = append(b.bills, row)
+	h := r.holding
+	h.reserved -= r.tokens
+	h.pending += row.Tokens()
+	h.bills = append(h.bills, row)
+	if r.runID == "" {
+		done <- nil
+		return
+	}
+	e := h.entries[r.runID]
+	e.RunID = r.runID
+	e.State = inner.EntryBilled
+	e.PromptTokens = row.PromptTokens
+	e.CompletionTokens = row.CompletionTokens
+	e.At = row.At
+	h.note(e, done)
+}
+
+// close abandons a holding that another router has closed and begins another.
+func (b *book) close(h *holding, next ledger.HoldingID) {
+	b.mu.Lock()
+	var changes []change
+	if !h.closed {
+		h.closed = true
+		changes = h.waiting()
+		b.former = append(b.former, h)
+	}
+	if b.current == h {
+		b.current = newHolding(next)
+	}
+	b.mu.Unlock()
+	finish(changes, ledger.ErrHoldingClosed)
 }
 
 // update takes over the totals that a table operation has read or written.
-func (b *book) update(h ledger.HoldingRow) {
+func (b *book) update(h *holding, row ledger.HoldingRow) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.drawn = h.Drawn
-	b.billed = h.Billed
+	h.update(row)
 }
 
 // batch returns the oldest bills, at most limit, for one settlement.
-func (b *book) batch(limit int) []ledger.BillRow {
+func (b *book) batch(h *holding, limit int) []ledger.BillRow {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.settling = min(limit, len(b.bills))
-	return b.bills[:b.settling:b.settling]
+	h.settling = min(limit, len(h.bills))
+	return h.bills[:h.settling:h.settling]
 }
 
 // settled drops the batch from the pending bills and takes over the totals in one step.
-func (b *book) settled(h ledger.HoldingRow) {
+func (b *book) settled(h *holding, row ledger.HoldingRow) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, bill := range h.bills[:h.settling] {
+		h.pending -= bill.Tokens()
+		h.note(inner.WitnessEntry{RunID: bill.RequestID, State: inner.EntryDropped}, nil)
+	}
+	h.bills = append([]ledger.BillRow(nil), h.bills[h.settling:]...)
+	h.settling = 0
+	h.update(row)
+}
+
+// forget drops former holdings with nothing left to do.
+func (b *book) forget() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, row := range b.bills[:b.settling] {
-		b.pending -= row.Tokens()
+	var left []*holding
+	for _, h := range b.former {
+		if !h.idle() {
+			left = append(left, h)
+		}
 	}
-	b.bills = append([]ledger.BillRow(nil), b.bills[b.settling:]...)
-	b.settling = 0
-	b.drawn = h.Drawn
-	b.billed = h.Billed
+	b.former = left
+}
+
+// holdings returns the current and the former holdings.
+func (b *book) holdings() (current *holding, former []*holding) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current, append([]*holding(nil), b.former...)
 }
--- /dev/null
+++ b/internal/budget/allotment/lane.go
@@ -0,0 +1,22 @@
+package allotment
+
+import (
+	"context"
+	"fmt"
+)
+
+// lane lets one table operation run at a time; a wait for it ends with its context.
+type lane chan struct{}
+
+func newLane() lane { return make(lane, 1) }
+
+func (l lane) lock(ctx context.Context) error {
+	select {
+	case l <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for earlier table operation: %w", ctx.Err())
+	}
+}
+
+func (l lane) unlock() { <-l }
--- a/internal/budget/ledger/grant.go
+++ b/internal/budget/ledger/grant.go
@@ -101,7 +101,7 @@
 // List returns the budgets of a workspace, or of all if it is empty, with what is billed.
 func (l *Ledger) List(ctx context.Context, workspace string) ([]NamedBudget, error) {
 	prefix := budgetPrefix
-	holdings := holdingPrefix
+	holdings := ""
 	if workspace != "" {
 		prefix += workspace + "/"
 		holdings += workspace + "/"
@@ -128,12 +128,8 @@
 
 func (l *Ledger) spentByBudget(ctx context.Context, prefix string) (map[BudgetID]int64, error) {
 	out := make(map[BudgetID]int64)
-	err := l.scanAll(ctx, prefix, func(r table.Row) error {
-		var h HoldingRow
-		if err := r.Decode(&h); err != nil {
-			return err
-		}
-		out[BudgetID{Workspace: h.Workspace, Name: h.Budget}] += h.Billed
+	err := l.Holdings(ctx, prefix, func(h HoldingRow) error {
+		out[h.ID().Budget] += h.Billed
 		return nil
 	})
 	return out, err
@@ -179,3 +175,9 @@
 		after = rows[len(rows)-1].Key
 	}
 }
+
+// retryable reports whether the same operation may be tried again after reading the rows anew.
+func retryable(err error) bool {
+	var conflict *table.ConflictError
+	return errors.As(err, &conflict) || errors.Is(err, table.ErrUnknownOutcome)
+}
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -14,6 +14,8 @@
 
 	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/budget/reclaim"
+	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
@@ -44,6 +46,8 @@
 	catalogue *catalogue.Catalogue
 	ledger    *ledger.Ledger
 	purse     *allotment.Purse
+	books     *witness.Books
+	reclaimer *reclaim.Reclaimer
 	targets   *pool.Pool
 	register  *register.Register
 	view      *membership.View
@@ -68,13 +72,14 @@
 	server := r.server()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 5)
+	failed := make(chan error, 6)
 	start := func(f func() error) {
 		go func() { failed <- f() }()
 	}
 	start(func() error { return r.catalogue.Run(background) })
 	start(func() error { return r.view.Run(background) })
 	start(func() error { return r.purse.Run(background) })
+	start(func() error { return r.reclaimer.Run(background) })
 	start(func() error { return r.links.Serve(background, innerListener) })
 	start(func() error { return server.Serve(callerListener) })
 	r.Log.Info("router started", "id", r.id, "listen", r.Settings.Router.Listen)
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/pool"
@@ -32,6 +33,7 @@
 	Ready    bool              `json:"ready"`
 	Draining bool              `json:"draining"`
 	Books    []allotment.State `json:"books"`
+	Witness  []witness.State   `json:"witness"`
 	Targets  []pool.State      `json:"targets"`
 	Members  []inner.Member    `json:"members"`
 	Runs     []RunState        `json:"runs"`
@@ -127,6 +129,7 @@
 		Ready:    r.catalogue.Ready(),
 		Draining: r.draining.Load(),
 		Books:    r.purse.State(),
+		Witness:  r.books.State(),
 		Targets:  r.targets.State(),
 		Members:  r.view.Members(),
 	}
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	Body []byte
 	// WorstPrompt is charged for a run whose usage cannot be learnt.
 	WorstPrompt int64
+	// Announce is called before each attempt; after an error nothing is sent.
+	Announce func(target, attempt string) error
 	// Sink receives the events.
 	Sink func(runner.Event) error
 }
@@ -81,6 +83,9 @@
 		}
 		exclude[target.Addr()] = true
 		a := &attempt{target: target, runID: attemptID(c.RunID, n)}
+		if err := announce(c.Announce, target, a.runID); err != nil {
+			return Outcome{failure: noTarget(err)}
+		}
 		err = d.onWorker(target, func() error { return d.stream(ctx, c, a) })
 		if err == nil {
 			return Outcome{usage: *a.usage}
@@ -93,6 +98,17 @@
 	return Outcome{failure: noTarget(last)}
 }
 
+// announce makes an attempt known before it is sent.
+func announce(f func(target, attempt string) error, t *pool.Target, attempt string) error {
+	if f == nil {
+		return nil
+	}
+	if err := f(t.Addr(), attempt); err != nil {
+		return &runner.Error{Run: answer.NotRun, Err: fmt.Errorf("announce attempt: %w", err)}
+	}
+	return nil
+}
+
 // attemptID names an attempt so that an answer to an earlier one cannot be taken for it.
 func attemptID(runID string, n int) string {
 	if n == 0 {
@@ -161,6 +177,8 @@
 	Call runner.Call
 	// Idempotent allows a call that may have run to be sent again.
 	Idempotent bool
+	// Announce is called before each attempt; after an error nothing is sent.
+	Announce func(target, attempt string) error
 }
 
 // CallService runs the call at a target of the service.
@@ -176,6 +194,9 @@
 		}
 		exclude[target.Addr()] = true
 		var result runner.Result
+		if err := announce(c.Announce, target, c.RunID); err != nil {
+			return runner.Result{}, announceFailure(last, err)
+		}
 		err = d.onWorker(target, func() error {
 			var callErr error
 			result, callErr = d.Call(target.Addr(), c.RunID, c.Call)
@@ -201,6 +222,15 @@
 	return fail
 }
 
+// announceFailure is the answer when the next attempt could not be announced;
+// an earlier one may have run.
+func announceFailure(last, err error) *answer.Error {
+	if last == nil {
+		last = err
+	}
+	return noTarget(last)
+}
+
 func resumable(ctx context.Context, err error) bool {
 	return err != nil && ctx.Err() == nil && runState(err) == answer.Ran
 }
--- a/internal/request/gateway/completion.go
+++ b/internal/request/gateway/completion.go
@@ -82,11 +82,13 @@
 		return
 	}
 	var usage []byte
+	announce := g.announcer(run, reservation, allotment.Attempt{Prompt: req.WorstPrompt()})
 	outcome := g.Dispatcher.Complete(run.Context(), dispatch.Completion{
 		Model:       req.Model(),
 		RunID:       run.ID(),
 		Body:        req.Body(),
 		WorstPrompt: req.WorstPrompt(),
+		Announce:    announce,
 		Sink: func(ev runner.Event) error {
 			switch {
 			case ev.Usage != nil:
@@ -107,6 +109,17 @@
 	g.Register.Retire(run)
 }
 
+// announcer returns a function that makes each attempt of the run known to the budget's witness.
+func (g *Gateway) announcer(run *register.Run, r *allotment.Reservation, a allotment.Attempt) func(target, attempt string) error {
+	return func(target, attempt string) error {
+		ctx, cancel := contextWithTimeout(run, g.reserveTimeout())
+		defer cancel()
+		a.RunID, a.RequestKey = run.ID(), run.Key().Request
+		a.Target, a.ID = target, attempt
+		return r.Announce(ctx, a)
+	}
+}
+
 // refuse ends a run that did not run, so that its key may be tried again.
 func (g *Gateway) refuse(run *register.Run, fail *answer.Error) {
 	g.Register.Forget(run)
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/admission"
 	"rosevalve/internal/request/answer"
@@ -102,6 +103,7 @@
 		RunID:      run.ID(),
 		Call:       req.call,
 		Idempotent: req.key == "",
+		Announce:   g.announcer(run, reservation, allotment.Attempt{Prompt: req.service.TokensPerCall, Fixed: true}),
 	})
 	var failure *answer.Error
 	if errors.As(err, &failure) {
--- a/internal/target/runner/runner.go
+++ b/internal/target/runner/runner.go
@@ -28,6 +28,9 @@
 	maxConnDuration     = 10 * time.Minute
 )
 
+// ErrNoRun reports that the target does not know the run.
+var ErrNoRun = errors.New("run does not exist at the target")
+
 // Error is a failed attempt at a target.
 type Error struct {
 	// Run tells whether the target ran the request.
@@ -251,6 +254,9 @@
 	if err := c.http.DoTimeout(req, resp, cancelTimeout); err != nil {
 		return chat.Usage{}, fmt.Errorf("cancel run: %w", err)
 	}
+	if resp.StatusCode() == fasthttp.StatusNotFound {
+		return chat.Usage{}, fmt.Errorf("cancel run %q: %w", runID, ErrNoRun)
+	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return chat.Usage{}, fmt.Errorf("cancel run: status %d", resp.StatusCode())
 	}
