--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -169,10 +169,10 @@
 }
 
 func newRun(id string, in chat.Request) *run {
-	h := fnv.New64a()
 	var prompt int64
-	for _, m := range in.Messages {
-		_, _ = h.Write(m.Content)
+	contents := make([][]byte, len(in.Messages))
+	for i, m := range in.Messages {
+		contents[i] = m.Content
 		prompt += PromptTokens(m.Content)
 	}
 	maxTokens := int64(defaultMaxTokens)
@@ -181,7 +181,7 @@
 	}
 	return &run{
 		id:      id,
-		seed:    h.Sum64(),
+		seed:    Seed(contents...),
 		model:   in.Model,
 		prompt:  prompt,
 		max:     maxTokens,
@@ -196,6 +196,15 @@
 	return int64(len(content)+3) / 4
 }
 
+// Seed returns the seed of the answer to messages with the contents.
+func Seed(contents ...[]byte) uint64 {
+	h := fnv.New64a()
+	for _, c := range contents {
+		_, _ = h.Write(c)
+	}
+	return h.Sum64()
+}
+
 // Token returns the text of token i of the answer to a request with the seed.
 func Token(seed uint64, i int64) string {
 	x := seed ^ uint64(i+1)*0x9e3779b97f4a7c15
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -17,8 +17,9 @@
 	// Delay is the time that each call takes.
 	Delay time.Duration
 
-	mu   sync.Mutex // guards runs
-	runs map[string]int
+	mu    sync.Mutex // guards runs and paths
+	runs  map[string]int
+	paths map[string]int
 }
 
 // Answer is the outcome of a call.
@@ -31,6 +32,7 @@
 // Run serves on addr until the listener fails.
 func (s *Server) Run(addr string) error {
 	s.runs = make(map[string]int)
+	s.paths = make(map[string]int)
 	if err := fasthttp.ListenAndServe(addr, s.handle); err != nil {
 		return fmt.Errorf("serve service on %s: %w", addr, err)
 	}
@@ -38,21 +40,31 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) == "/counts" {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		reply(ctx, s.runs)
+	path := string(ctx.Path())
+	switch path {
+	case "/counts":
+		s.replyCounts(ctx, s.runs)
+		return
+	case "/counts/paths":
+		s.replyCounts(ctx, s.paths)
 		return
 	}
 	call := string(ctx.Request.Header.Peek(HeaderCall))
-	runs := s.count(call)
+	runs := s.count(call, path)
 	time.Sleep(s.Delay)
-	reply(ctx, Answer{Path: string(ctx.Path()), Call: call, Runs: runs})
+	reply(ctx, Answer{Path: path, Call: call, Runs: runs})
+}
+
+func (s *Server) replyCounts(ctx *fasthttp.RequestCtx, counts map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply(ctx, counts)
 }
 
-func (s *Server) count(call string) int {
+func (s *Server) count(call, path string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.paths[path]++
 	s.runs[call]++
 	return s.runs[call]
 }
