Bring about faults of whole processes and audit the outcome

Killing a router leaves 2 answered requests unbilled, killing two leaves 3: bills wait in memory up to 100 ms for their settlement and die with the process. Killing an engine gives 4 wrong answers: the stream is resumed at the dead engine, the dial fails, and the failed dial is taken as proof that the request did not run, so that another engine answers from the start behind the part already sent. Ruled out: duplicate billing (0 in every scenario) and repeated non-idempotent calls (0). Both causes are open.

--- a/internal/cmd/standin/load.go
+++ b/internal/cmd/standin/load.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
@@ -47,6 +48,7 @@
 	set.IntVar(&l.PromptBytes, 0, "prompt-bytes", 200, "size of a prompt")
 	set.IntVar(&l.Tries, 0, "tries", 4, "how often a request is sent at most")
 	set.IntVar(&l.Callers, 0, "callers", 32, "callers that keep their own entries")
+	set.DurationVar(&l.SettleLimit, 0, "settle-limit", 5*time.Second, "longest wait for bills before the audit")
 	set.Uint64Var(&l.Seed, 0, "seed", 1, "seed of the arrivals and prefix of the keys")
 	set.BoolVar(&strict, 0, "strict", "fail if the audit finds faults or an answer is wrong or cut")
 	return &ff.Command{
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -24,7 +24,7 @@
   local name=$1
   shift
   "$@" >"$RUN/$name.log" 2>&1 &
-  echo $! >>"$RUN/pids"
+  echo "$name $!" >>"$RUN/pids"
 }
 
 wait_for() {
@@ -142,7 +142,7 @@
   if [ ! -e "$RUN/pids" ]; then
     return
   fi
-  while read -r pid; do
+  while read -r _ pid; do
     kill -9 "$pid" 2>/dev/null || true
   done <"$RUN/pids"
   rm -f "$RUN/pids" "$RUN/fleet.json"
