Make a run's state truthful and let routers find each other's runs

Cause: a response could be closed after its reuse by another request when a caller left; a DoTimeout was overridden by the progress timeout; [DONE] left every connection unread, so none was kept; a restart could repeat delivered text; the state of a failed request came from its last attempt alone; an outcome lost in a table outage was never stored; runs without a caller were not waited for at a stop.

Now: run state from the bytes that the connection accepted, calls that may run once on connections of their own, idle connections to a silent target retired, an attempt cancelled before the next, restarts that go on only behind text that they repeat, a retry budget, deadlines answered at once, outcomes stored in the background, and a home for each key by rendezvous hashing. Ruled out: fasthttp's Connection: close for a fresh connection, since it takes idle connections too.

--- a/internal/fleet/router/requests.go
+++ b/internal/fleet/router/requests.go
@@ -1,9 +1,12 @@
 package router
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/fleet/entry"
+	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/admission"
 	"rosevalve/internal/request/claim"
 	"rosevalve/internal/request/dispatch"
@@ -12,12 +15,16 @@
 	"rosevalve/internal/target/runner"
 )
 
+// relayTimeout is the longest silence of a router that relays a run.
+const relayTimeout = 5 * time.Second
+
 // connectRequests builds the path of a caller's request.
 func (r *Router) connectRequests() {
 	cfg := r.Settings.Request
 	r.register = &register.Register{}
-	client := &runner.Client{Progress: cfg.ProgressTimeout}
-	client.Start()
+	client := &runner.Client{FirstByte: cfg.FirstByteTimeout, Progress: cfg.ProgressTimeout, MaxAge: cfg.ConnectionMaxAge}
+	// A router that relays a run sends a comment every few seconds.
+	routers := &runner.Client{FirstByte: relayTimeout, Progress: relayTimeout}
 	r.gateway = &gateway.Gateway{
 		Snapshot: r.catalogue.Current,
 		Register: r.register,
@@ -35,6 +42,17 @@
 		Draining: r.draining.Load,
 		Limits:   admission.Limits{MaxTokens: cfg.MaxTokens, DefaultTokens: cfg.DefaultTokens},
 		Holder:   r.id,
+		Homes:    r.homes,
+		Attach:   routers.Attach,
+		MaxRuns:  int(cfg.MaxRuns),
 		Log:      r.Log,
 	}
 }
+
+// connectRuns builds the memory of which router runs a key.
+func (r *Router) connectRuns() {
+	r.homes = &register.Homes{Self: r.view.Self, Members: r.view.Members, Call: r.links.Call}
+	r.links.Handlers[inner.MethodRunBegin] = r.homes.HandleBegin
+	r.links.Handlers[inner.MethodRunPlace] = r.homes.HandlePlace
+	r.links.Handlers[inner.MethodRunEnd] = r.homes.HandleEnd
+}
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -46,6 +46,7 @@
 	purse     *allotment.Purse
 	targets   *pool.Pool
 	register  *register.Register
+	homes     *register.Homes
 	view      *membership.View
 	links     *peer.Links
 	directory *entry.Directory
@@ -93,6 +94,7 @@
 	r.connectConfiguration()
 	r.connectBudgets()
 	r.connectFleet()
+	r.connectRuns()
 	r.connectRequests()
 }
 
@@ -112,7 +114,8 @@
 	r.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.Router.DrainLimit)
 	defer cancel()
-	shutdownErr := server.ShutdownWithContext(ctx)
+	// Runs may go on after their callers have left, and must be billed.
+	shutdownErr := errors.Join(server.ShutdownWithContext(ctx), r.gateway.Close(ctx))
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	if err := errors.Join(shutdownErr, r.purse.Close(closeCtx)); err != nil {
--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -79,8 +79,23 @@
 
 // Delta is the text that an event adds.
 type Delta struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content,omitempty"`
+	Role      string     `json:"role,omitempty"`
+	Content   string     `json:"content,omitempty"`
+	ToolCalls []ToolCall `json:"tool_calls,omitempty"`
+}
+
+// ToolCall is a call that the model asks for, or a part of one in a stream.
+type ToolCall struct {
+	Index    int          `json:"index"`
+	ID       string       `json:"id,omitempty"`
+	Type     string       `json:"type,omitempty"`
+	Function ToolFunction `json:"function"`
+}
+
+// ToolFunction is the function that a tool call names.
+type ToolFunction struct {
+	Name      string `json:"name,omitempty"`
+	Arguments string `json:"arguments"`
 }
 
 // Completion is a whole answer.
@@ -102,8 +117,9 @@
 
 // TextMessage is a message whose content is one text.
 type TextMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role      string     `json:"role"`
+	Content   string     `json:"content"`
+	ToolCalls []ToolCall `json:"tool_calls,omitempty"`
 }
 
 // ModelList is the answer to a request for the models.
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -23,6 +23,17 @@
 // MarshalText encodes the state by its name.
 func (s RunState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText decodes the name of a state.
+func (s *RunState) UnmarshalText(text []byte) error {
+	for _, state := range []RunState{NotRun, Unknown, Ran} {
+		if state.String() == string(text) {
+			*s = state
+			return nil
+		}
+	}
+	return fmt.Errorf("run state %q does not exist", text)
+}
+
 // Error is the final answer to a request that failed or was refused.
 type Error struct {
 	// Status is the HTTP status.
@@ -66,6 +77,8 @@
 
 type wireError struct {
 	Error wireDetail `json:"error"`
+	// Status is the HTTP status, which an error inside a stream has no other place for.
+	Status int `json:"status"`
 }
 
 type wireDetail struct {
@@ -104,13 +117,32 @@
 	if e.Param != "" {
 		d.Param = &e.Param
 	}
-	b, err := json.Marshal(wireError{Error: d})
+	b, err := json.Marshal(wireError{Error: d, Status: e.Status})
 	if err != nil {
 		return []byte(`{"error":{"message":"internal error","run":"unknown"}}`)
 	}
 	return b
 }
 
+// Parse decodes an error that JSON has encoded.
+func Parse(data []byte) (*Error, error) {
+	var w wireError
+	if err := json.Unmarshal(data, &w); err != nil {
+		return nil, fmt.Errorf("decode error: %w", err)
+	}
+	e := &Error{
+		Status:     w.Status,
+		Code:       w.Error.Code,
+		Message:    w.Error.Message,
+		Run:        w.Error.Run,
+		RetryAfter: time.Duration(w.Error.RetryAfterS) * time.Second,
+	}
+	if w.Error.Param != nil {
+		e.Param = *w.Error.Param
+	}
+	return e, nil
+}
+
 func (e *Error) kind() string {
 	switch {
 	case e.Status == 401 || e.Status == 403:
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -34,6 +34,11 @@
 	Cancel func(addr, runID string) (chat.Usage, error)
 	// Call sends a request to a plain service.
 	Call func(addr, runID string, call runner.Call) (runner.Result, error)
+	// MayRepeat decides whether a call that failed may be sent again; nil stands
+	// for the rule that it provably did not run or is idempotent.
+	MayRepeat func(state answer.RunState, idempotent bool) bool
+	// Retries bounds the repeated attempts.
+	Retries RetryBudget
 }
 
 // Completion is one request for an engine.
@@ -44,53 +49,59 @@
 	RunID string
 	// Body is sent to the engine.
 	Body []byte
-	// WorstPrompt is charged for a run whose usage cannot be learnt.
+	// WorstPrompt bounds the prompt's tokens, and is charged if they cannot be learnt.
 	WorstPrompt int64
+	// MaxTokens bounds the completion's tokens.
+	MaxTokens int64
+	// Earlier is a run of the same request that another router has begun, if any.
+	Earlier Location
+	// Delivered holds the events that the caller has already received.
+	Delivered [][]byte
+	// Began is told where each attempt runs; it may be nil.
+	Began func(Location)
 	// Sink receives the events.
 	Sink func(runner.Event) error
 }
 
-// Outcome is what a request used and how it ended.
-type Outcome struct {
-	usage   chat.Usage
-	failure *answer.Error
-}
-
-// Usage returns the tokens to bill; it is zero if the request did not run.
-func (o Outcome) Usage() chat.Usage { return o.usage }
-
-// Failure returns the answer for the caller, or nil if the answer is whole.
-func (o Outcome) Failure() *answer.Error { return o.failure }
-
-// attempt is the state of one run at one target.
-type attempt struct {
-	target *pool.Target
-	runID  string
-	usage  *chat.Usage
-	tokens int64 // text events handed to the sink
+// Location tells where a run is.
+type Location struct {
+	// Target is the address of the engine.
+	Target string
+	// RunID names the attempt at the engine.
+	RunID string
 }
 
-// Complete runs the request at an engine and returns when the answer is whole or given up.
+// Complete runs the request at an engine and returns when the answer is whole or
+// given up, at the latest when ctx ends.
 func (d *Dispatcher) Complete(ctx context.Context, c Completion) Outcome {
+	d.Retries.Deposit()
+	s := newSession(c)
+	if c.Earlier.Target != "" {
+		if out, done := d.takeOver(ctx, s); done {
+			return out
+		}
+	}
 	exclude := make(map[string]bool)
-	var last error
 	for n := range maxAttempts {
+		if ctx.Err() != nil || n > 0 && !d.Retries.Withdraw() {
+			break
+		}
 		target, err := d.Engine(c.Model, exclude)
 		if err != nil {
 			break
 		}
 		exclude[target.Addr()] = true
-		a := &attempt{target: target, runID: attemptID(c.RunID, n)}
-		err = d.onWorker(target, func() error { return d.stream(ctx, c, a) })
+		a := s.begin(target.Addr(), attemptID(c.RunID, n))
+		err = d.run(ctx, s, a, target.Go)
 		if err == nil {
-			return Outcome{usage: *a.usage}
+			return s.whole(a)
 		}
-		last = err
-		if !notRun(err) {
-			return d.giveUp(ctx, c, a, err)
+		if ctx.Err() != nil {
+			return d.abandon(ctx, s, a)
 		}
+		s.failed(a, d.Cancel)
 	}
-	return Outcome{failure: noTarget(last)}
+	return s.refused(ctx)
 }
 
 // attemptID names an attempt so that an answer to an earlier one cannot be taken for it.
@@ -101,116 +112,69 @@
 	return fmt.Sprintf("%s.%d", runID, n)
 }
 
-// onWorker runs f on a worker of the target, if one is free, and waits for it.
-func (d *Dispatcher) onWorker(t *pool.Target, f func() error) error {
-	done := make(chan error, 1)
-	if !t.Go(func() { done <- f() }) {
-		return &runner.Error{Run: answer.NotRun, Err: fmt.Errorf("target %s has no free worker", t.Addr())}
+// run performs the attempt on a worker, if one is free, and waits for it or for ctx.
+func (d *Dispatcher) run(ctx context.Context, s *session, a *attempt, worker func(func()) bool) error {
+	ok := worker(func() {
+		defer close(a.done)
+		a.err = errors.New("attempt panicked")
+		a.err = d.stream(ctx, s, a)
+	})
+	if !ok {
+		a.err = &runner.Error{Run: answer.NotRun, Err: fmt.Errorf("target %s has no free worker", a.target)}
+		close(a.done)
+		return a.err
+	}
+	select {
+	case <-a.done:
+		return a.err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return <-done
 }
 
 // stream sends the request and resumes the stream where it is cut.
-func (d *Dispatcher) stream(ctx context.Context, c Completion, a *attempt) error {
-	sink := func(ev runner.Event) error {
-		if ev.Usage != nil {
-			a.usage = ev.Usage
-		}
-		if ev.Text() {
-			a.tokens++
-		}
-		return c.Sink(ev)
+func (d *Dispatcher) stream(ctx context.Context, s *session, a *attempt) error {
+	sink := func(ev runner.Event) error { return s.take(a, ev) }
+	var err error
+	if a.earlier {
+		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
+	} else {
+		err = d.Stream(ctx, a.target, a.runID, s.Body, sink)
 	}
-	err := d.Stream(ctx, a.target.Addr(), a.runID, c.Body, sink)
-	for n := 0; n < maxResumes && resumable(ctx, err); n++ {
-		err = d.Resume(ctx, a.target.Addr(), a.runID, a.tokens, sink)
+	for n := 0; n < maxResumes && resumable(ctx, a.check(err)); n++ {
+		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
 	}
-	if err == nil && a.usage == nil {
-		return &runner.Error{Run: answer.Ran, Err: errors.New("stream ended without usage")}
-	}
-	return err
+	return a.check(err)
 }
 
-// giveUp cancels the run and bills what the engine says it used, or what was seen of it.
-func (d *Dispatcher) giveUp(ctx context.Context, c Completion, a *attempt, cause error) Outcome {
-	usage, err := d.Cancel(a.target.Addr(), a.runID)
-	if err != nil {
-		usage = chat.Usage{PromptTokens: c.WorstPrompt, CompletionTokens: a.tokens}
-	}
-	fail := &answer.Error{
-		Status:     fasthttp.StatusBadGateway,
-		Code:       "target_failed",
-		Message:    "the target failed while it ran the request",
-		Run:        runState(cause),
-		RetryAfter: busyRetry,
+// takeOver resumes a run that another router has begun. It reports false if the
+// run cannot be resumed and was cancelled as far as possible.
+func (d *Dispatcher) takeOver(ctx context.Context, s *session) (Outcome, bool) {
+	a := s.begin(s.Earlier.Target, s.Earlier.RunID)
+	// What the caller has is the beginning of this very run.
+	a.earlier = true
+	a.position = len(s.prior)
+	err := d.run(ctx, s, a, func(f func()) bool {
+		go f()
+		return true
+	})
+	if err == nil {
+		return s.whole(a), true
 	}
 	if ctx.Err() != nil {
-		fail.Code = "cancelled"
-		fail.Message = "the request was cancelled"
+		return d.abandon(ctx, s, a), true
 	}
-	return Outcome{usage: usage, failure: fail}
+	_, _ = d.Cancel(a.target, a.runID)
+	return Outcome{}, false
 }
 
-// ServiceCall is one request for a plain service.
-type ServiceCall struct {
-	// Service is the service's name.
-	Service string
-	// RunID identifies the call at the service.
-	RunID string
-	// Call is sent to the service.
-	Call runner.Call
-	// Idempotent allows a call that may have run to be sent again.
-	Idempotent bool
-}
-
-// CallService runs the call at a target of the service.
-//
-// The error is an *answer.Error.
-func (d *Dispatcher) CallService(c ServiceCall) (runner.Result, error) {
-	exclude := make(map[string]bool)
-	var last error
-	for range maxAttempts {
-		target, err := d.Service(c.Service, exclude)
-		if err != nil {
-			break
-		}
-		exclude[target.Addr()] = true
-		var result runner.Result
-		err = d.onWorker(target, func() error {
-			var callErr error
-			result, callErr = d.Call(target.Addr(), c.RunID, c.Call)
-			return callErr
-		})
-		if err == nil {
-			return result, nil
-		}
-		last = err
-		if !notRun(err) && !c.Idempotent {
-			break
-		}
-	}
-	return runner.Result{}, noTarget(last)
+func resumable(ctx context.Context, err error) bool {
+	return err != nil && ctx.Err() == nil && runner.State(err) == answer.Ran && !errors.Is(err, errDiverged)
 }
 
 // noTarget is the answer when no attempt is left.
-func noTarget(last error) *answer.Error {
+func noTarget(state answer.RunState) *answer.Error {
 	fail := answer.Busy(fasthttp.StatusServiceUnavailable, "no_target", busyRetry, "no target can take the request now")
-	if last != nil {
-		fail.Run = runState(last)
-	}
+	fail.Run = state
 	return fail
 }
-
-func resumable(ctx context.Context, err error) bool {
-	return err != nil && ctx.Err() == nil && runState(err) == answer.Ran
-}
-
-func notRun(err error) bool { return runState(err) == answer.NotRun }
-
-func runState(err error) answer.RunState {
-	var e *runner.Error
-	if errors.As(err, &e) {
-		return e.Run
-	}
-	return answer.Unknown
-}
--- /dev/null
+++ b/internal/request/dispatch/service.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/pool"
+	"rosevalve/internal/target/runner"
+)
+
+// ServiceCall is one request for a plain service.
+type ServiceCall struct {
+	// Service is the service's name.
+	Service string
+	// RunID identifies the call at the service.
+	RunID string
+	// Call is sent to the service.
+	Call runner.Call
+	// Idempotent allows a call that may have run to be sent again.
+	Idempotent bool
+}
+
+// CallService runs the call at a target of the service. It returns the outcome
+// of the attempt that it has begun even if ctx ends before, and begins no other.
+//
+// The error is an *answer.Error.
+func (d *Dispatcher) CallService(ctx context.Context, c ServiceCall) (runner.Result, error) {
+	d.Retries.Deposit()
+	c.Call.Fresh = !c.Idempotent
+	exclude := make(map[string]bool)
+	state := answer.NotRun
+	for n := range maxAttempts {
+		if ctx.Err() != nil || n > 0 && !d.Retries.Withdraw() {
+			break
+		}
+		target, err := d.Service(c.Service, exclude)
+		if err != nil {
+			break
+		}
+		exclude[target.Addr()] = true
+		result, err := d.call(target, c)
+		if err == nil {
+			return result, nil
+		}
+		// A later attempt that did not run says nothing about an earlier one.
+		state = max(state, runner.State(err))
+		if !d.mayRepeat(runner.State(err), c.Idempotent) {
+			break
+		}
+	}
+	if ctx.Err() != nil {
+		return runner.Result{}, givenUp(ctx, state)
+	}
+	return runner.Result{}, noTarget(state)
+}
+
+func (d *Dispatcher) mayRepeat(state answer.RunState, idempotent bool) bool {
+	if d.MayRepeat != nil {
+		return d.MayRepeat(state, idempotent)
+	}
+	return idempotent || state == answer.NotRun
+}
+
+// call performs one attempt on a worker of the target, if one is free.
+func (d *Dispatcher) call(t *pool.Target, c ServiceCall) (runner.Result, error) {
+	var result runner.Result
+	done := make(chan error, 1)
+	ok := t.Go(func() {
+		err := errors.New("call panicked")
+		defer func() { done <- err }()
+		result, err = d.Call(t.Addr(), c.RunID, c.Call)
+	})
+	if !ok {
+		return result, &runner.Error{Run: answer.NotRun, Err: fmt.Errorf("target %s has no free worker", t.Addr())}
+	}
+	return result, <-done
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
-	"crypto/rand"
+	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -19,6 +21,7 @@
 	"rosevalve/internal/request/claim"
 	"rosevalve/internal/request/dispatch"
 	"rosevalve/internal/request/register"
+	"rosevalve/internal/target/runner"
 	"rosevalve/internal/workspace/catalogue"
 )
 
@@ -29,6 +32,10 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderReplayed is set on answers that an earlier request of the same key produced.
 	HeaderReplayed = "X-Replayed"
+	// HeaderDeadline is the time in milliseconds that the caller gives the request.
+	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderRelay marks a request that a router sends on; it never begins a run.
+	HeaderRelay = "X-Relay"
 )
 
 const (
@@ -39,6 +46,9 @@
 
 	defaultAbandonGrace   = 10 * time.Second
 	defaultReserveTimeout = time.Second
+	defaultMaxRuns        = 16384
+	hintWorkers           = 16
+	hintQueue             = 4096
 	exhaustedRetry        = 30 * time.Second
 	tableRetry            = 2 * time.Second
 )
@@ -67,8 +77,32 @@
 	ReserveTimeout time.Duration
 	// Holder is the router incarnation that signs bills.
 	Holder string
+	// Homes finds the runs that other routers have; nil stands for none.
+	Homes *register.Homes
+	// Attach reads a run from the router that has it.
+	Attach func(ctx context.Context, addr string, f runner.Forward, sink func(runner.Event) error) error
+	// MaxRuns bounds the requests that run at the same time.
+	MaxRuns int
+	// Unclaimed lets calls run without a claim; only tests set it.
+	Unclaimed bool
 	// Log receives one record for each request.
 	Log *log.Logger
+
+	once    sync.Once
+	workers pond.Pool // one worker for each run
+	hints   pond.Pool // sends hints to other routers
+	running sync.WaitGroup
+}
+
+func (g *Gateway) init() {
+	g.once.Do(func() {
+		n := g.MaxRuns
+		if n == 0 {
+			n = defaultMaxRuns
+		}
+		g.workers = pond.NewPool(n, pond.WithNonBlocking(true), pond.WithQueueSize(0))
+		g.hints = pond.NewPool(hintWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(hintQueue))
+	})
 }
 
 // Handle answers one request of a caller.
@@ -102,18 +136,9 @@
 	writeJSON(ctx, out)
 }
 
-// requestKey returns the caller's idempotency key, or a new one.
-func requestKey(ctx *fasthttp.RequestCtx) (key string, given bool, fail *answer.Error) {
-	key = string(ctx.Request.Header.Peek(HeaderKey))
-	if key == "" {
-		return rand.Text(), false, nil
-	}
-	return key, true, admission.CheckKey(key)
-}
-
 // reserve takes the tokens from the first of the workspace's budgets that has them.
 func (g *Gateway) reserve(run *register.Run, budget string, tokens int64) (*allotment.Reservation, *answer.Error) {
-	ctx, cancel := contextWithTimeout(run, g.reserveTimeout())
+	ctx, cancel := context.WithTimeout(run.Context(), g.reserveTimeout())
 	defer cancel()
 	ids, err := g.budgets(ctx, run.Key().Workspace, budget)
 	if err != nil {
@@ -130,6 +155,14 @@
 	return nil, reserveFailure(last)
 }
 
+// budgets returns the budgets that a request may draw from.
+func (g *Gateway) budgets(ctx context.Context, workspace, budget string) ([]ledger.BudgetID, error) {
+	if budget != "" {
+		return []ledger.BudgetID{{Workspace: workspace, Name: budget}}, nil
+	}
+	return g.Purse.Budgets(ctx, workspace)
+}
+
 func (g *Gateway) reserveTimeout() time.Duration {
 	if g.ReserveTimeout == 0 {
 		return defaultReserveTimeout
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -19,8 +19,12 @@
 	"rosevalve/internal/workspace/catalogue"
 )
 
-// storeTimeout bounds the wait for an outcome to be stored before the caller is answered.
-const storeTimeout = 2 * time.Second
+const (
+	// storeTimeout bounds the wait for an outcome to be stored before the caller is answered.
+	storeTimeout   = 500 * time.Millisecond
+	firstStoreWait = 100 * time.Millisecond
+	maxStoreWait   = 5 * time.Second
+)
 
 // serviceRequest is one checked call of a plain service.
 type serviceRequest struct {
@@ -45,21 +49,23 @@
 		return
 	}
 	req := newServiceRequest(ctx, service, "/"+path)
-	run, first, fail := g.begin(ctx, workspace.Name, callHash(req.call))
+	in, fail := g.begin(ctx, workspace.Name, callHash(req.call))
 	if fail != nil {
 		g.fail(ctx, "", fail)
 		return
 	}
-	if !service.Idempotent(req.call.Method, req.call.Path) {
-		req.key = claim.Key(workspace.Name, name, run.Key().Request)
+	if !service.Idempotent(req.call.Method, req.call.Path) && !g.Unclaimed {
+		req.key = claim.Key(workspace.Name, name, in.run.Key().Request)
+	}
+	if in.first {
+		g.start(in, func() { g.callService(in, req) })
 	}
-	ctx.Response.Header.Set(HeaderRequestID, run.ID())
-	if first {
-		g.callService(run, req)
-	} else {
-		ctx.Response.Header.Set(HeaderReplayed, "true")
+	if in.relayed {
+		g.relayRaw(ctx, in)
+		return
 	}
-	g.relayResult(ctx, run)
+	defer in.run.Log().Leave()
+	g.relayResult(ctx, in.run)
 }
 
 func newServiceRequest(ctx *fasthttp.RequestCtx, service catalogue.Service, path string) serviceRequest {
@@ -83,21 +89,59 @@
 }
 
 // callService reserves, claims, calls and bills, and ends the run's log with the outcome.
-func (g *Gateway) callService(run *register.Run, req serviceRequest) {
+func (g *Gateway) callService(in *intake, req serviceRequest) {
+	run := in.run
 	defer run.Cancel()
+	found := g.lookUp(in, "")
 	reservation, fail := g.reserve(run, req.budget, req.service.TokensPerCall)
+	if owner := <-found; owner != nil {
+		if answered, _ := g.follow(in, owner); answered {
+			if reservation != nil {
+				reservation.Release()
+			}
+			return
+		}
+	}
 	if fail != nil {
-		g.refuse(run, fail)
+		g.refuse(in, fail)
 		return
 	}
 	row := claim.Row{RunID: run.ID(), BodyHash: callHash(req.call), At: time.Now().UTC()}
 	stored, fail := g.claim(run, req, row)
-	if fail != nil || stored != nil {
+	if fail != nil {
+		reservation.Release()
+		g.refuse(in, fail)
+		return
+	}
+	if stored != nil {
 		reservation.Release()
-		g.finishCall(run, stored, fail)
+		count(outcomeStored, answer.Ran)
+		g.finishCall(in, *stored)
+		g.Register.Retire(run)
 		return
 	}
-	result, err := g.Dispatcher.CallService(dispatch.ServiceCall{
+	if g.runCall(in, req, row) == answer.NotRun {
+		reservation.Release()
+		return
+	}
+	g.bill(reservation, run, chat.Usage{CompletionTokens: req.service.TokensPerCall})
+}
+
+// runCall sends the claimed call and ends the run's log with what came of it.
+func (g *Gateway) runCall(in *intake, req serviceRequest, row claim.Row) answer.RunState {
+	run := in.run
+	stop := context.AfterFunc(run.Context(), func() {
+		// The caller is answered at its deadline; the outcome is stored when it comes.
+		run.Log().Finish(nil, &answer.Error{
+			Status:     fasthttp.StatusGatewayTimeout,
+			Code:       "deadline_exceeded",
+			Message:    "the call had no outcome at its deadline",
+			Run:        answer.Unknown,
+			RetryAfter: tableRetry,
+		})
+	})
+	defer stop()
+	result, err := g.Dispatcher.CallService(run.Context(), dispatch.ServiceCall{
 		Service:    req.service.Name,
 		RunID:      run.ID(),
 		Call:       req.call,
@@ -105,18 +149,20 @@
 	})
 	var failure *answer.Error
 	if errors.As(err, &failure) {
-		g.failCall(run, req, row, failure)
 		if failure.Run == answer.NotRun {
-			reservation.Release()
-			return
+			g.release(run, req, row)
 		}
-		g.bill(reservation, run, chat.Usage{CompletionTokens: req.service.TokensPerCall})
-		return
+		g.refuse(in, failure)
+		return failure.Run
 	}
 	outcome := claim.Outcome{Status: result.Status, ContentType: result.ContentType, Body: result.Body}
-	g.store(req, row, outcome)
-	g.bill(reservation, run, chat.Usage{CompletionTokens: req.service.TokensPerCall})
-	g.finishCall(run, &outcome, nil)
+	stored := g.store(in, req, row, outcome)
+	count(outcomeWhole, answer.Ran)
+	g.finishCall(in, outcome)
+	if stored {
+		g.Register.Retire(run)
+	}
+	return answer.Ran
 }
 
 // claim makes the claim of a call that may run at most once.
@@ -124,7 +170,7 @@
 	if req.key == "" {
 		return nil, nil
 	}
-	ctx, cancel := contextWithTimeout(run, g.reserveTimeout())
+	ctx, cancel := context.WithTimeout(run.Context(), g.reserveTimeout())
 	defer cancel()
 	stored, err := g.Claims.Acquire(ctx, req.key, row)
 	switch {
@@ -145,71 +191,97 @@
 	}
 }
 
-// failCall ends a call that failed; its claim is released only if the call did not run.
-func (g *Gateway) failCall(run *register.Run, req serviceRequest, row claim.Row, fail *answer.Error) {
-	if fail.Run == answer.NotRun && req.key != "" {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-		defer cancel()
-		if err := g.Claims.Release(ctx, req.key, row); err != nil {
-			g.Log.Warn("release claim", "request_id", run.ID(), "err", err)
-		}
+// release removes the claim of a call that did not run.
+func (g *Gateway) release(run *register.Run, req serviceRequest, row claim.Row) {
+	if req.key == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := g.Claims.Release(ctx, req.key, row); err != nil {
+		g.Log.Warn("release claim", "request_id", run.ID(), "err", err)
 	}
-	g.finishCall(run, nil, fail)
 }
 
-// store records the outcome of a claimed call.
-func (g *Gateway) store(req serviceRequest, row claim.Row, outcome claim.Outcome) {
+// store records the outcome of a claimed call and reports whether it is stored.
+// If the table is slow, that goes on in the background, and this router remembers
+// the outcome until then.
+func (g *Gateway) store(in *intake, req serviceRequest, row claim.Row, outcome claim.Outcome) bool {
 	if req.key == "" {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := g.Claims.Store(ctx, req.key, row, outcome); err != nil {
-		g.Log.Warn("store outcome", "request_id", row.RunID, "err", err)
+	err := g.Claims.Store(ctx, req.key, row, outcome)
+	if err == nil {
+		return true
 	}
+	g.Log.Warn("store outcome", "request_id", row.RunID, "err", err)
+	storesPending.Add(1)
+	g.running.Add(1)
+	go func() {
+		defer g.running.Done()
+		defer storesPending.Add(-1)
+		g.keepStoring(in, req, row, outcome)
+	}()
+	return false
 }
 
-// finishCall ends the run's log with the outcome or the failure.
-func (g *Gateway) finishCall(run *register.Run, outcome *claim.Outcome, fail *answer.Error) {
-	if fail != nil {
-		g.Register.Forget(run)
-		run.Log().Finish(nil, fail)
-		return
+// keepStoring stores the outcome once the table is back.
+func (g *Gateway) keepStoring(in *intake, req serviceRequest, row claim.Row, outcome claim.Outcome) {
+	for wait := firstStoreWait; ; wait = min(2*wait, maxStoreWait) {
+		time.Sleep(wait)
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		err := g.Claims.Store(ctx, req.key, row, outcome)
+		cancel()
+		if err == nil {
+			g.Register.Retire(in.run)
+			return
+		}
+		g.Log.Warn("store outcome", "request_id", row.RunID, "err", err)
 	}
+}
+
+// finishCall ends the run's log with the outcome.
+func (g *Gateway) finishCall(in *intake, outcome claim.Outcome) {
+	run := in.run
 	b, err := json.Marshal(outcome)
 	if err != nil {
 		run.Log().Finish(nil, &answer.Error{Status: fasthttp.StatusInternalServerError, Code: "internal", Message: "the outcome could not be encoded", Run: answer.Ran})
 		return
 	}
 	run.Log().Append(b)
-	run.Log().Finish(nil, nil)
-	g.Register.Retire(run)
+	if !run.Log().Finish(nil, nil) {
+		// The deadline has ended the log; a repeated call reads the stored outcome.
+		g.forget(in)
+	}
 }
 
 // relayResult waits for the outcome of the call and sends it.
 func (g *Gateway) relayResult(ctx *fasthttp.RequestCtx, run *register.Run) {
-	defer run.Log().Leave()
-	for {
-		events, done, fail, err := run.Log().Next(context.Background(), 0)
+	offset := 0
+	var events [][]byte
+	for done := false; !done; {
+		var more [][]byte
+		var fail *answer.Error
+		var err error
+		more, done, fail, err = next(ctx.Conn(), run, offset)
 		if err != nil {
 			return
 		}
-		if !done {
-			time.Sleep(time.Millisecond)
-			continue
-		}
 		if fail != nil {
 			g.fail(ctx, run.ID(), fail)
 			return
 		}
-		var outcome claim.Outcome
-		if err := json.Unmarshal(events[0], &outcome); err != nil {
-			g.Log.Error("decode outcome", "request_id", run.ID(), "err", err)
-			return
-		}
-		ctx.SetStatusCode(outcome.Status)
-		ctx.SetContentType(outcome.ContentType)
-		ctx.SetBody(outcome.Body)
+		offset += len(more)
+		events = append(events, more...)
+	}
+	var outcome claim.Outcome
+	if err := json.Unmarshal(events[0], &outcome); err != nil {
+		g.fail(ctx, run.ID(), &answer.Error{Status: fasthttp.StatusInternalServerError, Code: "internal", Message: "the outcome could not be read", Run: answer.Ran})
 		return
 	}
+	ctx.SetStatusCode(outcome.Status)
+	ctx.SetContentType(outcome.ContentType)
+	ctx.SetBody(outcome.Body)
 }
--- a/internal/request/register/register.go
+++ b/internal/request/register/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	log      stream.Log
+
+	following atomic.Bool // reads along at another router
 }
 
 // ID returns the id of the run.
@@ -51,6 +54,12 @@
 // Cancel ends the run's context.
 func (r *Run) Cancel() { r.cancel() }
 
+// SetFollowing tells whether the run is read from another router.
+func (r *Run) SetFollowing(on bool) { r.following.Store(on) }
+
+// Following reports whether the run is read from another router.
+func (r *Run) Following() bool { return r.following.Load() }
+
 // Log returns the run's answer.
 func (r *Run) Log() *stream.Log { return &r.log }
 
@@ -70,10 +79,11 @@
 	runs map[Key]*Run
 }
 
-// Begin returns the run of the key, and whether this call has created it.
+// Begin returns the run of the key, and whether this call has created it. A run
+// that it creates is cancelled after the timeout, unless that is 0.
 //
 // The error is ErrKeyReused if the run has another body.
-func (g *Register) Begin(key Key, id string, bodyHash uint64) (*Run, bool, error) {
+func (g *Register) Begin(key Key, id string, bodyHash uint64, timeout time.Duration) (*Run, bool, error) {
 	s := g.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,12 +95,34 @@
 		return r, false, nil
 	}
 	r := &Run{key: key, id: id, bodyHash: bodyHash, began: time.Now()}
-	r.ctx, r.cancel = context.WithCancel(context.Background())
+	if timeout > 0 {
+		r.ctx, r.cancel = context.WithTimeout(context.Background(), timeout)
+	} else {
+		r.ctx, r.cancel = context.WithCancel(context.Background())
+	}
 	r.log.Join()
 	s.runs[key] = r
 	return r, true, nil
 }
 
+// Find returns the run of the key, whose log the caller has then joined.
+//
+// The error is ErrKeyReused if the run has another body.
+func (g *Register) Find(key Key, bodyHash uint64) (*Run, bool, error) {
+	s := g.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.runs[key]
+	if !ok {
+		return nil, false, nil
+	}
+	if r.bodyHash != bodyHash {
+		return nil, false, ErrKeyReused
+	}
+	r.log.Join()
+	return r, true, nil
+}
+
 // Forget removes a run that did not run, so that its key may be tried again.
 func (g *Register) Forget(r *Run) {
 	s := g.shard(r.key)
--- a/internal/request/stream/log.go
+++ b/internal/request/stream/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"rosevalve/internal/request/answer"
 )
@@ -18,25 +19,47 @@
 	readers int
 }
 
-// Append adds an event, which the log keeps.
+// Append adds an event, which the log keeps, unless the log has ended.
 func (l *Log) Append(event []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.done {
+		return
+	}
 	l.events = append(l.events, event)
 	l.wake()
 }
 
 // Finish ends the log with the event that reports the usage, or with a failure.
-func (l *Log) Finish(usage []byte, failure *answer.Error) {
+// It reports whether this call has ended the log.
+func (l *Log) Finish(usage []byte, failure *answer.Error) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.done {
-		return
+		return false
 	}
 	l.done = true
 	l.usage = usage
 	l.failure = failure
 	l.wake()
+	return true
+}
+
+// Events returns the events so far.
+func (l *Log) Events() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.events[:len(l.events):len(l.events)]
+}
+
+// Compact replaces the events of a whole answer that nobody is reading.
+func (l *Log) Compact(compact func(events [][]byte) [][]byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.done || l.failure != nil || l.readers > 0 {
+		return
+	}
+	l.events = compact(l.events)
 }
 
 // Usage returns the event that reports the usage, once the log has ended.
@@ -79,6 +102,15 @@
 	}
 }
 
+// Waiting waits for the first event or the end of the log, and reports whether
+// neither has come within the timeout.
+func (l *Log) Waiting(timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_, _, _, err := l.Next(ctx, 0)
+	return err != nil
+}
+
 // Join counts a reader.
 func (l *Log) Join() {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/target/runner/service.go
@@ -0,0 +1,97 @@
+package runner
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/request/answer"
+)
+
+const maxResultSize = 16 << 20
+
+// Call is a request to a plain service.
+type Call struct {
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	// Fresh sends the call on a connection of its own.
+	Fresh bool
+}
+
+// Result is a plain service's whole answer.
+type Result struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call sends a request to a plain service and returns its whole answer.
+//
+// The error is an *Error.
+func (c *Client) Call(addr, runID string, call Call) (Result, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(call.Method)
+	uri := "http://" + addr + call.Path
+	if call.Query != "" {
+		uri += "?" + call.Query
+	}
+	req.SetRequestURI(uri)
+	req.Header.SetContentType(call.ContentType)
+	req.Header.Set(chat.HeaderRun, runID)
+	req.SetBodyRaw(call.Body)
+	if err := c.send(addr, call.Fresh, req, resp); err != nil {
+		return Result{}, err
+	}
+	if err := checkCall(resp, runID); err != nil {
+		_ = resp.CloseBodyStream()
+		return Result{}, err
+	}
+	body, err := readBody(resp)
+	if err != nil {
+		return Result{}, &Error{Run: answer.Ran, Err: err}
+	}
+	return Result{
+		Status:      resp.StatusCode(),
+		ContentType: string(resp.Header.ContentType()),
+		Body:        body,
+	}, nil
+}
+
+// checkCall refuses answers that decline the call or name another one. A plain
+// service need not repeat the id of the call.
+func checkCall(resp *fasthttp.Response, runID string) error {
+	if err := checkDeclined(resp); err != nil {
+		return err
+	}
+	got := string(resp.Header.Peek(chat.HeaderRun))
+	if got != "" && got != runID {
+		return &Error{Run: answer.Unknown, Err: fmt.Errorf("answer belongs to call %q, not %q", got, runID)}
+	}
+	return nil
+}
+
+// readBody reads a whole body and closes its stream.
+func readBody(resp *fasthttp.Response) ([]byte, error) {
+	defer func() { _ = resp.CloseBodyStream() }()
+	if resp.BodyStream() == nil {
+		return bytes.Clone(resp.Body()), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxResultSize+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if len(body) > maxResultSize {
+		return nil, errors.New("read body: answer is too large")
+	}
+	return body, nil
+}
