--- a/internal/request/dispatch/retry.go
+++ b/internal/request/dispatch/retry.go
@@ -3,31 +3,42 @@
 import "sync"
 
 const (
-	retryRatio   = 0.1 // repeated attempts for each request
-	retryReserve = 10  // repeated attempts that may be made at once
+	defaultRetryRatio   = 0.1
+	defaultRetryReserve = 10
 )
 
 // RetryBudget bounds repeated attempts to a share of the requests, so that
 // retries cannot multiply an overload.
 type RetryBudget struct {
-	mu     sync.Mutex // guards the fields below
-	spent  float64    // attempts withdrawn and not yet earned back
-	denied int64
+	// Ratio is the number of repeated attempts that each request earns.
+	Ratio float64
+	// Reserve is the number of repeated attempts that may be made at once.
+	Reserve float64
+
+	mu    sync.Mutex // guards spent
+	spent float64    // attempts withdrawn and not yet earned back
 }
 
 // Deposit counts one request.
 func (b *RetryBudget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spent = max(0, b.spent-retryRatio)
+	ratio := b.Ratio
+	if ratio == 0 {
+		ratio = defaultRetryRatio
+	}
+	b.spent = max(0, b.spent-ratio)
 }
 
 // Withdraw reports whether an attempt may be repeated.
 func (b *RetryBudget) Withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > retryReserve {
-		b.denied++
+	reserve := b.Reserve
+	if reserve == 0 {
+		reserve = defaultRetryReserve
+	}
+	if b.spent+1 > reserve {
 		retriesDenied.Add(1)
 		return false
 	}
--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -36,7 +36,8 @@
 type attempt struct {
 	target   string
 	runID    string
-	earlier  bool // another router began the run
+	earlier  bool   // another router began the run
+	answerID []byte // as the run's first event names it
 	position int  // text events of this run that the caller has
 	finished bool
 	usage    *chat.Usage
@@ -72,6 +73,9 @@
 
 // take passes on an event of the attempt, unless the caller has it already.
 func (s *session) take(a *attempt, ev runner.Event) error {
+	if err := a.checkID(ev.AnswerID()); err != nil {
+		return err
+	}
 	if ev.Usage != nil {
 		a.usage = s.checkUsage(a, ev.Usage)
 		return s.Sink(withUsage(ev, a.usage))
@@ -96,6 +100,20 @@
 	return s.Sink(ev)
 }
 
+// checkID refuses an event of another answer than the run's first event.
+func (a *attempt) checkID(id []byte) error {
+	if id == nil {
+		return nil
+	}
+	if a.answerID == nil {
+		a.answerID = id
+	}
+	if !bytes.Equal(a.answerID, id) {
+		return fmt.Errorf("event belongs to answer %q, not %q", id, a.answerID)
+	}
+	return nil
+}
+
 // repeats compares an event with the one that the caller has in its place.
 func (s *session) repeats(prior []byte, ev runner.Event) error {
 	had, err := choices(prior)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,10 +1,10 @@
 package engine
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"net"
 	"sort"
 	"strconv"
 	"sync"
@@ -13,12 +13,14 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/standin/fault"
 )
 
 const (
 	defaultTokenInterval = 5 * time.Millisecond
 	defaultSlots         = 32
 	defaultMaxTokens     = 64
+	defaultResumeGrace   = 2 * time.Second
 	defaultMaxQueue      = 1024
 	finishStop           = "length"
 )
@@ -33,6 +35,10 @@
 	Slots int
 	// MaxQueue is the number of runs that may wait for a slot.
 	MaxQueue int
+	// ResumeGrace is how long a run goes on without a reader.
+	ResumeGrace time.Duration
+
+	conns fault.Listener
 
 	mu      sync.Mutex // guards the fields below
 	running int
@@ -57,16 +63,6 @@
 	Cancelled int64 `json:"cancelled"`
 }
 
-// Fault describes how the engine misbehaves until it is set again.
-type Fault struct {
-	// Silent makes streams stop sending while their connections stay open.
-	Silent bool `json:"silent"`
-	// Decline makes the engine refuse new runs.
-	Decline bool `json:"decline"`
-	// CutAfter closes each stream after that many tokens, if positive.
-	CutAfter int64 `json:"cut_after"`
-}
-
 // run is one generation; its answer is a function of its request alone.
 type run struct {
 	id       string
@@ -83,10 +79,23 @@
 	generated int64
 	cancelled bool
 	finished  bool
+	readers   int
 }
 
 // Run serves on addr until the listener fails.
 func (s *Server) Run(addr string) error {
+	s.start()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for engine: %w", err)
+	}
+	return s.serve(ln)
+}
+
+// start sets the defaults.
+func (s *Server) start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.TokenInterval == 0 {
 		s.TokenInterval = defaultTokenInterval
 	}
@@ -102,9 +111,22 @@
 		Generated: make(map[string]int64),
 		Prompt:    make(map[string]int64),
 	}
+	if s.ResumeGrace == 0 {
+		s.ResumeGrace = defaultResumeGrace
+	}
+}
+
+// Serve serves on the listener until it fails.
+func (s *Server) Serve(ln net.Listener) error {
+	s.start()
+	return s.serve(ln)
+}
+
+func (s *Server) serve(ln net.Listener) error {
+	s.conns.Listener = ln
 	server := &fasthttp.Server{Handler: s.handle, CloseOnShutdown: true}
-	if err := server.ListenAndServe(addr); err != nil {
-		return fmt.Errorf("serve engine on %s: %w", addr, err)
+	if err := server.Serve(&s.conns); err != nil {
+		return fmt.Errorf("serve engine on %s: %w", ln.Addr(), err)
 	}
 	return nil
 }
@@ -143,7 +165,7 @@
 		decline(ctx, fasthttp.StatusServiceUnavailable, "engine is full")
 		return
 	}
-	s.stream(ctx, r, 0, true)
+	s.stream(ctx, r, 0)
 }
 
 // handleRun resumes a run at an offset, or cancels it.
@@ -165,7 +187,7 @@
 		ctx.Error("offset is not a number", fasthttp.StatusBadRequest)
 		return
 	}
-	s.stream(ctx, r, offset, false)
+	s.stream(ctx, r, offset)
 }
 
 func newRun(id string, in chat.Request) *run {
@@ -286,7 +308,12 @@
 }
 
 // stop cancels the run, whether it waits or generates.
+//
+// It holds mu throughout, so that a run that has not begun cannot begin after
+// its usage has been told.
 func (s *Server) stop(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	r.mu.Lock()
 	first := !r.cancelled && !r.finished
 	r.cancelled = true
@@ -295,8 +322,6 @@
 		return
 	}
 	close(r.cancel)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.counts.Cancelled++
 	for i, w := range s.waiting {
 		if w == r {
@@ -322,84 +347,6 @@
 	}
 }
 
-func (r *run) progress() (generated int64, over bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.generated, r.finished || r.cancelled
-}
-
-// stream sends the run's tokens from the offset on as events. A run whose owner goes away is cancelled.
-func (s *Server) stream(ctx *fasthttp.RequestCtx, r *run, offset int64, owner bool) {
-	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set(chat.HeaderRun, r.id)
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		err := s.writeEvents(w, r, offset)
-		if err != nil && owner && !s.currentFault().Silent {
-			s.stop(r)
-		}
-	})
-}
-
-func (s *Server) writeEvents(w *bufio.Writer, r *run, sent int64) error {
-	// An early flush lets the router see that the run is accepted.
-	if err := w.Flush(); err != nil {
-		return err
-	}
-	tick := time.NewTicker(s.TokenInterval)
-	defer tick.Stop()
-	start := sent
-	for {
-		generated, over := r.progress()
-		f := s.currentFault()
-		if f.Silent {
-			<-tick.C
-			continue
-		}
-		for ; sent < generated; sent++ {
-			writeChunk(w, r.chunk(Token(r.seed, sent)))
-			if f.CutAfter > 0 && sent-start+1 >= f.CutAfter {
-				return fmt.Errorf("cut after %d tokens", f.CutAfter)
-			}
-		}
-		if over {
-			break
-		}
-		if err := w.Flush(); err != nil {
-			return err
-		}
-		<-tick.C
-	}
-	last := r.chunk("")
-	reason := finishStop
-	last.Choices[0].FinishReason = &reason
-	writeChunk(w, last)
-	usage := r.usage()
-	end := r.chunk("")
-	end.Choices = []chat.ChunkChoice{}
-	end.Usage = &usage
-	writeChunk(w, end)
-	fmt.Fprintf(w, "data: %s\n\n", chat.DoneEvent)
-	return w.Flush()
-}
-
-func (r *run) chunk(text string) chat.Chunk {
-	return chat.Chunk{
-		ID:      r.id,
-		Object:  "chat.completion.chunk",
-		Created: time.Now().Unix(),
-		Model:   r.model,
-		Choices: []chat.ChunkChoice{{Delta: chat.Delta{Content: text}}},
-	}
-}
-
-func writeChunk(w *bufio.Writer, c chat.Chunk) {
-	b, err := json.Marshal(c)
-	if err != nil {
-		return
-	}
-	fmt.Fprintf(w, "data: %s\n\n", b)
-}
-
 func (s *Server) listModels(ctx *fasthttp.RequestCtx) {
 	var out chat.ModelList
 	out.Object = "list"
@@ -422,23 +369,6 @@
 	reply(ctx, fasthttp.StatusOK, Load{Running: s.running, Waiting: len(s.waiting), Slots: s.Slots})
 }
 
-func (s *Server) setFault(ctx *fasthttp.RequestCtx) {
-	var f Fault
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
-
-func (s *Server) currentFault() Fault {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fault
-}
-
 func decline(ctx *fasthttp.RequestCtx, status int, text string) {
 	ctx.Error(text, status)
 	ctx.Response.Header.Set(chat.HeaderDeclined, "1")
--- a/internal/target/runner/events.go
+++ b/internal/target/runner/events.go
@@ -61,6 +61,16 @@
 	return len(value) > 0 && value[0] == '"'
 }
 
+// AnswerID returns the id of the answer that the event belongs to, if it begins with it.
+func (e Event) AnswerID() []byte {
+	rest, ok := bytes.CutPrefix(e.Data, idPrefix)
+	if !ok {
+		return nil
+	}
+	end := bytes.IndexByte(rest, '"')
+	return rest[:max(end, 0)]
+}
+
 // fieldValue returns what follows the first field of that name.
 //
 // Quotes inside JSON strings are escaped, so that text cannot look like a field.
@@ -81,7 +91,6 @@
 func ReadEvents(r io.Reader, sink func(Event) error) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, initialEventSpace), maxEventSize)
-	var id []byte
 	for scanner.Scan() {
 		line := scanner.Bytes()
 		if !bytes.HasPrefix(line, dataPrefix) {
@@ -91,9 +100,6 @@
 		if err != nil {
 			return err
 		}
-		if err := checkID(&id, ev.Data); err != nil {
-			return err
-		}
 		if err := sink(ev); err != nil {
 			return err
 		}
@@ -107,22 +113,6 @@
 	return fmt.Errorf("read stream: %w", io.ErrUnexpectedEOF)
 }
 
-// checkID refuses an event of another answer than the first event's.
-func checkID(id *[]byte, data []byte) error {
-	rest, ok := bytes.CutPrefix(data, idPrefix)
-	if !ok {
-		return nil
-	}
-	end := bytes.IndexByte(rest, '"')
-	if *id == nil {
-		*id = bytes.Clone(rest[:end])
-	}
-	if !bytes.Equal(*id, rest[:end]) {
-		return fmt.Errorf("event belongs to answer %q, not %q", rest[:end], *id)
-	}
-	return nil
-}
-
 func parseEvent(data []byte) (Event, error) {
 	if string(data) == chat.DoneEvent {
 		return Event{Data: bytes.Clone(data), Done: true}, nil
