--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -38,7 +38,7 @@
 	runID    string
 	earlier  bool   // another router began the run
 	answerID []byte // as the run's first event names it
-	position int  // text events of this run that the caller has
+	position int    // text events of this run that the caller has
 	finished bool
 	usage    *chat.Usage
 	done     chan struct{} // closed when the attempt has ended; err is valid then
--- a/internal/request/gateway/world_test.go
+++ b/internal/request/gateway/world_test.go
@@ -91,7 +91,7 @@
 	if c.fault.CutWrite > 0 && len(b) > left {
 		n, _ := c.Conn.Write(b[:left])
 		c.written += n
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return n, errors.New("connection reset")
 	}
 	n, err := c.Conn.Write(b)
@@ -103,7 +103,7 @@
 	limit := max(c.fault.CutRead, c.fault.SilentRead) - 1
 	if limit >= 0 {
 		if c.read >= limit && c.fault.CutRead > 0 {
-			_ = c.Conn.Close()
+			_ = c.Close()
 			return 0, io.EOF
 		}
 		if c.read >= limit {
