Settle the bills of many budgets in one commit

Each book settled on its own, so that a router with many budgets made a commit for each of them at every interval. Pending bills are now packed into commits of up to the table's limit of rows. A holding whose witness is believed dead looks for another one before its next request.

--- a/internal/budget/allotment/lane.go
+++ b/internal/budget/allotment/lane.go
@@ -19,4 +19,14 @@
 	}
 }
 
+// tryLock locks the lane if it is free.
+func (l lane) tryLock() bool {
+	select {
+	case l <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l lane) unlock() { <-l }
--- a/internal/budget/allotment/purse.go
+++ b/internal/budget/allotment/purse.go
@@ -11,12 +11,13 @@
 	"github.com/alitto/pond/v2"
 
 	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/inner"
 )
 
 const (
 	shardCount     = 64
-	maxSettleBills = 200
+	maxSettleBills = table.MaxPuts - 1 // beside the holding's row
 	settleWorkers  = 8
 
 	defaultSettleInterval = 100 * time.Millisecond
@@ -34,6 +35,8 @@
 	SettleInterval time.Duration
 	// DrawTimeout bounds one operation on the table.
 	DrawTimeout time.Duration
+	// WitnessGone reports whether a witness is believed to be dead; nil stands for no.
+	WitnessGone func(id string) bool
 	// IdleAfter is how long free tokens are kept without a request.
 	IdleAfter time.Duration
 	// AppendTimeout bounds one call of a witness.
--- a/internal/budget/allotment/settle.go
+++ b/internal/budget/allotment/settle.go
@@ -15,6 +15,9 @@
 // holdings that wait for a witness or have tokens to return.
 func (p *Purse) Settle(ctx context.Context) error {
 	p.init()
+	if err := p.settleTogether(ctx); err != nil {
+		return err
+	}
 	group := p.pool.NewGroup()
 	for _, b := range p.books() {
 		group.SubmitErr(func() error { return p.tend(ctx, b) })
@@ -57,6 +60,9 @@
 	_, ok := p.pick(nil)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if h.term.Witness != "" && p.WitnessGone != nil && p.WitnessGone(h.term.Witness) {
+		h.paused = true
+	}
 	return h.opened && !h.closed && (h.paused || (ok && h.term.Witness == ""))
 }
 
--- a/internal/budget/ledger/holding.go
+++ b/internal/budget/ledger/holding.go
@@ -73,22 +73,6 @@
 	return h, nil
 }
 
-// Settle inserts the bills whose keys no one has inserted yet and adds them to the holding.
-//
-// A bill whose key is in the table is dropped: its request has been billed.
-func (l *Ledger) Settle(ctx context.Context, id HoldingID, bills []BillRow) (HoldingRow, error) {
-	h, err := l.applyOpen(ctx, id, requestKeys(bills), func(a *account) (bool, error) {
-		for _, b := range bills {
-			a.insert(b)
-		}
-		return len(a.bills) > 0, nil
-	})
-	if err != nil {
-		return h, fmt.Errorf("settle holding %q: %w", id, err)
-	}
-	return h, nil
-}
-
 // Finish removes the holding of a holder that has settled everything and starts nothing more.
 //
 // Errors are ErrHoldingClosed if entries of it are open in the table, ErrContended and those of the table.
@@ -118,11 +102,3 @@
 		return change(a)
 	})
 }
-
-func requestKeys(bills []BillRow) []string {
-	keys := make([]string, len(bills))
-	for i, b := range bills {
-		keys[i] = b.RequestKey
-	}
-	return keys
-}
--- /dev/null
+++ b/internal/budget/ledger/settle.go
@@ -0,0 +1,171 @@
+package ledger
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"strings"
+
+	"rosevalve/internal/platform/table"
+)
+
+// Batch is the bills of one holding for a settlement.
+type Batch struct {
+	Holding HoldingID
+	Bills   []BillRow
+}
+
+// Settled is the outcome of one batch.
+type Settled struct {
+	// Row is the holding after the settlement.
+	Row HoldingRow
+	// Err tells why nothing of the batch was settled; it is ErrHoldingClosed, or
+	// the bills exceed what was drawn.
+	Err error
+}
+
+// Settle inserts the bills whose keys no one has inserted yet and adds them to the holding.
+//
+// A bill whose key is in the table is dropped: its request has been billed.
+func (l *Ledger) Settle(ctx context.Context, id HoldingID, bills []BillRow) (HoldingRow, error) {
+	out, err := l.SettleMany(ctx, []Batch{{Holding: id, Bills: bills}})
+	if err != nil {
+		return HoldingRow{}, err
+	}
+	if err := out[0].Err; err != nil {
+		return out[0].Row, fmt.Errorf("settle holding %q: %w", id, err)
+	}
+	return out[0].Row, nil
+}
+
+// SettleMany settles the batches of several holdings in one commit, which must
+// not have more than table.MaxPuts rows: one for each bill and each holding.
+//
+// It returns the outcomes in the order of the batches. After an error the batches
+// may be settled or not; settling them again does no harm.
+func (l *Ledger) SettleMany(ctx context.Context, batches []Batch) ([]Settled, error) {
+	s := settlement{batches: batches, commitID: rand.Text()}
+	var lastErr error
+	for range maxCommitTries {
+		c, err := l.prepare(ctx, &s)
+		if err != nil {
+			return nil, fmt.Errorf("settle %d holdings: %w", len(batches), err)
+		}
+		if len(c.Puts) == 0 {
+			return s.out, nil
+		}
+		if _, lastErr = l.Commit(ctx, c); lastErr == nil {
+			return s.out, nil
+		}
+		if !retryable(lastErr) {
+			return nil, fmt.Errorf("settle %d holdings: %w", len(batches), lastErr)
+		}
+	}
+	return nil, fmt.Errorf("settle %d holdings: %w: %w", len(batches), ErrContended, lastErr)
+}
+
+// settlement is the state of one settlement over its commits.
+type settlement struct {
+	batches  []Batch
+	commitID string
+	out      []Settled
+}
+
+// prepare reads the rows anew and builds the commit; it has no writes if nothing is left to do.
+func (l *Ledger) prepare(ctx context.Context, s *settlement) (table.Commit, error) {
+	var keys []string
+	for _, b := range s.batches {
+		keys = append(keys, HoldingKey(b.Holding))
+		for _, bill := range b.Bills {
+			keys = append(keys, BillKey(bill.Workspace, bill.RequestKey))
+		}
+	}
+	rows, err := l.Get(ctx, keys...)
+	if err != nil {
+		return table.Commit{}, err
+	}
+	holdings := make(map[string]table.Row)
+	billed := make(map[string]bool)
+	for _, r := range rows {
+		if strings.HasPrefix(r.Key, holdingPrefix) {
+			holdings[r.Key] = r
+		} else {
+			billed[r.Key] = true
+		}
+	}
+	return s.build(holdings, billed)
+}
+
+// build adds the bills that are not in the table yet to the commit.
+func (s *settlement) build(holdings map[string]table.Row, billed map[string]bool) (table.Commit, error) {
+	var c table.Commit
+	s.out = make([]Settled, len(s.batches))
+	for i, b := range s.batches {
+		found, ok := holdings[HoldingKey(b.Holding)]
+		if !ok {
+			s.out[i].Err = ErrHoldingClosed
+			continue
+		}
+		row := &s.out[i].Row
+		if err := found.Decode(row); err != nil {
+			return c, err
+		}
+		if row.Closed {
+			s.out[i].Err = ErrHoldingClosed
+			continue
+		}
+		if row.LastCommit == s.commitID {
+			continue
+		}
+		fresh := missing(b.Bills, billed)
+		for _, bill := range fresh {
+			row.Billed += bill.Tokens()
+		}
+		if row.Billed > row.Drawn {
+			s.out[i].Err = fmt.Errorf("bills of %d tokens exceed the %d drawn by holding %q", row.Billed, row.Drawn, row.ID())
+			continue
+		}
+		if err := s.add(&c, row, found.Version, fresh); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// missing returns the bills whose keys are not billed, and counts them as billed.
+func missing(bills []BillRow, billed map[string]bool) []BillRow {
+	var out []BillRow
+	for _, b := range bills {
+		key := BillKey(b.Workspace, b.RequestKey)
+		if !billed[key] {
+			billed[key] = true
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// add writes a batch's missing bills and its holding.
+func (s *settlement) add(c *table.Commit, row *HoldingRow, version uint64, bills []BillRow) error {
+	if len(bills) == 0 {
+		return nil
+	}
+	for _, b := range bills {
+		key := BillKey(b.Workspace, b.RequestKey)
+		c.Require(key, 0)
+		if err := c.Set(key, b); err != nil {
+			return err
+		}
+	}
+	row.LastCommit = s.commitID
+	c.Require(HoldingKey(row.ID()), version)
+	return c.Set(HoldingKey(row.ID()), *row)
+}
+
+func requestKeys(bills []BillRow) []string {
+	keys := make([]string, len(bills))
+	for i, b := range bills {
+		keys[i] = b.RequestKey
+	}
+	return keys
+}
--- a/internal/fleet/router/budgets.go
+++ b/internal/fleet/router/budgets.go
@@ -29,6 +29,7 @@
 		SettleInterval: cfg.SettleInterval,
 		IdleAfter:      cfg.IdleAfter,
 		PickWitness:    r.pickWitness,
+		WitnessGone:    r.witnessGone,
 		Append:         r.appendToWitness,
 		Recall:         r.recall,
 		OnError:        func(err error) { r.Log.Warn("keep budgets", "err", err) },
@@ -59,6 +60,9 @@
 	return allotment.Witness{ID: m.ID, Addr: m.InnerAddr}, true
 }
 
+// witnessGone reports whether the router is not among those believed to live.
+func (r *Router) witnessGone(id string) bool { return !slices.Contains(r.present(), id) }
+
 func (r *Router) appendToWitness(ctx context.Context, w allotment.Witness, in inner.WitnessAppend) (inner.WitnessAppendAck, error) {
 	var ack inner.WitnessAppendAck
 	err := r.links.Call(ctx, w.Addr, inner.MethodWitnessAppend, in, &ack)
