Refuse wrong input by field, close callers' connections before a stop

Cause: the JSON library takes field names without regard to case, so that "Messages" could hide the prompt that the engine saw from the reservation; wrong kinds of values were reported for the body and not for their field. Any spelling but the exact one is refused now and the prompt is bounded by the whole body. A leaving router answers with Connection: close from the beginning, so that fewer callers meet a connection that the stop closes; a stop waits for runs whose callers have gone.

--- a/internal/fleet/router/requests.go
+++ b/internal/fleet/router/requests.go
@@ -39,6 +39,7 @@
 		},
 		Claims:   &claim.Registry{Commit: r.table.Commit, Get: r.table.Get},
 		Entries:  func(ctx *fasthttp.RequestCtx) entry.Answer { return r.directory.Answer(ctx.RemoteAddr().String()) },
+		Leaving:  r.leaving.Load,
 		Draining: r.draining.Load,
 		Limits:   admission.Limits{MaxTokens: cfg.MaxTokens, DefaultTokens: cfg.DefaultTokens},
 		Holder:   r.id,
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -39,7 +39,8 @@
 	Log *log.Logger
 
 	id        string
-	draining  atomic.Bool
+	leaving   atomic.Bool // callers are sent elsewhere
+	draining  atomic.Bool // new requests are refused
 	table     *table.Client
 	catalogue *catalogue.Catalogue
 	ledger    *ledger.Ledger
@@ -110,6 +111,7 @@
 func (r *Router) drain(server *fasthttp.Server) error {
 	r.Log.Info("draining", "id", r.id)
 	r.view.Leave()
+	r.leaving.Store(true)
 	time.Sleep(r.Settings.Router.EntryMaxAge)
 	r.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.Router.DrainLimit)
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
@@ -94,24 +96,28 @@
 
 // Parse checks a completion request of the workspace.
 func Parse(s *catalogue.Snapshot, w catalogue.Workspace, body []byte, limits Limits) (*Request, *answer.Error) {
-	var in chat.Request
-	if err := json.Unmarshal(body, &in); err != nil {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a completion request: %v", err)
 	}
+	in, fail := decode(fields, body)
+	if fail != nil {
+		return nil, fail
+	}
 	if fail := check(s, in, limits); fail != nil {
 		return nil, fail
 	}
 	r := &Request{
 		workspace: w,
 		model:     in.Model,
-		prompt:    worstPrompt(in),
+		prompt:    worstPrompt(in, body),
 		max:       completionTokens(in, limits),
 		stream:    in.Stream,
 		usage:     in.StreamOptions != nil && in.StreamOptions.IncludeUsage,
 		urgent:    in.Priority != chat.PriorityLong,
 		bodyHash:  Hash(body),
 	}
-	engineBody, err := rewrite(body, r.max)
+	engineBody, err := rewrite(fields, r.max)
 	if err != nil {
 		return nil, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a completion request: %v", err)
 	}
@@ -153,13 +159,10 @@
 	}
 }
 
-// worstPrompt bounds the prompt's tokens: a token covers at least one byte.
-func worstPrompt(in chat.Request) int64 {
-	n := int64(len(in.Tools))
-	for _, m := range in.Messages {
-		n += int64(len(m.Content)) + tokensPerMessage
-	}
-	return n
+// worstPrompt bounds the prompt's tokens: a token covers at least one byte of
+// what the engine sees, which is all of the body.
+func worstPrompt(in chat.Request, body []byte) int64 {
+	return int64(len(body) + len(in.Messages)*tokensPerMessage)
 }
 
 func completionTokens(in chat.Request, limits Limits) int64 {
@@ -172,15 +175,40 @@
 	return limits.DefaultTokens
 }
 
+// known are the fields that the system reads.
+var known = []string{"model", "messages", "max_tokens", "max_completion_tokens", "n", "stream", "stream_options", "priority", "tools"}
+
+// decode reads the fields that the system relies on. The JSON library takes names
+// without regard to case, but engines don't, so that other spellings are refused.
+func decode(fields map[string]json.RawMessage, body []byte) (chat.Request, *answer.Error) {
+	var in chat.Request
+	for name := range fields {
+		for _, k := range known {
+			if name != k && strings.EqualFold(name, k) {
+				return in, answer.Invalid(fasthttp.StatusBadRequest, name, "field %q must be written %q", name, k)
+			}
+		}
+	}
+	err := json.Unmarshal(body, &in)
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrongType):
+		name, _, _ := strings.Cut(wrongType.Field, ".")
+		return in, answer.Invalid(fasthttp.StatusBadRequest, name, "field %q has a value of the wrong kind: %s", wrongType.Field, wrongType.Value)
+	case err != nil:
+		return in, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a completion request: %v", err)
+	}
+	return in, nil
+}
+
 // rewrite sets the fields that the system relies on and keeps all others.
-func rewrite(body []byte, maxTokens int64) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, fmt.Errorf("decode body: %w", err)
+func rewrite(fields map[string]json.RawMessage, maxTokens int64) ([]byte, error) {
+	if fields == nil {
+		return nil, errors.New("body is null")
 	}
 	fields["stream"] = json.RawMessage("true")
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
-	fields["max_tokens"] = json.RawMessage(fmt.Sprint(maxTokens))
+	fields["max_tokens"] = json.RawMessage(strconv.FormatInt(maxTokens, 10))
 	delete(fields, "max_completion_tokens")
 	out, err := json.Marshal(fields)
 	if err != nil {
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -67,6 +67,8 @@
 	Claims *claim.Registry
 	// Entries lists the addresses that callers may use.
 	Entries func(r *fasthttp.RequestCtx) entry.Answer
+	// Leaving reports whether callers shall open no further requests on their connections.
+	Leaving func() bool
 	// Draining reports whether new requests are refused.
 	Draining func() bool
 	// Limits bound what a request may ask for.
@@ -107,6 +109,9 @@
 
 // Handle answers one request of a caller.
 func (g *Gateway) Handle(ctx *fasthttp.RequestCtx) {
+	if g.Leaving() {
+		ctx.SetConnectionClose()
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == chat.PathCompletions && ctx.IsPost():
--- /dev/null
+++ b/internal/request/gateway/stop_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+)
+
+func TestStopCutsNothing(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		ctx := context.Background()
+		var wait sync.WaitGroup
+		replies := make([]reply, 4)
+		stream := strings.Replace(completionBody("b"), "{", `{"stream":true,`, 1)
+		wait.Go(func() { replies[0] = n.send("/v1/chat/completions", completionBody("a")) })
+		wait.Go(func() { replies[1] = n.send("/v1/chat/completions", stream) })
+		wait.Go(func() { replies[2] = n.send("/v1/services/beds/hold", "{}") })
+		time.Sleep(testInterval / 2)
+		n.leaving.Store(true)
+		late := n.send("/v1/chat/completions", completionBody("c"))
+		assert.Equal(t, late.text(), wantText("c"))
+		assert.Equal(t, late.header("Connection"), "close")
+
+		wait.Go(func() { replies[3] = n.send("/v1/chat/completions", completionBody("a")) })
+		time.Sleep(testInterval / 2)
+		n.draining.Store(true)
+		assert.NilError(t, n.server.ShutdownWithContext(ctx))
+		assert.NilError(t, n.gateway.Close(ctx))
+		wait.Wait()
+		assert.Equal(t, replies[0].text(), wantText("a"), "%s", replies[0].body)
+		assert.Assert(t, strings.HasSuffix(string(replies[1].body), "data: [DONE]\n\n"), "%s", replies[1].body)
+		assert.Equal(t, replies[3].text(), wantText("a"), "%s", replies[3].body)
+		assert.Equal(t, replies[2].status, fasthttp.StatusOK)
+	})
+}
+
+func TestStopWaitsForRunsWithoutCallers(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		for _, s := range w.services {
+			s.Delay = time.Second
+		}
+		n.send("/v1/services/beds/hold", "{}", HeaderKey, "a", HeaderDeadline, "100")
+		n.draining.Store(true)
+		refused := n.send("/v1/services/beds/hold", "{}", HeaderKey, "b")
+		assert.Equal(t, refused.refusal().Error.Code, "draining")
+		assert.Equal(t, refused.refusal().Error.Run, "not_run")
+		assert.NilError(t, n.gateway.Close(context.Background()))
+		assert.NilError(t, n.purse.Settle(context.Background()))
+		assert.Equal(t, len(w.bills(t)), 1)
+	})
+}
+
+func TestCallerGoneCancelsRun(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		body := strings.Replace(completionBody("a"), `"max_tokens":5`, `"stream":true,"max_tokens":100`, 1)
+		go n.send("/v1/chat/completions", body)
+		time.Sleep(10*testInterval + testInterval/2)
+		w.mu.Lock()
+		caller := w.conns[0]
+		w.mu.Unlock()
+		assert.NilError(t, caller.Close())
+		time.Sleep(time.Second)
+		assert.NilError(t, n.gateway.Close(context.Background()))
+		assert.NilError(t, n.purse.Settle(context.Background()))
+		var generated int64
+		for _, e := range w.engines {
+			for _, tokens := range e.CountsNow().Generated {
+				generated += tokens
+			}
+		}
+		assert.Assert(t, generated >= 10 && generated <= 13, "%d", generated)
+		for _, bill := range w.bills(t) {
+			assert.Equal(t, bill.CompletionTokens, generated)
+		}
+		assert.Equal(t, len(w.bills(t)), 1)
+	})
+}
--- a/internal/request/gateway/world_test.go
+++ b/internal/request/gateway/world_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,7 @@
 type pipeListener struct {
 	conns  chan net.Conn
 	closed chan struct{}
+	once   sync.Once
 }
 
 func newPipeListener() *pipeListener {
@@ -58,7 +60,11 @@
 	}
 }
 
-func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (l *pipeListener) dial() (net.Conn, error) {
@@ -149,9 +155,13 @@
 	gateway *Gateway
 	purse   *allotment.Purse
 	client  *runner.Client
+	server  *fasthttp.Server
 	addr    string
-	dead    bool
-	conns   []net.Conn
+	leaving atomic.Bool
+
+	draining atomic.Bool
+	dead     bool
+	conns    []net.Conn
 }
 
 var errTableDown = fmt.Errorf("down: %w", table.ErrUnavailable)
@@ -232,7 +242,8 @@
 			Call:    client.Call,
 		},
 		Claims:   &claim.Registry{Commit: n.commit, Get: n.get},
-		Draining: func() bool { return false },
+		Leaving:  n.leaving.Load,
+		Draining: n.draining.Load,
 		Limits:   admission.Limits{MaxTokens: 100, DefaultTokens: testTokens},
 		Holder:   addr,
 		Homes:    homes,
@@ -240,8 +251,8 @@
 		Log:      log.New(io.Discard),
 	}
 	w.nodes = append(w.nodes, n)
-	server := &fasthttp.Server{Handler: n.gateway.Handle}
-	w.serve(addr, server.Serve)
+	n.server = &fasthttp.Server{Handler: n.gateway.Handle, CloseOnShutdown: true}
+	w.serve(addr, n.server.Serve)
 	return nil
 }
 
@@ -377,7 +388,7 @@
 	conns := w.conns
 	w.mu.Unlock()
 	for _, l := range w.listeners {
-		close(l.closed)
+		_ = l.Close()
 	}
 	for _, c := range conns {
 		_ = c.Close()
