Prove that an accepted configuration is in force and never reverts

Cause: a command whose delayed commit took effect was answered "raced"; a refresh joined a load with items of several versions; an undecodable row stopped every refresh; the log of changes grew for ever; routers learnt only from the table.

A conflict looks up the command id. A refusal is written to the command's row, which makes it final: the random histories showed a command refused by one router while another still had it in hand, and taking effect afterwards. Routers ask three others a second and tell them their version; a new version starts a round at once. Polls of the table are shared by the fleet. The log is archived in segments; the command ids stay.

--- /dev/null
+++ b/internal/workspace/catalogue/compact.go
@@ -0,0 +1,120 @@
+package catalogue
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"rosevalve/internal/platform/table"
+)
+
+const (
+	compactedKey       = "config/compacted"
+	defaultKeepChanges = 10_000
+	segmentChanges     = 100 // in one commit of at most table.MaxPuts rows
+)
+
+// compactedRow tells which changes have left the table's log.
+type compactedRow struct {
+	// Through is the highest version whose change was removed.
+	Through uint64 `json:"through"`
+}
+
+// SegmentName returns the name of the archived segment that begins behind the version.
+func SegmentName(after uint64) string {
+	return fmt.Sprintf("config/audit/%020d", after)
+}
+
+// Compact moves old changes from the table's log to the archive.
+//
+// The row of each command id stays, so that no repeat is ever taken for a new
+// command. A router that is behind sees a gap and loads the items instead.
+func (c *Catalogue) Compact(ctx context.Context) error {
+	keep := c.KeepChanges
+	if keep == 0 {
+		keep = defaultKeepChanges
+	}
+	size := c.segmentSize()
+	for c.Archive != nil {
+		row, rowVersion, err := c.readCompacted(ctx)
+		if err != nil {
+			return fmt.Errorf("compact log of changes: %w", err)
+		}
+		if row.Through+size+keep > c.Current().Version() {
+			return nil
+		}
+		if err := c.compactSegment(ctx, row.Through, rowVersion, size); err != nil {
+			return fmt.Errorf("compact log of changes: %w", err)
+		}
+	}
+	return nil
+}
+
+func (c *Catalogue) segmentSize() uint64 {
+	if c.segment != 0 {
+		return c.segment
+	}
+	return segmentChanges
+}
+
+func (c *Catalogue) compactSegment(ctx context.Context, after, rowVersion, size uint64) error {
+	rows, err := c.Scan(ctx, changePrefix, changeKey(after), int(size))
+	if err != nil {
+		return err
+	}
+	changes, err := decodeChanges(rows)
+	if err != nil {
+		return err
+	}
+	if uint64(len(changes)) < size || changes[size-1].Version != after+size {
+		return fmt.Errorf("log of changes has no %d changes behind version %d", size, after)
+	}
+	segment, err := json.Marshal(changes)
+	if err != nil {
+		return fmt.Errorf("encode segment: %w", err)
+	}
+	if err := c.Archive(ctx, SegmentName(after), segment); err != nil {
+		return err
+	}
+	var commit table.Commit
+	commit.Require(compactedKey, rowVersion)
+	if err := commit.Set(compactedKey, compactedRow{Through: after + size}); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		commit.Remove(r.Key)
+	}
+	_, err = c.Commit(ctx, commit)
+	return err
+}
+
+func (c *Catalogue) readCompacted(ctx context.Context) (compactedRow, uint64, error) {
+	rows, err := c.Get(ctx, compactedKey)
+	if err != nil || len(rows) == 0 {
+		return compactedRow{}, 0, err
+	}
+	var row compactedRow
+	if err := rows[0].Decode(&row); err != nil {
+		return compactedRow{}, 0, err
+	}
+	return row, rows[0].Version, nil
+}
+
+// Changes returns the accepted changes of the table's log behind a version, the oldest first.
+func (c *Catalogue) Changes(ctx context.Context, after uint64, limit int) ([]Change, error) {
+	rows, err := c.Scan(ctx, changePrefix, changeKey(after), limit)
+	if err != nil {
+		return nil, fmt.Errorf("read changes: %w", err)
+	}
+	return decodeChanges(rows)
+}
+
+func decodeChanges(rows []table.Row) ([]Change, error) {
+	changes := make([]Change, len(rows))
+	for i, r := range rows {
+		if err := r.Decode(&changes[i]); err != nil {
+			return nil, err
+		}
+	}
+	return changes, nil
+}
--- a/internal/workspace/catalogue/items.go
+++ b/internal/workspace/catalogue/items.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Workspace is one team that shares the fleet.
@@ -12,8 +13,14 @@
 	Name string `json:"name"`
 	// Weight is its share of the targets relative to other workspaces.
 	Weight int64 `json:"weight"`
-	// KeyHashes are the hashes of the keys that its callers may use.
+	// MaxConcurrent bounds its requests in flight on one router; 0 sets no bound.
+	MaxConcurrent int64 `json:"max_concurrent,omitempty"`
+	// MaxTokens bounds the completion tokens of one request; 0 sets no bound.
+	MaxTokens int64 `json:"max_tokens,omitempty"`
+	// KeyHashes are the hashes of the keys that its callers may use, the newest first.
 	KeyHashes []string `json:"key_hashes"`
+	// OldKeyUntil is when the keys behind the newest stop to be valid.
+	OldKeyUntil time.Time `json:"old_key_until,omitzero"`
 }
 
 // Target is one model engine or plain service.
@@ -24,6 +31,8 @@
 	Models []string `json:"models,omitempty"`
 	// Service is the plain service that the target runs, if it is no engine.
 	Service string `json:"service,omitempty"`
+	// Capacity is the number of requests that it can run at once; 0 leaves it to be learnt.
+	Capacity int64 `json:"capacity,omitempty"`
 	// Leaving targets receive no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// ChecksFencing tells whether the target refuses orders with an old fencing number.
@@ -33,10 +42,27 @@
 // ServesModel reports whether the target is an engine with the model.
 func (t Target) ServesModel(model string) bool { return slices.Contains(t.Models, model) }
 
+// Model is a model with the limits of its requests.
+type Model struct {
+	Name string `json:"name"`
+	// MaxTokens bounds the completion tokens of one request; 0 sets no bound.
+	MaxTokens int64 `json:"max_tokens,omitempty"`
+}
+
+// Operator is a person or program that sends commands.
+type Operator struct {
+	Name string `json:"name"`
+	Role Role   `json:"role"`
+	// KeyHashes are the hashes of the operator's keys, the newest first.
+	KeyHashes []string `json:"key_hashes"`
+	// OldKeyUntil is when the keys behind the newest stop to be valid.
+	OldKeyUntil time.Time `json:"old_key_until,omitzero"`
+}
+
 // Service is a plain service with what is known about its routes.
 type Service struct {
 	Name string `json:"name"`
-	// Routes are the routes whose calls may be repeated; others run at most once.
+	// Routes are the routes that are known to be repeatable or not.
 	Routes []Route `json:"routes"`
 	// TokensPerCall is what a call is billed.
 	TokensPerCall int64 `json:"tokens_per_call"`
@@ -60,7 +86,7 @@
 	return method == "GET" || method == "HEAD"
 }
 
-// HashKey returns the form in which a workspace's key is stored.
+// HashKey returns the form in which a key is stored.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
--- /dev/null
+++ b/internal/workspace/catalogue/kind.go
@@ -0,0 +1,77 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+//go:generate ../../../bin/stringer -type=Kind,Role -linecomment -output=enum_string.go
+
+// Kind is the kind of a configured item.
+type Kind int
+
+// The kinds of items.
+const (
+	KindWorkspace Kind = iota // workspace
+	KindTarget                // target
+	KindService               // service
+	KindModel                 // model
+	KindOperator              // operator
+)
+
+// Kinds lists every kind.
+var Kinds = []Kind{KindWorkspace, KindTarget, KindService, KindModel, KindOperator}
+
+// ParseKind returns the kind with the name.
+func ParseKind(name string) (Kind, error) {
+	for _, k := range Kinds {
+		if k.String() == name {
+			return k, nil
+		}
+	}
+	return 0, fmt.Errorf("kind %q does not exist", name)
+}
+
+// Role is what an operator may do; each role may do what the ones before it may.
+type Role int
+
+// The roles of operators.
+const (
+	RoleRead       Role = iota // read
+	RoleOperate                // operate
+	RoleAdminister             // administer
+)
+
+// ParseRole returns the role with the name.
+func ParseRole(name string) (Role, error) {
+	for _, r := range []Role{RoleRead, RoleOperate, RoleAdminister} {
+		if r.String() == name {
+			return r, nil
+		}
+	}
+	return 0, fmt.Errorf("role %q does not exist; allowed: read, operate, administer", name)
+}
+
+// MarshalText encodes the role as its name.
+func (r Role) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText decodes the name of a role.
+func (r *Role) UnmarshalText(text []byte) error {
+	role, err := ParseRole(string(text))
+	*r = role
+	return err
+}
+
+// NewItem returns an item of the kind with the JSON encoding of the value.
+func NewItem(kind Kind, name string, value any) (Item, error) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		return Item{}, fmt.Errorf("encode %s %q: %w", kind, name, err)
+	}
+	return Item{Kind: kind.String(), Name: name, Value: b}, nil
+}
+
+// Deletion returns an item that deletes the one of the kind with the name.
+func Deletion(kind Kind, name string) Item {
+	return Item{Kind: kind.String(), Name: name, Deleted: true}
+}
--- /dev/null
+++ b/internal/workspace/catalogue/peers.go
@@ -0,0 +1,181 @@
+package catalogue
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"rosevalve/internal/protocol/inner"
+)
+
+const (
+	gossipFanOut   = 3
+	joinPeers      = 64 // routers asked by one that has no configuration
+	confirmTimeout = 500 * time.Millisecond
+)
+
+// Heard tells that a router somewhere has the version; the catalogue then looks for it at once.
+func (c *Catalogue) Heard(version uint64) {
+	if version <= c.Current().Version() {
+		return
+	}
+	for {
+		known := c.heard.Load()
+		if version <= known || c.heard.CompareAndSwap(known, version) {
+			break
+		}
+	}
+	c.wakePeers()
+}
+
+func (c *Catalogue) wakePeers() {
+	wake := c.wake.Load()
+	if wake == nil {
+		return
+	}
+	select {
+	case *wake <- struct{}{}:
+	default:
+	}
+}
+
+// pollPeers asks other routers until ctx ends; it never waits for the table.
+func (c *Catalogue) pollPeers(ctx context.Context, wake <-chan struct{}) {
+	interval := c.GossipInterval
+	if interval == 0 {
+		interval = defaultGossipInterval
+	}
+	wait := c.phase(interval)
+	for {
+		c.askPeers(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		case <-time.After(wait):
+		}
+		wait = interval
+	}
+}
+
+// askPeers asks a few routers, in rotation, or many while there is no configuration.
+func (c *Catalogue) askPeers(ctx context.Context) {
+	base := c.Current()
+	in := inner.ConfigurationRequest{From: c.Addr, Version: base.version, Whole: !c.reached.Load()}
+	count := gossipFanOut
+	if !c.Ready() {
+		if c.reached.Load() {
+			return
+		}
+		in.Confirm = true
+		count = joinPeers
+	}
+	best := c.askHighest(ctx, c.nextPeers(count), in)
+	if best.Version > base.version || (best.Ready && !c.Ready()) {
+		c.take(base, best)
+	}
+	if c.heard.Load() > c.Current().Version() && c.pollInterval() <= max(c.PollInterval, defaultPollInterval) {
+		if err := c.Refresh(ctx); err != nil {
+			c.report(err)
+		}
+	}
+}
+
+// nextPeers returns the router that named a higher version, or the next ones of the rotation, so that each is asked in a bounded number of rounds.
+func (c *Catalogue) nextPeers(count int) []string {
+	peers := slices.Clone(c.Peers())
+	slices.Sort(peers)
+	if teller := c.teller.Swap(nil); teller != nil && slices.Contains(peers, *teller) {
+		return []string{*teller}
+	}
+	if len(peers) <= count {
+		return peers
+	}
+	start := c.cursor.Add(uint64(count))
+	out := make([]string, 0, count)
+	for i := range uint64(count) {
+		out = append(out, peers[(start+i)%uint64(len(peers))])
+	}
+	return out
+}
+
+// askHighest asks the routers at once and returns the answer with the highest version.
+func (c *Catalogue) askHighest(ctx context.Context, addrs []string, in inner.ConfigurationRequest) inner.ConfigurationResponse {
+	answers := make([]inner.ConfigurationResponse, len(addrs))
+	var wait sync.WaitGroup
+	for i, addr := range addrs {
+		wait.Go(func() {
+			out, err := c.AskPeer(ctx, addr, in)
+			if err == nil && out.Ready {
+				answers[i] = out
+			}
+		})
+	}
+	wait.Wait()
+	var best inner.ConfigurationResponse
+	for _, a := range answers {
+		if !best.Ready || a.Version > best.Version {
+			best = a
+		}
+	}
+	return best
+}
+
+// take installs what a router sent as newer than base, if it is complete.
+func (c *Catalogue) take(base *Snapshot, out inner.ConfigurationResponse) {
+	if out.Whole {
+		c.install(newSnapshot(out.Version, out.Items))
+		return
+	}
+	last := base.version
+	for _, ch := range out.Changes {
+		if !c.inSequence(last, ch.Version) {
+			return
+		}
+		last = ch.Version
+	}
+	if last != out.Version {
+		return
+	}
+	c.install(base.with(out.Changes))
+}
+
+// HandlePeer answers another router's question.
+func (c *Catalogue) HandlePeer(ctx context.Context, params json.RawMessage) (any, error) {
+	var in inner.ConfigurationRequest
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode configuration request: %w", err)
+	}
+	return c.Answer(ctx, in), nil
+}
+
+// Answer returns what this router has beyond the version asked for.
+func (c *Catalogue) Answer(ctx context.Context, in inner.ConfigurationRequest) inner.ConfigurationResponse {
+	if in.Version > c.Current().Version() {
+		c.teller.Store(&in.From)
+		c.Heard(in.Version)
+	}
+	confirmed := false
+	if in.Confirm {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		confirmed = c.Refresh(ctx) == nil
+	}
+	ready := c.Ready()
+	s := c.Current()
+	out := inner.ConfigurationResponse{Version: s.version, Ready: ready, Confirmed: confirmed}
+	if in.Version >= s.version {
+		return out
+	}
+	changes, complete := s.since(in.Version)
+	if complete {
+		out.Changes = changes
+	} else if in.Whole {
+		out.Whole = true
+		out.Items = s.Items()
+	}
+	return out
+}
--- a/internal/workspace/catalogue/snapshot.go
+++ b/internal/workspace/catalogue/snapshot.go
@@ -1,65 +1,62 @@
 package catalogue
 
 import (
-	"encoding/json"
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
-)
-
-//go:generate ../../../bin/stringer -type=Kind -linecomment
+	"time"
 
-// Kind is the kind of a configured item.
-type Kind int
-
-// The kinds of items.
-const (
-	KindWorkspace Kind = iota // workspace
-	KindTarget                // target
-	KindService               // service
+	"github.com/cockroachdb/errors"
 )
 
-// Kinds lists every kind.
-var Kinds = []Kind{KindWorkspace, KindTarget, KindService}
+// recentChanges is the number of changes kept for other routers that are behind.
+const recentChanges = 256
 
-// ParseKind returns the kind with the name.
-func ParseKind(name string) (Kind, error) {
-	for _, k := range Kinds {
-		if k.String() == name {
-			return k, nil
-		}
-	}
-	return 0, fmt.Errorf("kind %q does not exist", name)
-}
+// Snapshot is the configuration at one version; it never changes.
+type Snapshot struct {
+	version uint64
+	items   map[itemID]Item
+	recent  []Change // the newest changes, without a gap up to version
+	problem error    // items that could not be decoded
 
-// Item is one configured thing as stored, with the version that wrote it.
-type Item struct {
-	Kind    string          `json:"kind"`
-	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
-	Deleted bool            `json:"deleted,omitempty"`
-	Value   json.RawMessage `json:"value,omitempty"`
+	workspaces map[string]Workspace
+	targets    map[string]Target
+	services   map[string]Service
+	models     map[string]Model
+	operators  map[string]Operator
+	callers    map[string]keyOwner // by hash of the key
+	admins     map[string]keyOwner // by hash of the key
 }
 
-// itemID names an item among all kinds.
+// itemID names an item among all kinds, known here or not.
 type itemID struct {
-	kind Kind
+	kind string
 	name string
 }
 
-// Snapshot is the configuration at one version; it never changes.
-type Snapshot struct {
-	version    uint64
-	items      map[itemID]Item
-	workspaces map[string]Workspace
-	byKey      map[string]string
-	targets    map[string]Target
-	services   map[string]Service
+// keyOwner is who uses a key, until a time if that is set.
+type keyOwner struct {
+	name  string
+	until time.Time
 }
 
 // Version returns the version of the configuration.
 func (s *Snapshot) Version() uint64 { return s.version }
 
+// Items returns the configured items, ordered by kind and name.
+func (s *Snapshot) Items() []Item {
+	return slices.SortedFunc(maps.Values(s.items), func(a, b Item) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// Item returns the item of the kind with the name.
+func (s *Snapshot) Item(kind Kind, name string) (Item, bool) {
+	item, ok := s.items[itemID{kind: kind.String(), name: name}]
+	return item, ok
+}
+
 // Workspace returns the workspace with the name.
 func (s *Snapshot) Workspace(name string) (Workspace, bool) {
 	w, ok := s.workspaces[name]
@@ -68,13 +65,24 @@
 
 // WorkspaceByKey returns the workspace whose callers use the key.
 func (s *Snapshot) WorkspaceByKey(key string) (Workspace, bool) {
-	name, ok := s.byKey[HashKey(key)]
-	if !ok {
+	owner, ok := s.callers[HashKey(key)]
+	if !ok || owner.expired() {
 		return Workspace{}, false
 	}
-	return s.Workspace(name)
+	return s.Workspace(owner.name)
+}
+
+// OperatorByKey returns the operator who uses the key.
+func (s *Snapshot) OperatorByKey(key string) (Operator, bool) {
+	owner, ok := s.admins[HashKey(key)]
+	if !ok || owner.expired() {
+		return Operator{}, false
+	}
+	return s.Operator(owner.name)
 }
 
+func (o keyOwner) expired() bool { return !o.until.IsZero() && time.Now().After(o.until) }
+
 // Workspaces returns the workspaces, ordered by name.
 func (s *Snapshot) Workspaces() []Workspace {
 	out := make([]Workspace, 0, len(s.workspaces))
@@ -114,6 +122,27 @@
 	return out
 }
 
+// Model returns the model with the name, if it was configured.
+func (s *Snapshot) Model(name string) (Model, bool) {
+	m, ok := s.models[name]
+	return m, ok
+}
+
+// Operator returns the operator with the name.
+func (s *Snapshot) Operator(name string) (Operator, bool) {
+	o, ok := s.operators[name]
+	return o, ok
+}
+
+// Operators returns the operators, ordered by name.
+func (s *Snapshot) Operators() []Operator {
+	out := make([]Operator, 0, len(s.operators))
+	for _, name := range slices.Sorted(maps.Keys(s.operators)) {
+		out = append(out, s.operators[name])
+	}
+	return out
+}
+
 // Models returns the models that the targets serve, ordered by name.
 func (s *Snapshot) Models() []string {
 	set := make(map[string]bool)
@@ -140,70 +169,85 @@
 	return &Snapshot{
 		items:      make(map[itemID]Item),
 		workspaces: make(map[string]Workspace),
-		byKey:      make(map[string]string),
 		targets:    make(map[string]Target),
 		services:   make(map[string]Service),
+		models:     make(map[string]Model),
+		operators:  make(map[string]Operator),
+		callers:    make(map[string]keyOwner),
+		admins:     make(map[string]keyOwner),
 	}
 }
 
-// with returns the snapshot at the version with the items replaced, ignoring items that are older.
-func (s *Snapshot) with(version uint64, items []Item) (*Snapshot, error) {
-	next := emptySnapshot()
-	next.version = max(version, s.version)
-	maps.Copy(next.items, s.items)
+// newSnapshot returns the configuration with the items.
+func newSnapshot(version uint64, items []Item) *Snapshot {
+	s := emptySnapshot()
+	s.version = version
 	for _, item := range items {
-		kind, err := ParseKind(item.Kind)
-		if err != nil {
-			return nil, fmt.Errorf("read configuration: %w", err)
-		}
-		id := itemID{kind: kind, name: item.Name}
-		if old, ok := next.items[id]; ok && old.Version > item.Version {
-			continue
+		s.put(item)
+	}
+	return s
+}
+
+// with returns the snapshot after the changes, which follow its version without a gap.
+//
+// An item that is newer than the change stays: a load may have read it ahead.
+func (s *Snapshot) with(changes []Change) *Snapshot {
+	if len(changes) == 0 {
+		return s
+	}
+	next := s.clone()
+	for _, ch := range changes {
+		next.version = ch.Version
+		for _, item := range ch.Items {
+			if old, ok := next.items[itemID{kind: item.Kind, name: item.Name}]; !ok || old.Version <= item.Version {
+				next.put(item)
+			}
 		}
-		next.items[id] = item
 	}
-	if err := next.index(); err != nil {
-		return nil, fmt.Errorf("read configuration: %w", err)
+	all := slices.Concat(s.recent, changes)
+	next.recent = all[max(0, len(all)-recentChanges):]
+	return next
+}
+
+func (s *Snapshot) clone() *Snapshot {
+	return &Snapshot{
+		version:    s.version,
+		items:      maps.Clone(s.items),
+		workspaces: maps.Clone(s.workspaces),
+		targets:    maps.Clone(s.targets),
+		services:   maps.Clone(s.services),
+		models:     maps.Clone(s.models),
+		operators:  maps.Clone(s.operators),
+		callers:    maps.Clone(s.callers),
+		admins:     maps.Clone(s.admins),
 	}
-	return next, nil
 }
 
-// index decodes the items into the maps that are asked.
-func (s *Snapshot) index() error {
-	for id, item := range s.items {
-		if item.Deleted {
-			continue
-		}
-		if err := s.add(id, item.Value); err != nil {
-			return fmt.Errorf("%s %q: %w", id.kind, id.name, err)
-		}
+// since returns the changes behind the version, and whether they are all there.
+func (s *Snapshot) since(version uint64) ([]Change, bool) {
+	if version >= s.version {
+		return nil, true
+	}
+	missing := s.version - version
+	if missing > uint64(len(s.recent)) {
+		return nil, false
 	}
-	return nil
+	return s.recent[uint64(len(s.recent))-missing:], true
 }
 
-func (s *Snapshot) add(id itemID, value json.RawMessage) error {
-	switch id.kind {
-	case KindWorkspace:
-		var w Workspace
-		if err := json.Unmarshal(value, &w); err != nil {
-			return err
-		}
-		s.workspaces[id.name] = w
-		for _, h := range w.KeyHashes {
-			s.byKey[h] = id.name
-		}
-	case KindTarget:
-		var t Target
-		if err := json.Unmarshal(value, &t); err != nil {
-			return err
-		}
-		s.targets[id.name] = t
-	case KindService:
-		var v Service
-		if err := json.Unmarshal(value, &v); err != nil {
-			return err
-		}
-		s.services[id.name] = v
+// put replaces an item; one whose value can not be decoded leaves the old value in force.
+func (s *Snapshot) put(item Item) {
+	id := itemID{kind: item.Kind, name: item.Name}
+	if item.Deleted {
+		delete(s.items, id)
+	} else {
+		s.items[id] = item
+	}
+	kind, err := ParseKind(item.Kind)
+	if err != nil {
+		return // written by a newer release
+	}
+	if err := s.index(kind, item); err != nil {
+		s.problem = errors.Join(s.problem, fmt.Errorf("%s %q of version %d: %w", kind, item.Name, item.Version, err))
 	}
-	return nil
 }
