--- a/internal/cmd/rosevalve/ctl.go
+++ b/internal/cmd/rosevalve/ctl.go
@@ -3,156 +3,145 @@
 import (
 	"bufio"
 	"context"
-	"crypto/rand"
-	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"slices"
 	"strings"
-	"text/tabwriter"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
-	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/workspace/operator"
 )
 
-const (
-	ctlTimeout = 15 * time.Second
-	ctlTries   = 3
-)
-
 const ctlHelp = `Sends commands of the operators' language to a router. Without arguments the
-commands are read from standard input, one a line.
+commands are read from standard input, one a line; at a terminal there is a prompt.
+A command that gets no answer is repeated, with the same command id, at the next
+router. Commands that destroy something ask for confirmation, or need --yes.
 
 EXAMPLES
-  rosevalve ctl 'show budgets'
+  rosevalve ctl --router 10.0.0.1:7001,10.0.0.2:7001 'show budgets'
   rosevalve ctl 'top up budget "flitch-2026" workspace "gorenjska" by 200000'
-  rosevalve ctl --output json 'show bills' < /dev/null`
+  rosevalve ctl --file commands.txt
+  rosevalve ctl --output json 'show bills where tokens > 1000'
+  rosevalve ctl help`
 
-// ctlClient sends commands to one router.
-type ctlClient struct {
-	addr   string
-	key    string
-	output string
-	stdout io.Writer
+// ctl is the operators' command line.
+type ctl struct {
+	client  ctlClient
+	routers string
+	file    string
+	output  string
+	yes     bool
+	stdin   *bufio.Reader
+	stdout  io.Writer
+	prompts bool // standard input is a terminal
 }
 
 // ctlCommand sends operators' commands.
 func ctlCommand(stdin io.Reader, stdout io.Writer) subcommand {
-	c := &ctlClient{stdout: stdout}
+	c := &ctl{stdin: bufio.NewReader(stdin), stdout: stdout, prompts: isTerminal(stdin)}
 	set := ff.NewFlagSet("ctl")
-	set.StringVar(&c.addr, 0, "router", "127.0.0.1:7001", "address of a router")
-	set.StringVar(&c.key, 0, "key", "", "operator key")
-	set.StringVar(&c.output, 0, "output", "table", "table or json")
+	set.StringVar(&c.routers, 0, "router", "127.0.0.1:7001", "addresses of routers, separated by commas")
+	set.StringVar(&c.client.key, 0, "key", "", "operator key")
+	set.StringVar(&c.client.commandID, 0, "command-id", "", "id of a command that is repeated after an unknown outcome")
+	set.StringVar(&c.file, 0, "file", "", "file with commands, one a line")
+	set.StringVar(&c.output, 0, "output", formatTable, "table, plain (numbers as they are) or json")
+	set.BoolVar(&c.yes, 0, "yes", "do not ask before what destroys something")
 	command := &ff.Command{
 		Name:      "ctl",
 		Usage:     "rosevalve ctl [FLAGS] [COMMAND]",
 		ShortHelp: "send an operators' command",
 		LongHelp:  ctlHelp,
 		Flags:     set,
-		Exec: func(_ context.Context, args []string) error {
-			if len(args) > 0 {
-				return c.send(strings.Join(args, " "))
-			}
-			return c.sendAll(stdin)
-		},
+		Exec:      func(_ context.Context, args []string) error { return c.exec(args) },
 	}
 	return subcommand{command: command, options: []ff.Option{ff.WithEnvVarPrefix("ROSEVALVE_CTL")}}
 }
 
-// sendAll sends each line that is not empty or a comment.
-func (c *ctlClient) sendAll(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	for scanner.Scan() {
-		line := strings.TrimSpace(scanner.Text())
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
-		if err := c.send(line); err != nil {
-			return err
-		}
+func isTerminal(r io.Reader) bool {
+	f, ok := r.(*os.File)
+	if !ok {
+		return false
 	}
-	if err := scanner.Err(); err != nil {
-		return fmt.Errorf("read commands: %w", err)
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+func (c *ctl) exec(args []string) error {
+	for addr := range strings.SplitSeq(c.routers, ",") {
+		c.client.addrs = append(c.client.addrs, strings.TrimSpace(addr))
+	}
+	if !slices.Contains([]string{formatTable, formatPlain, formatJSON}, c.output) {
+		return fmt.Errorf("%w: output %q does not exist; allowed: table, plain, json", errUsage, c.output)
+	}
+	switch {
+	case len(args) > 0:
+		return c.run(strings.Join(args, " "))
+	case c.file != "":
+		return c.runFile()
+	case c.prompts:
+		return c.prompt()
+	default:
+		return c.runAll(c.stdin)
 	}
-	return nil
 }
 
-// send repeats the command with the same id if its answer is lost.
-func (c *ctlClient) send(command string) error {
-	body, err := json.Marshal(operator.Request{Command: command, CommandID: rand.Text()})
+func (c *ctl) runFile() error {
+	f, err := os.Open(c.file)
 	if err != nil {
-		return fmt.Errorf("encode command: %w", err)
+		return fmt.Errorf("open commands: %w", err)
 	}
-	var lastErr error
-	for range ctlTries {
-		var answer []byte
-		var status int
-		status, answer, lastErr = c.post(body)
-		if lastErr != nil {
+	defer func() { _ = f.Close() }()
+	c.prompts = false
+	return c.runAll(f)
+}
+
+// runAll runs each line that is not empty or a comment, until one fails.
+func (c *ctl) runAll(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	for n := 1; scanner.Scan(); n++ {
+		line := strings.TrimSpace(scanner.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
-		if status != fasthttp.StatusOK {
-			return fmt.Errorf("command %q refused: %s", command, refusalMessage(answer))
+		if err := c.run(line); err != nil {
+			return fmt.Errorf("line %d: %w", n, err)
 		}
-		return c.print(answer)
 	}
-	return fmt.Errorf("send command: %w", lastErr)
-}
-
-func (c *ctlClient) post(body []byte) (int, []byte, error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + c.addr + "/v1/operator")
-	req.Header.Set("Authorization", "Bearer "+c.key)
-	req.SetBody(body)
-	if err := fasthttp.DoTimeout(req, resp, ctlTimeout); err != nil {
-		return 0, nil, fmt.Errorf("ask router %s: %w", c.addr, err)
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("read commands: %w", err)
 	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+	return nil
 }
 
-func refusalMessage(body []byte) string {
-	var out struct {
-		Error struct {
-			Message string `json:"message"`
-		} `json:"error"`
+// run sends one command and prints its result.
+func (c *ctl) run(command string) error {
+	if err := c.confirm(command); err != nil {
+		return err
 	}
-	if err := json.Unmarshal(body, &out); err != nil {
-		return string(body)
+	body, err := c.client.send(command)
+	if err != nil {
+		return err
 	}
-	return out.Error.Message
+	return printResult(c.stdout, c.output, body)
 }
 
-func (c *ctlClient) print(body []byte) error {
-	if c.output == "json" {
-		fmt.Fprintln(c.stdout, string(body))
+// confirm asks before a command that destroys something.
+func (c *ctl) confirm(command string) error {
+	if c.yes || !operator.Destroys(command) {
 		return nil
 	}
-	if c.output != "table" {
-		return fmt.Errorf("%w: output %q does not exist; allowed: table, json", errUsage, c.output)
-	}
-	var r operator.Result
-	if err := json.Unmarshal(body, &r); err != nil {
-		return errors.Wrap(err, "decode result")
+	if !c.prompts {
+		return fmt.Errorf("command %q destroys something; confirm it with --yes", command)
 	}
-	w := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
-	if len(r.Columns) > 0 {
-		fmt.Fprintln(w, strings.Join(r.Columns, "\t"))
-	}
-	for _, row := range r.Rows {
-		fmt.Fprintln(w, strings.Join(row, "\t"))
-	}
-	if r.Message != "" {
-		fmt.Fprintln(w, r.Message)
+	fmt.Fprintf(c.stdout, "%s\nThis can not be undone. Type yes to go on: ", command)
+	answer, err := c.stdin.ReadString('\n')
+	if err != nil {
+		return fmt.Errorf("read confirmation: %w", err)
 	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("print result: %w", err)
+	if strings.TrimSpace(answer) != "yes" {
+		return fmt.Errorf("command %q was not confirmed", command)
 	}
 	return nil
 }
--- a/internal/fleet/router/configuration.go
+++ b/internal/fleet/router/configuration.go
@@ -4,11 +4,17 @@
 	"context"
 	"fmt"
 
+	"github.com/alitto/pond/v2"
+
+	"rosevalve/internal/platform/object"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/workspace/catalogue"
 	"rosevalve/internal/workspace/operator"
 )
 
+// askedAtOnce bounds the routers that are asked for their version at the same time.
+const askedAtOnce = 32
+
 // connectConfiguration builds the catalogue and the operators' commands.
 func (r *Router) connectConfiguration() {
 	r.catalogue = &catalogue.Catalogue{
@@ -21,7 +27,48 @@
 		OnChange: r.targets.Update,
 		OnError:  func(err error) { r.Log.Warn("refresh configuration", "err", err) },
 	}
-	r.executor = &operator.Executor{Catalogue: r.catalogue, Routers: r.routerRows}
+	objects := &object.Client{Addr: r.Settings.Platform.Addr, HTTP: r.table.HTTP}
+	r.catalogue.Archive = objects.Put
+	r.executor = &operator.Executor{Catalogue: r.catalogue, Routers: r.routerTable, Versions: r.versions}
+}
+
+// routerTable lists the routers for operators.
+func (r *Router) routerTable(context.Context) (operator.Table, error) {
+	t := operator.Table{Columns: []operator.Column{
+		{Name: "id"}, {Name: "caller_addr"}, {Name: "failure_domain"}, {Name: "state"},
+	}}
+	for _, row := range r.routerRows() {
+		cells := make([]operator.Cell, len(row))
+		for i, text := range row {
+			cells[i] = operator.Text(text)
+		}
+		t.Rows = append(t.Rows, cells)
+	}
+	return t, nil
+}
+
+// versions asks every known router which configuration it has in force.
+func (r *Router) versions(ctx context.Context) []operator.RouterVersion {
+	addrs := r.innerPeers()
+	out := make([]operator.RouterVersion, len(addrs)+1)
+	out[0] = operator.RouterVersion{
+		Router: r.Settings.Router.InnerListen, Known: r.catalogue.Ready(), Version: r.catalogue.Current().Version(),
+	}
+	pool := pond.NewPool(askedAtOnce)
+	defer pool.StopAndWait()
+	group := pool.NewGroup()
+	for i, addr := range addrs {
+		group.Submit(func() {
+			answer, err := r.askConfiguration(ctx, addr, inner.ConfigurationRequest{
+				From: r.Settings.Router.InnerListen, Version: r.catalogue.Current().Version(),
+			})
+			out[i+1] = operator.RouterVersion{Router: addr, Known: err == nil && answer.Ready, Version: answer.Version}
+		})
+	}
+	if err := group.Wait(); err != nil {
+		r.Log.Warn("ask routers for their versions", "err", err)
+	}
+	return out
 }
 
 func (r *Router) askConfiguration(ctx context.Context, addr string, in inner.ConfigurationRequest) (inner.ConfigurationResponse, error) {
--- /dev/null
+++ b/internal/fleet/router/operator.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/platform/table"
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/workspace/catalogue"
+	"rosevalve/internal/workspace/operator"
+)
+
+const (
+	operatorTimeout    = 10 * time.Second
+	operatorRetryAfter = time.Second
+	firstOperator      = "first"
+	bearer             = "Bearer "
+	maxCommandIDChars  = 100
+)
+
+func (r *Router) serveOperator(ctx *fasthttp.RequestCtx) {
+	who, ok := r.authenticateOperator(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if !ok {
+		writeError(ctx, answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "operator key is not valid"))
+		return
+	}
+	var req operator.Request
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a command: %v", err))
+		return
+	}
+	if req.CommandID == "" || len(req.CommandID) > maxCommandIDChars || strings.ContainsAny(req.CommandID, "/ \t\n") {
+		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "command_id", "field \"command_id\" is missing, too long, or has a slash or a space"))
+		return
+	}
+	opCtx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	result, err := r.executor.Execute(opCtx, who, req)
+	if err != nil {
+		r.Log.Info("command refused", "operator", who.Name, "command", operator.Redact(req.Command), "err", err)
+		writeError(ctx, commandError(err))
+		return
+	}
+	r.Log.Info("command executed", "operator", who.Name, "command", operator.Redact(req.Command), "version", result.Version)
+	writeJSON(ctx, result)
+}
+
+// authenticateOperator returns the operator with the key; the settings' key belongs to the first one.
+func (r *Router) authenticateOperator(header string) (catalogue.Operator, bool) {
+	key, ok := strings.CutPrefix(header, bearer)
+	if !ok || key == "" {
+		return catalogue.Operator{}, false
+	}
+	first := r.Settings.Operator.Key
+	if first != "" && subtle.ConstantTimeCompare([]byte(first), []byte(key)) == 1 {
+		return catalogue.Operator{Name: firstOperator, Role: catalogue.RoleAdminister}, true
+	}
+	return r.catalogue.Current().OperatorByKey(key)
+}
+
+// commandError chooses the status of a command's error; a program may repeat after a 503 or 504 with the same id.
+func commandError(err error) *answer.Error {
+	var raced *catalogue.RacedError
+	var refused *catalogue.RefusedError
+	switch {
+	case errors.Is(err, table.ErrUnknownOutcome):
+		e := answer.Busy(fasthttp.StatusGatewayTimeout, "outcome_unknown", operatorRetryAfter, "command may have taken effect; repeat it with the same command id: %v", err)
+		e.Run = answer.Unknown
+		return e
+	case errors.Is(err, table.ErrUnavailable):
+		return answer.Busy(fasthttp.StatusServiceUnavailable, "table_unavailable", operatorRetryAfter, "%v", err)
+	case errors.Is(err, operator.ErrNotAllowed):
+		return answer.Invalid(fasthttp.StatusForbidden, "Authorization", "%v", err)
+	case errors.As(err, &raced), errors.As(err, &refused):
+		return answer.Invalid(fasthttp.StatusConflict, "command", "%v", err)
+	default:
+		return answer.Invalid(fasthttp.StatusBadRequest, "command", "%v", err)
+	}
+}
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"expvar"
 	"time"
@@ -15,13 +13,9 @@
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/pool"
-	"rosevalve/internal/workspace/operator"
 )
 
-const (
-	operatorTimeout = 10 * time.Second
-	idleTimeout     = 2 * time.Minute
-)
+const idleTimeout = 2 * time.Minute
 
 var requestsServed = expvar.NewInt("requests")
 
@@ -94,32 +88,6 @@
 	ctx.SetBodyString("ready\n")
 }
 
-func (r *Router) serveOperator(ctx *fasthttp.RequestCtx) {
-	want := "Bearer " + r.Settings.Operator.Key
-	got := ctx.Request.Header.Peek("Authorization")
-	if r.Settings.Operator.Key == "" || subtle.ConstantTimeCompare([]byte(want), got) != 1 {
-		writeError(ctx, answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "operator key is not valid"))
-		return
-	}
-	var req operator.Request
-	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
-		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a command: %v", err))
-		return
-	}
-	if req.CommandID == "" {
-		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "command_id", "field \"command_id\" is missing"))
-		return
-	}
-	opCtx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	result, err := r.executor.Execute(opCtx, "first", req)
-	if err != nil {
-		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "command", "%v", err))
-		return
-	}
-	writeJSON(ctx, result)
-}
-
 func (r *Router) state() State {
 	s := State{
 		ID:       r.id,
@@ -143,6 +111,9 @@
 
 func writeError(ctx *fasthttp.RequestCtx, e *answer.Error) {
 	ctx.SetStatusCode(e.Status)
+	if after := e.RetryAfterHeader(); after != "" {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, after)
+	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(e.JSON(""))
 }
--- /dev/null
+++ b/internal/workspace/catalogue/audit.go
@@ -0,0 +1,84 @@
+package catalogue
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"rosevalve/internal/platform/table"
+)
+
+const auditPrefix = "audit/"
+
+// Record is a command in the audit trail.
+type Record struct {
+	At        time.Time `json:"at"`
+	Operator  string    `json:"operator"`
+	Command   string    `json:"command"`
+	CommandID string    `json:"command_id"`
+	// Version is the one that the command made, if it changed the configuration.
+	Version uint64 `json:"version,omitempty"`
+	// Outcome is "started" until the command has ended.
+	Outcome string `json:"outcome"`
+}
+
+// The outcomes of commands.
+const (
+	OutcomeStarted = "started"
+	OutcomeDone    = "done"
+)
+
+// Record writes a command that changes no configuration into the audit trail.
+//
+// A second call with the same time and command id replaces the outcome.
+func (c *Catalogue) Record(ctx context.Context, r Record) error {
+	var commit table.Commit
+	if err := commit.Set(recordKey(r), r); err != nil {
+		return err
+	}
+	if _, err := c.Commit(ctx, commit); err != nil {
+		return fmt.Errorf("write audit trail: %w", err)
+	}
+	return nil
+}
+
+// recordKey sorts the newest record first, because the table only scans upwards.
+func recordKey(r Record) string {
+	return fmt.Sprintf("%s%020d/%s", auditPrefix, math.MaxInt64-r.At.UnixMilli(), r.CommandID)
+}
+
+// Records returns the newest commands of the audit trail, the newest first.
+func (c *Catalogue) Records(ctx context.Context, limit int) ([]Record, error) {
+	rows, err := c.Scan(ctx, auditPrefix, "", limit)
+	if err != nil {
+		return nil, fmt.Errorf("read audit trail: %w", err)
+	}
+	out := make([]Record, len(rows))
+	for i, r := range rows {
+		if err := r.Decode(&out[i]); err != nil {
+			return nil, err
+		}
+	}
+	changes, err := c.newestChanges(ctx, uint64(limit))
+	if err != nil {
+		return nil, err
+	}
+	for _, ch := range changes {
+		out = append(out, Record{
+			At: ch.At, Operator: ch.Operator, Command: ch.Command, CommandID: ch.CommandID,
+			Version: ch.Version, Outcome: OutcomeDone,
+		})
+	}
+	slices.SortStableFunc(out, func(a, b Record) int { return b.At.Compare(a.At) })
+	return out[:min(limit, len(out))], nil
+}
+
+func (c *Catalogue) newestChanges(ctx context.Context, limit uint64) ([]Change, error) {
+	if err := c.Refresh(ctx); err != nil {
+		return nil, err
+	}
+	version := c.Current().Version()
+	return c.Changes(ctx, version-min(version, limit), int(limit))
+}
--- a/internal/workspace/catalogue/snapshot.go
+++ b/internal/workspace/catalogue/snapshot.go
@@ -154,6 +154,13 @@
 	return slices.Sorted(maps.Keys(set))
 }
 
+// ModelNames returns the models that were configured or are served, ordered by name.
+func (s *Snapshot) ModelNames() []string {
+	names := slices.Concat(s.Models(), slices.Collect(maps.Keys(s.models)))
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // HasModel reports whether a target serves the model.
 func (s *Snapshot) HasModel(model string) bool {
 	for _, t := range s.targets {
@@ -251,3 +258,11 @@
 		s.problem = errors.Join(s.problem, fmt.Errorf("%s %q of version %d: %w", kind, item.Name, item.Version, err))
 	}
 }
+
+// KeyInUse reports whether a workspace or an operator has the key, valid or expired.
+func (s *Snapshot) KeyInUse(key string) bool {
+	hash := HashKey(key)
+	_, caller := s.callers[hash]
+	_, admin := s.admins[hash]
+	return caller || admin
+}
--- /dev/null
+++ b/internal/workspace/operator/act.go
@@ -0,0 +1,140 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/workspace/catalogue"
+)
+
+const (
+	budgetKind = "budget"
+	maxTokens  = 1 << 50
+)
+
+// audited runs an action between two records in the audit trail; without the first one it does not run.
+func (e *Executor) audited(ctx context.Context, cmd command, act func() error) error {
+	record := catalogue.Record{
+		At:        time.Now().UTC(),
+		Operator:  cmd.operator,
+		Command:   Redact(cmd.Command),
+		CommandID: cmd.CommandID,
+		Outcome:   catalogue.OutcomeStarted,
+	}
+	if err := e.Catalogue.Record(ctx, record); err != nil {
+		return err
+	}
+	err := act()
+	record.Outcome = catalogue.OutcomeDone
+	if err != nil {
+		record.Outcome = err.Error()
+	}
+	if recordErr := e.Catalogue.Record(ctx, record); recordErr != nil && err == nil {
+		return fmt.Errorf("command took effect, but its record says %q: %w", catalogue.OutcomeStarted, recordErr)
+	}
+	return err
+}
+
+func (e *Executor) createBudget(ctx context.Context, cmd command, s *ChangeStatement) (Result, error) {
+	set, err := newSettings(s.Settings)
+	if err != nil {
+		return Result{}, err
+	}
+	id := ledger.BudgetID{Name: s.Name}
+	tokens := int64(0)
+	pos, _ := set.text("workspace", &id.Workspace)
+	set.number("tokens", 0, maxTokens, &tokens)
+	if err := set.finish("workspace, tokens"); err != nil {
+		return Result{}, err
+	}
+	if s.Name == "" || len(s.Name) > maxChars || strings.ContainsAny(s.Name, "/ \t\n\"") {
+		return Result{}, errorf(s.Pos, "name %q is empty, too long, or has a slash, a space or a quote", s.Name)
+	}
+	if err := e.Catalogue.Refresh(ctx); err != nil {
+		return Result{}, fmt.Errorf("read configuration: %w", err)
+	}
+	if _, ok := e.Catalogue.Current().Workspace(id.Workspace); !ok {
+		if pos.Line == 0 {
+			return Result{}, errorf(s.Pos, "budget %q needs a workspace", s.Name)
+		}
+		return Result{}, errorf(pos, "workspace %q does not exist", id.Workspace)
+	}
+	err = e.audited(ctx, cmd, func() error { return e.Ledger.Create(ctx, id, tokens, cmd.CommandID) })
+	if err != nil {
+		return Result{}, fmt.Errorf("execute command: %w", err)
+	}
+	return Result{Message: fmt.Sprintf("budget %q created with %d tokens", id, tokens)}, nil
+}
+
+func (e *Executor) topUp(ctx context.Context, cmd command, s *TopUpStatement) (Result, error) {
+	if s.Tokens <= 0 || s.Tokens > maxTokens {
+		return Result{}, errorf(s.Pos, "%d is not a number of tokens from 1 to %d", s.Tokens, int64(maxTokens))
+	}
+	id := ledger.BudgetID{Workspace: s.Workspace, Name: s.Name}
+	err := e.audited(ctx, cmd, func() error { return e.Ledger.TopUp(ctx, id, s.Tokens, cmd.CommandID) })
+	if err != nil {
+		return Result{}, fmt.Errorf("execute command: %w", err)
+	}
+	return Result{Message: fmt.Sprintf("budget %q topped up by %d tokens", id, s.Tokens)}, nil
+}
+
+func (e *Executor) drain(ctx context.Context, cmd command, s *DrainStatement, leaving bool) (Result, error) {
+	if s.Kind == "vm" {
+		return e.drainVM(ctx, cmd, s, leaving)
+	}
+	version, err := e.change(ctx, cmd, nil, func(now *catalogue.Snapshot) (catalogue.Item, error) {
+		if err := requireItem(now, s.Pos, catalogue.KindTarget, s.Name); err != nil {
+			return catalogue.Item{}, err
+		}
+		t, _ := now.Target(s.Name)
+		t.Leaving = leaving
+		return catalogue.NewItem(catalogue.KindTarget, s.Name, t)
+	})
+	if err != nil {
+		return Result{}, changeError("drain", s.Kind, s.Name, err)
+	}
+	message := fmt.Sprintf("target %q receives no new work", s.Name)
+	if !leaving {
+		message = fmt.Sprintf("target %q receives work again", s.Name)
+	}
+	return Result{Message: message, Version: version}, nil
+}
+
+func (e *Executor) drainVM(ctx context.Context, cmd command, s *DrainStatement, leaving bool) (Result, error) {
+	if e.DrainVM == nil {
+		return Result{}, errNotConnected("how to drain VMs")
+	}
+	err := e.audited(ctx, cmd, func() error { return e.DrainVM(ctx, s.Name, leaving) })
+	if err != nil {
+		return Result{}, fmt.Errorf("drain vm %q: %w", s.Name, err)
+	}
+	return Result{Message: fmt.Sprintf("vm %q: drain is %t", s.Name, leaving)}, nil
+}
+
+func (e *Executor) release(ctx context.Context, cmd command, s *ReleaseStatement) (Result, error) {
+	if e.Release == nil {
+		return Result{}, errNotConnected("how to release holdings")
+	}
+	if !s.Confirmed {
+		return Result{}, fmt.Errorf("what holding %q has spent unseen would be spent again; if its router is surely gone, add: confirmed", s.Name)
+	}
+	err := e.audited(ctx, cmd, func() error { return e.Release(ctx, s.Name, cmd.CommandID) })
+	if err != nil {
+		return Result{}, fmt.Errorf("release holding %q: %w", s.Name, err)
+	}
+	return Result{Message: fmt.Sprintf("holding %q released", s.Name)}, nil
+}
+
+func (e *Executor) cancel(ctx context.Context, cmd command, s *RequestStatement) (Result, error) {
+	if e.Cancel == nil {
+		return Result{}, errNotConnected("how to cancel requests")
+	}
+	err := e.audited(ctx, cmd, func() error { return e.Cancel(ctx, s.ID) })
+	if err != nil {
+		return Result{}, fmt.Errorf("cancel request %q: %w", s.ID, err)
+	}
+	return Result{Message: fmt.Sprintf("request %q cancelled", s.ID)}, nil
+}
--- a/internal/workspace/operator/execute.go
+++ b/internal/workspace/operator/execute.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
-	"strings"
-	"time"
+
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/cockroachdb/errors"
 
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/workspace/catalogue"
@@ -20,202 +20,165 @@
 
 // Result is the answer to a command.
 type Result struct {
-	Columns []string   `json:"columns,omitempty"`
-	Rows    [][]string `json:"rows,omitempty"`
-	Message string     `json:"message,omitempty"`
-	Version uint64     `json:"version,omitempty"`
+	Columns []Column `json:"columns,omitempty"`
+	Rows    [][]Cell `json:"rows,omitempty"`
+	Message string   `json:"message,omitempty"`
+	Version uint64   `json:"version,omitempty"`
+}
+
+// RouterVersion tells which configuration a router has in force.
+type RouterVersion struct {
+	Router string
+	// Known is false if the router did not answer.
+	Known   bool
+	Version uint64
 }
 
 // Executor runs commands.
+//
+// The function fields are what other parts of the router know and do; a command
+// that needs a nil one is refused.
 type Executor struct {
 	// Catalogue holds the configuration.
 	Catalogue *catalogue.Catalogue
 	// Ledger holds the budgets.
 	Ledger *ledger.Ledger
 	// Routers lists the routers with their states.
-	Routers func() [][]string
+	Routers func(ctx context.Context) (Table, error)
+	// Versions asks the routers which configuration they have in force.
+	Versions func(ctx context.Context) []RouterVersion
+	// Requests lists the requests in flight.
+	Requests func(ctx context.Context) (Table, error)
+	// Holdings lists what routers hold of budgets, all or only what is in doubt.
+	Holdings func(ctx context.Context, inDoubt bool) (Table, error)
+	// VMs lists the platform's VMs.
+	VMs func(ctx context.Context) (Table, error)
+	// Usage sums the use of a workspace, or of each if it is empty.
+	Usage func(ctx context.Context, workspace string) (Table, error)
+	// Explain tells the whole path of a request.
+	Explain func(ctx context.Context, requestID string) (Table, error)
+	// Cancel ends a request in flight.
+	Cancel func(ctx context.Context, requestID string) error
+	// Release gives a holding in doubt back to its budget.
+	Release func(ctx context.Context, holding, commandID string) error
+	// DrainVM takes the router or the targets of a VM out of use, or back into it.
+	DrainVM func(ctx context.Context, vm string, drain bool) error
 }
 
-// Execute runs one command on behalf of an operator.
-func (e *Executor) Execute(ctx context.Context, operator string, req Request) (Result, error) {
-	s, err := Parse(req.Command)
-	if err != nil {
-		return Result{}, err
-	}
-	switch {
-	case s.Create != nil:
-		return e.create(ctx, operator, req, s.Create)
-	case s.TopUp != nil:
-		return e.topUp(ctx, req, s.TopUp)
-	default:
-		return e.show(ctx, s.Show)
-	}
+// ErrNotAllowed reports that the operator's role does not allow the command.
+var ErrNotAllowed = errors.New("role does not allow the command")
+
+// command is a request on behalf of an operator.
+type command struct {
+	Request
+	operator string
 }
 
-func (e *Executor) create(ctx context.Context, operator string, req Request, s *CreateStatement) (Result, error) {
-	set, err := newSettings(s.Settings)
-	if err != nil {
-		return Result{}, err
-	}
-	if s.Kind == "budget" {
-		return e.createBudget(ctx, req, s.Name, set)
-	}
-	item, err := newItem(s.Kind, s.Name, set)
+// Execute runs one command on behalf of an operator.
+//
+// Errors are a *PlaceError or *catalogue.RacedError, which are final refusals,
+// ErrNotAllowed, or those of the table.
+func (e *Executor) Execute(ctx context.Context, operator catalogue.Operator, req Request) (Result, error) {
+	s, err := Parse(req.Command)
 	if err != nil {
 		return Result{}, err
 	}
-	if err := e.Catalogue.Refresh(ctx); err != nil {
-		return Result{}, fmt.Errorf("read configuration: %w", err)
+	if need := s.role(); operator.Role < need {
+		return Result{}, fmt.Errorf("operator %q has role %s, not %s: %w", operator.Name, operator.Role, need, ErrNotAllowed)
 	}
-	version, err := e.Catalogue.Accept(ctx, e.Catalogue.Current().Version(), catalogue.Change{
-		CommandID: req.CommandID,
-		Operator:  operator,
-		Command:   req.Command,
-		At:        time.Now().UTC(),
-		Items:     []catalogue.Item{item},
-	})
-	if err != nil {
-		return Result{}, fmt.Errorf("create %s %q: %w", s.Kind, s.Name, err)
+	r, err := e.run(ctx, command{Request: req, operator: operator.Name}, s)
+	var unplaced *unplacedError
+	if errors.As(err, &unplaced) {
+		return Result{}, placeError(req.Command, unplaced.pos, unplaced.reason)
 	}
-	return Result{Message: fmt.Sprintf("%s %q created", s.Kind, s.Name), Version: version}, nil
+	return r, err
 }
 
-func (e *Executor) createBudget(ctx context.Context, req Request, name string, set settings) (Result, error) {
-	id := ledger.BudgetID{Workspace: set.text("workspace", ""), Name: name}
-	tokens := set.number("tokens", 0)
-	if err := set.unused(); err != nil {
-		return Result{}, err
-	}
-	if err := e.Catalogue.Refresh(ctx); err != nil {
-		return Result{}, fmt.Errorf("read configuration: %w", err)
-	}
-	if _, ok := e.Catalogue.Current().Workspace(id.Workspace); !ok {
-		return Result{}, fmt.Errorf("workspace %q does not exist", id.Workspace)
-	}
-	if err := e.Ledger.Create(ctx, id, tokens, req.CommandID); err != nil {
-		return Result{}, fmt.Errorf("execute command: %w", err)
+// role returns the least role that may run the statement.
+func (s *Statement) role() catalogue.Role {
+	switch {
+	case s.Show != nil, s.Help != nil, s.Explain != nil, s.Usage != nil:
+		return catalogue.RoleRead
+	case s.TopUp != nil, s.Drain != nil, s.Undrain != nil, s.Release != nil, s.Cancel != nil:
+		return catalogue.RoleOperate
+	default:
+		return catalogue.RoleAdminister
 	}
-	return Result{Message: fmt.Sprintf("budget %q created with %d tokens", id, tokens)}, nil
 }
 
-func (e *Executor) topUp(ctx context.Context, req Request, s *TopUpStatement) (Result, error) {
-	id := ledger.BudgetID{Workspace: s.Workspace, Name: s.Name}
-	if err := e.Ledger.TopUp(ctx, id, s.Tokens, req.CommandID); err != nil {
-		return Result{}, fmt.Errorf("execute command: %w", err)
+func (e *Executor) run(ctx context.Context, cmd command, s *Statement) (Result, error) {
+	switch {
+	case s.Create != nil && s.Create.Kind == budgetKind:
+		return e.createBudget(ctx, cmd, s.Create)
+	case s.Create != nil:
+		return e.create(ctx, cmd, s.Create)
+	case s.Set != nil:
+		return e.set(ctx, cmd, s.Set)
+	case s.Delete != nil:
+		return e.delete(ctx, cmd, s.Delete)
+	case s.Rotate != nil:
+		return e.rotate(ctx, cmd, s.Rotate)
+	case s.TopUp != nil:
+		return e.topUp(ctx, cmd, s.TopUp)
+	case s.Drain != nil:
+		return e.drain(ctx, cmd, s.Drain, true)
+	case s.Undrain != nil:
+		return e.drain(ctx, cmd, s.Undrain, false)
+	case s.Release != nil:
+		return e.release(ctx, cmd, s.Release)
+	case s.Cancel != nil:
+		return e.cancel(ctx, cmd, s.Cancel)
+	default:
+		return e.inspect(ctx, s)
 	}
-	return Result{Message: fmt.Sprintf("budget %q topped up by %d tokens", id, s.Tokens)}, nil
 }
 
-// newItem builds a configured item from a command's settings.
-func newItem(kind, name string, set settings) (catalogue.Item, error) {
-	k, err := catalogue.ParseKind(kind)
-	if err != nil {
-		return catalogue.Item{}, fmt.Errorf("create: %w", err)
-	}
-	var value any
-	switch k {
-	case catalogue.KindWorkspace:
-		value = catalogue.Workspace{
-			Name:      name,
-			Weight:    set.number("weight", 1),
-			KeyHashes: []string{catalogue.HashKey(set.text("key", ""))},
-		}
-	case catalogue.KindTarget:
-		value = catalogue.Target{
-			Addr:          name,
-			FailureDomain: set.text("failure_domain", ""),
-			Models:        splitList(set.text("models", "")),
-			Service:       set.text("service", ""),
-		}
-	case catalogue.KindService:
-		routes, err := parseRoutes(set.text("idempotent", ""))
-		if err != nil {
-			return catalogue.Item{}, err
-		}
-		value = catalogue.Service{
-			Name:          name,
-			Routes:        routes,
-			TokensPerCall: set.number("tokens_per_call", 1),
-		}
-	}
-	if err := set.unused(); err != nil {
-		return catalogue.Item{}, err
+// inspect runs the statements that change nothing.
+func (e *Executor) inspect(ctx context.Context, s *Statement) (Result, error) {
+	switch {
+	case s.Help != nil:
+		return help(s.Help)
+	case s.Usage != nil:
+		return e.usage(ctx, s.Usage)
+	case s.Explain != nil:
+		return e.explain(ctx, s.Explain)
+	default:
+		return e.show(ctx, s.Show)
 	}
-	return catalogue.NewItem(k, name, value)
 }
 
-func splitList(text string) []string {
-	if text == "" {
-		return nil
-	}
-	return strings.Split(text, ",")
+// errNotConnected reports a command whose part of the router is missing.
+func errNotConnected(what string) error {
+	return fmt.Errorf("this router does not know %s", what)
 }
 
-// parseRoutes reads routes like "GET /stock, POST /search", all idempotent.
-func parseRoutes(text string) ([]catalogue.Route, error) {
-	var out []catalogue.Route
-	for _, part := range splitList(text) {
-		method, path, ok := strings.Cut(strings.TrimSpace(part), " ")
-		if !ok {
-			return nil, fmt.Errorf("route %q is not a method and a path", part)
-		}
-		out = append(out, catalogue.Route{Method: method, Path: path, Idempotent: true})
+func (e *Executor) usage(ctx context.Context, s *UsageStatement) (Result, error) {
+	if e.Usage == nil {
+		return Result{}, errNotConnected("usage")
 	}
-	return out, nil
-}
-
-func (e *Executor) show(ctx context.Context, s *ShowStatement) (Result, error) {
-	snapshot := e.Catalogue.Current()
-	switch s.Kind {
-	case "workspaces":
-		r := Result{Columns: []string{"name", "weight"}}
-		for _, w := range snapshot.Workspaces() {
-			r.Rows = append(r.Rows, []string{w.Name, strconv.FormatInt(w.Weight, 10)})
-		}
-		return r, nil
-	case "targets":
-		r := Result{Columns: []string{"addr", "models", "service", "leaving"}}
-		for _, t := range snapshot.Targets() {
-			r.Rows = append(r.Rows, []string{t.Addr, strings.Join(t.Models, ","), t.Service, strconv.FormatBool(t.Leaving)})
-		}
-		return r, nil
-	case "routers":
-		return Result{Columns: []string{"id", "caller_addr", "failure_domain", "state"}, Rows: e.Routers()}, nil
-	case "budgets":
-		return e.showBudgets(ctx)
-	case "bills":
-		return e.showBills(ctx)
-	default:
-		return Result{}, fmt.Errorf("%q can not be shown; allowed: workspaces, targets, routers, budgets, bills", s.Kind)
+	workspace := ""
+	if s.Workspace != nil {
+		workspace = *s.Workspace
 	}
-}
-
-func (e *Executor) showBudgets(ctx context.Context) (Result, error) {
-	budgets, err := e.Ledger.List(ctx, "")
+	t, err := e.Usage(ctx, workspace)
 	if err != nil {
-		return Result{}, fmt.Errorf("show budgets: %w", err)
-	}
-	r := Result{Columns: []string{"workspace", "name", "granted", "billed", "remaining"}}
-	for _, b := range budgets {
-		r.Rows = append(r.Rows, []string{
-			b.ID.Workspace,
-			b.ID.Name,
-			strconv.FormatInt(b.Row.Granted, 10),
-			strconv.FormatInt(b.Spent, 10),
-			strconv.FormatInt(b.Row.Granted-b.Spent, 10),
-		})
+		return Result{}, fmt.Errorf("sum usage: %w", err)
 	}
-	return r, nil
+	return Result{Columns: t.Columns, Rows: t.Rows}, nil
 }
 
-func (e *Executor) showBills(ctx context.Context) (Result, error) {
-	bills, err := e.Ledger.Bills(ctx, "")
-	if err != nil {
-		return Result{}, fmt.Errorf("show bills: %w", err)
+func (e *Executor) explain(ctx context.Context, s *RequestStatement) (Result, error) {
+	if e.Explain == nil {
+		return Result{}, errNotConnected("the paths of requests")
 	}
-	r := Result{Columns: []string{"workspace", "budget", "request_key", "tokens", "at"}}
-	for _, b := range bills {
-		r.Rows = append(r.Rows, []string{b.Workspace, b.Budget, b.RequestKey, strconv.FormatInt(b.Tokens(), 10), b.At.Format(time.RFC3339)})
+	t, err := e.Explain(ctx, s.ID)
+	if err != nil {
+		return Result{}, fmt.Errorf("explain request %q: %w", s.ID, err)
 	}
-	return r, nil
+	return Result{Columns: t.Columns, Rows: t.Rows}, nil
+}
+
+// unexpected returns the error of a kind that the command does not know.
+func unexpected(pos lexer.Position, what, got, allowed string) error {
+	return errorf(pos, "%s %q does not exist; allowed: %s", what, got, allowed)
 }
--- /dev/null
+++ b/internal/workspace/operator/execute_test.go
@@ -0,0 +1,301 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/platform/table"
+	"rosevalve/internal/standin/platform"
+	"rosevalve/internal/workspace/catalogue"
+)
+
+const (
+	testKey  = "a-key-of-enough-characters"
+	otherKey = "another-key-of-enough-characters"
+)
+
+var administrator = catalogue.Operator{Name: "ana", Role: catalogue.RoleAdminister}
+
+// fixture is an executor before a table of its own.
+type fixture struct {
+	*Executor
+	loseAnswers bool // every commit takes effect, but its answer is lost
+	commands    int
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	store := platform.NewStore()
+	f := &fixture{}
+	commit := func(_ context.Context, c table.Commit) (uint64, error) {
+		version, err := store.Commit(c)
+		if err == nil && f.loseAnswers {
+			return 0, table.ErrUnknownOutcome
+		}
+		return version, err
+	}
+	get := func(_ context.Context, keys ...string) ([]table.Row, error) { return store.Get(keys), nil }
+	scan := func(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
+		return store.Scan(prefix, after, limit), nil
+	}
+	f.Executor = &Executor{
+		Catalogue: &catalogue.Catalogue{Commit: commit, Get: get, Scan: scan},
+		Ledger:    &ledger.Ledger{Holder: "r1", Commit: commit, Get: get, Scan: scan},
+	}
+	return f
+}
+
+func (f *fixture) execute(text string) (Result, error) {
+	f.commands++
+	return f.Execute(context.Background(), administrator, Request{Command: text, CommandID: fmt.Sprintf("c%d", f.commands)})
+}
+
+func assertDone(t *testing.T, f *fixture, commands ...string) {
+	t.Helper()
+	for _, text := range commands {
+		_, err := f.execute(text)
+		assert.NilError(t, err, text)
+	}
+}
+
+func assertRefused(t *testing.T, f *fixture, text, want string) {
+	t.Helper()
+	_, err := f.execute(text)
+	assert.ErrorContains(t, err, want)
+}
+
+// assertRows compares the first columns of a list.
+func assertRows(t *testing.T, f *fixture, text string, want ...string) {
+	t.Helper()
+	r, err := f.execute(text)
+	assert.NilError(t, err, text)
+	got := make([]string, len(r.Rows))
+	for i, row := range r.Rows {
+		got[i] = row[0].String()
+	}
+	assert.DeepEqual(t, got, append([]string{}, want...))
+}
+
+func configured(t *testing.T) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	assertDone(t, f,
+		`create workspace "veneer" key "`+testKey+`" weight 2`,
+		`create workspace "care" key "`+otherKey+`" weight = 5, max_concurrent = 8`,
+		`create service "stock" idempotent "GET /lookup, POST /search"`,
+		`create target "10.0.0.8:8000" service "stock" capacity 4`,
+		`create target "10.0.0.9:8000" models "oak,walnut" checks_fencing true`,
+		`create model "beech" max_tokens 4096`,
+		`create operator "ben" role "read" key "a-third-key-of-enough-characters"`,
+		`create budget "flitch-2026" workspace "veneer" tokens 5000`,
+	)
+	return f
+}
+
+func TestShow(t *testing.T) {
+	f := configured(t)
+	assertRows(t, f, `show workspaces`, "care", "veneer")
+	assertRows(t, f, `show workspaces where weight > 2`, "care")
+	assertRows(t, f, `show workspaces where name != "care" and weight <= 2`, "veneer")
+	assertRows(t, f, `show workspaces sort by weight asc limit 1`, "veneer")
+	assertRows(t, f, `show workspaces sort weight desc`, "care", "veneer")
+	assertRows(t, f, `show models`, "beech", "oak", "walnut")
+	assertRows(t, f, `show targets where checks_fencing = true`, "10.0.0.9:8000")
+	assertRows(t, f, `show services where idempotent = true`, "stock", "stock")
+	assertRows(t, f, `show operators`, "ben")
+	assertRows(t, f, `show budgets where remaining < 5001`, "veneer")
+}
+
+func TestChanges(t *testing.T) {
+	t.Run("set keeps the other settings", func(t *testing.T) {
+		f := configured(t)
+		assertDone(t, f, `set workspace "care" weight 7`, `set service "stock" route "POST /reserve" idempotent = false`)
+		w, _ := f.Catalogue.Current().Workspace("care")
+		assert.Equal(t, w.Weight, int64(7))
+		assert.Equal(t, w.MaxConcurrent, int64(8))
+		v, _ := f.Catalogue.Current().Service("stock")
+		assert.Assert(t, v.Idempotent("POST", "/search") && !v.Idempotent("POST", "/reserve"))
+	})
+	t.Run("drain and undrain a target", func(t *testing.T) {
+		f := configured(t)
+		assertDone(t, f, `drain target "10.0.0.9:8000"`)
+		assertRows(t, f, `show targets where leaving = true`, "10.0.0.9:8000")
+		assertDone(t, f, `undrain target "10.0.0.9:8000"`)
+		assertRows(t, f, `show targets where leaving = true`)
+	})
+	t.Run("both keys are valid after a rotation", func(t *testing.T) {
+		f := configured(t)
+		assertDone(t, f, `rotate key workspace "veneer" key "a-fourth-key-of-enough-characters" keep "1h"`)
+		for _, key := range []string{testKey, "a-fourth-key-of-enough-characters"} {
+			w, ok := f.Catalogue.Current().WorkspaceByKey(key)
+			assert.Assert(t, ok && w.Name == "veneer")
+		}
+	})
+	t.Run("delete", func(t *testing.T) {
+		f := configured(t)
+		assertRefused(t, f, `delete service "stock"`, `is run by target "10.0.0.8:8000"`)
+		assertDone(t, f, `delete target "10.0.0.8:8000"`, `delete service "stock"`)
+		assertRows(t, f, `show services`)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	f := configured(t)
+	before := f.Catalogue.Current().Version()
+	for text, want := range map[string]string{
+		`create workspace "veneer" key "a-fifth-key-of-enough-characters"`: `workspace "veneer" exists already`,
+		`create workspace "x"`:                                     `needs a key`,
+		`create workspace "x" key "short"`:                         `fewer than 16`,
+		`create workspace "x" key "` + testKey + `"`:               `in use already`,
+		`set workspace "veneer" weight 0`:                          `"weight" is not a number from 1`,
+		`set workspace "veneer" wieght 3`:                          `setting "wieght" does not exist`,
+		`set workspace "veneer" weight 3 weight 4`:                 `given twice`,
+		`set workspace "beech" weight 3`:                           `does not exist`,
+		`create target "stock-host" service "stock"`:               `not an IP address and a port`,
+		`create target "10.0.0.1:1" service "stok"`:                `service "stok" does not exist`,
+		`create target "10.0.0.1:1"`:                               `either models or a service`,
+		`set service "stock" route "reserve" idempotent false`:     `not a method and a path`,
+		`create operator "eve" role "root" key "` + testKey + `x"`: `role "root" does not exist`,
+		`create budget "b" workspace "nobody" tokens 5`:            `workspace "nobody" does not exist`,
+		`top up budget "flitch-2026" workspace "veneer" by -5`:     `not a number of tokens`,
+		`show workspaces where wait = 3`:                           `column "wait" does not exist`,
+		`show workspaces where weight = "2"`:                       `holds values of kind number`,
+		`show things`:                                              `list "things" does not exist`,
+		`release holding "h"`:                                      `does not know`,
+	} {
+		assertRefused(t, f, text, want)
+	}
+	assert.Equal(t, f.Catalogue.Current().Version(), before)
+}
+
+func TestErrorPointsAtPlace(t *testing.T) {
+	f := configured(t)
+	_, err := f.execute(`show budgets whre workspace = "veneer"`)
+	assert.Error(t, err, "column 14: unexpected token \"whre\"\n"+
+		"  show budgets whre workspace = \"veneer\"\n"+
+		"               ^")
+	_, err = f.execute(`set workspace "veneer" weight "two"`)
+	assert.Error(t, err, "column 31: value of \"weight\" is not a number from 1 to 1000\n"+
+		"  set workspace \"veneer\" weight \"two\"\n"+
+		"                                ^")
+}
+
+func TestRepeatedCommand(t *testing.T) {
+	f := configured(t)
+	req := Request{Command: `set workspace "veneer" weight 9`, CommandID: "repeated"}
+	f.loseAnswers = true
+	first, err := f.Execute(t.Context(), administrator, req)
+	assert.NilError(t, err)
+	f.loseAnswers = false
+	assertDone(t, f, `delete workspace "veneer"`)
+	again, err := f.Execute(t.Context(), administrator, req)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Version, again.Version)
+	_, exists := f.Catalogue.Current().Workspace("veneer")
+	assert.Assert(t, !exists)
+}
+
+func TestRacedCommandTellsDifference(t *testing.T) {
+	f := configured(t)
+	seen := f.Catalogue.Current().Version()
+	assertDone(t, f, `set workspace "veneer" weight 9`)
+	_, err := f.execute(fmt.Sprintf(`set workspace "veneer" weight 4 if version %d`, seen))
+	var raced *catalogue.RacedError
+	assert.Assert(t, errors.As(err, &raced))
+	assert.ErrorContains(t, err, `by ana: set workspace "veneer" weight 9`)
+}
+
+func TestRoles(t *testing.T) {
+	f := configured(t)
+	for _, tc := range []struct {
+		text string
+		need catalogue.Role
+	}{
+		{`show workspaces`, catalogue.RoleRead},
+		{`drain target "10.0.0.9:8000"`, catalogue.RoleOperate},
+		{`set workspace "veneer" weight 3`, catalogue.RoleAdminister},
+	} {
+		for role := catalogue.RoleRead; role <= catalogue.RoleAdminister; role++ {
+			f.commands++
+			who := catalogue.Operator{Name: "ben", Role: role}
+			_, err := f.Execute(t.Context(), who, Request{Command: tc.text, CommandID: fmt.Sprintf("c%d", f.commands)})
+			assert.Equal(t, errors.Is(err, ErrNotAllowed), role < tc.need, "%s as %s", tc.text, role)
+		}
+	}
+}
+
+func TestAuditTrail(t *testing.T) {
+	f := configured(t)
+	assertDone(t, f, `top up budget "flitch-2026" workspace "veneer" by 200`)
+	assertRefused(t, f, `top up budget "flitch" workspace "veneer" by 200`, "budget")
+	r, err := f.execute(`show commands where operator = "ana"`)
+	assert.NilError(t, err)
+	var all []string
+	for _, row := range r.Rows {
+		all = append(all, fmt.Sprint(row))
+	}
+	text := strings.Join(all, "\n")
+	assert.Assert(t, strings.Contains(text, `create workspace "veneer" key "***" weight 2`), text)
+	assert.Assert(t, strings.Contains(text, `by 200`), text)
+	assert.Assert(t, !strings.Contains(text, testKey))
+	assert.Equal(t, len(r.Rows), 10)
+}
+
+func TestRedact(t *testing.T) {
+	assert.Equal(t, Redact(`rotate key workspace "w" key = "secret" keep "1h"`), `rotate key workspace "w" key = "***" keep "1h"`)
+	assert.Equal(t, Redact(`create workspace "w" key "secret`), redacted)
+}
+
+func TestHelpAndCompletion(t *testing.T) {
+	f := newFixture(t)
+	r, err := f.execute(`help`)
+	assert.NilError(t, err)
+	for _, word := range Words() {
+		assert.Assert(t, strings.Contains(r.Message, word))
+		_, err := f.execute("help " + word)
+		assert.NilError(t, err)
+	}
+	assertRefused(t, f, `help me`, `command "me" does not exist`)
+	assert.DeepEqual(t, Complete("sh"), []string{"show"})
+	assert.DeepEqual(t, Complete("show wo"), []string{"workspaces"})
+}
+
+// Every form that help tells must be one that the parser takes.
+func TestHelpFormsParse(t *testing.T) {
+	for _, topic := range topics {
+		for _, form := range topic.forms {
+			if strings.ContainsAny(form, "[|") || !strings.HasPrefix(form, topic.word) || strings.Contains(form, "KIND") {
+				continue
+			}
+			_, err := Parse(form)
+			assert.NilError(t, err, form)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, topic := range topics {
+		for _, form := range topic.forms {
+			f.Add(form)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := Parse(text)
+		var place *PlaceError
+		if err != nil && !errors.As(err, &place) {
+			t.Fatalf("error without a place: %v", err)
+		}
+		if err != nil && (place.Column < 1 || strings.Contains(place.Line, "\n")) {
+			t.Fatalf("place is outside of the command: %+v", place)
+		}
+		_ = Redact(text)
+		_ = Complete(text)
+		_ = Destroys(text)
+	})
+}
--- a/internal/workspace/operator/grammar.go
+++ b/internal/workspace/operator/grammar.go
@@ -1,70 +1,158 @@
 package operator
 
 import (
-	"fmt"
-
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/cockroachdb/errors"
 )
 
 // Statement is one parsed command.
 type Statement struct {
-	Create *CreateStatement `parser:"(  'create' @@"`
-	TopUp  *TopUpStatement  `parser:" | 'top' 'up' 'budget' @@"`
-	Show   *ShowStatement   `parser:" | 'show' @@ )"`
+	Create  *ChangeStatement  `parser:"(  'create' @@"`
+	Set     *ChangeStatement  `parser:" | 'set' @@"`
+	Delete  *DeleteStatement  `parser:" | 'delete' @@"`
+	TopUp   *TopUpStatement   `parser:" | 'top' 'up' 'budget' @@"`
+	Drain   *DrainStatement   `parser:" | 'drain' @@"`
+	Undrain *DrainStatement   `parser:" | 'undrain' @@"`
+	Release *ReleaseStatement `parser:" | 'release' 'holding' @@"`
+	Rotate  *RotateStatement  `parser:" | 'rotate' 'key' @@"`
+	Cancel  *RequestStatement `parser:" | 'cancel' 'request' @@"`
+	Explain *RequestStatement `parser:" | 'explain' 'request' @@"`
+	Usage   *UsageStatement   `parser:" | @@"`
+	Show    *ShowStatement    `parser:" | 'show' @@"`
+	Help    *HelpStatement    `parser:" | @@ )"`
 }
 
-// CreateStatement makes a workspace, budget, target or service.
-type CreateStatement struct {
+// ChangeStatement makes or changes a configured thing or a budget.
+type ChangeStatement struct {
+	Pos      lexer.Position
 	Kind     string     `parser:"@Ident"`
 	Name     string     `parser:"@String"`
 	Settings []*Setting `parser:"@@*"`
+	Version  *uint64    `parser:"('if' 'version' @Int)?"`
 }
 
 // Setting is a word with a value.
 type Setting struct {
 	Pos   lexer.Position
-	Key   string `parser:"@Ident"`
-	Value Value  `parser:"@@"`
+	Key   string `parser:"(?! 'if') @Ident '='?"`
+	Value Value  `parser:"@@ ','?"`
 }
 
 // Value is a text, a number or a truth value.
 type Value struct {
+	Pos    lexer.Position
 	Text   *string `parser:"(  @String"`
 	Number *int64  `parser:" | @Int"`
 	Bool   *string `parser:" | @('true' | 'false') )"`
 }
 
+// DeleteStatement removes a configured thing.
+type DeleteStatement struct {
+	Pos     lexer.Position
+	Kind    string  `parser:"@Ident"`
+	Name    string  `parser:"@String"`
+	Version *uint64 `parser:"('if' 'version' @Int)?"`
+}
+
 // TopUpStatement adds tokens to a budget.
 type TopUpStatement struct {
+	Pos       lexer.Position
 	Name      string `parser:"@String"`
 	Workspace string `parser:"'workspace' @String"`
 	Tokens    int64  `parser:"'by' @Int"`
 }
 
+// DrainStatement takes a target or a VM out of use, or back into it.
+type DrainStatement struct {
+	Pos  lexer.Position
+	Kind string `parser:"@('target' | 'vm')"`
+	Name string `parser:"@String"`
+}
+
+// ReleaseStatement gives a holding in doubt back to its budget.
+type ReleaseStatement struct {
+	Name      string `parser:"@String"`
+	Confirmed bool   `parser:"@'confirmed'?"`
+}
+
+// RotateStatement gives a workspace or an operator a new key.
+type RotateStatement struct {
+	Pos  lexer.Position
+	Kind string  `parser:"@('workspace' | 'operator')"`
+	Name string  `parser:"@String"`
+	Key  string  `parser:"'key' @String"`
+	Keep *string `parser:"('keep' @String)?"`
+}
+
+// RequestStatement names a request.
+type RequestStatement struct {
+	ID string `parser:"@String"`
+}
+
+// UsageStatement sums the use of a workspace, or of each.
+type UsageStatement struct {
+	Word      string  `parser:"@'usage'"`
+	Workspace *string `parser:"('workspace' @String)?"`
+}
+
+// HelpStatement tells the commands, or one of them.
+type HelpStatement struct {
+	Word    string `parser:"@'help'"`
+	Command string `parser:"@Ident?"`
+}
+
 // ShowStatement lists things of a kind.
 type ShowStatement struct {
-	Kind string `parser:"@Ident"`
+	Pos     lexer.Position
+	Kind    string       `parser:"@Ident"`
+	InDoubt bool         `parser:"@('in' 'doubt')?"`
+	Where   []*Condition `parser:"('where' @@ ('and' @@)*)?"`
+	Sort    *Sort        `parser:"('sort' 'by'? @@)?"`
+	Limit   *int         `parser:"('limit' @Int)?"`
 }
 
+// Condition compares a column with a value.
+type Condition struct {
+	Pos    lexer.Position
+	Column string `parser:"@Ident"`
+	Op     string `parser:"@Op"`
+	Value  Value  `parser:"@@"`
+}
+
+// Sort orders rows by a column.
+type Sort struct {
+	Pos        lexer.Position
+	Column     string `parser:"@Ident"`
+	Descending bool   `parser:"(@'desc' | 'asc')?"`
+}
+
+const lookahead = 2
+
 var commandLexer = lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "String", Pattern: `"[^"]*"`},
-	{Name: "Int", Pattern: `[0-9]+`},
+	{Name: "String", Pattern: `"(\\.|[^"\\\n])*"`},
+	{Name: "Int", Pattern: `-?[0-9]+`},
 	{Name: "Ident", Pattern: `[a-zA-Z_]+`},
-	{Name: "Punct", Pattern: `[=<>!,()]`},
-	{Name: "space", Pattern: `[ \t\n]+`},
+	{Name: "Op", Pattern: `!=|<=|>=|[=<>]`},
+	{Name: "Punct", Pattern: `,`},
+	{Name: "space", Pattern: `[ \t\r\n]+`},
 })
 
 var parser = participle.MustBuild[Statement](
 	participle.Lexer(commandLexer),
 	participle.Unquote("String"),
+	participle.UseLookahead(lookahead),
 )
 
-// Parse reads one command; the error tells the place.
+// Parse reads one command; the error is a *PlaceError.
 func Parse(text string) (*Statement, error) {
 	s, err := parser.ParseString("", text)
+	var parseErr participle.Error
+	if errors.As(err, &parseErr) {
+		return nil, placeError(text, parseErr.Position(), parseErr.Message())
+	}
 	if err != nil {
-		return nil, fmt.Errorf("parse command: %w", err)
+		return nil, placeError(text, lexer.Position{Line: 1, Column: 1}, err.Error())
 	}
 	return s, nil
 }
--- a/internal/workspace/operator/settings.go
+++ b/internal/workspace/operator/settings.go
@@ -1,47 +1,107 @@
 package operator
 
 import (
-	"fmt"
-	"maps"
 	"slices"
+	"strings"
+
+	"github.com/alecthomas/participle/v2/lexer"
 )
 
 // settings are the words of a command with their values; each is taken once.
-type settings map[string]Value
+type settings struct {
+	left    []*Setting
+	problem error // the first value of a wrong kind
+}
 
-func newSettings(list []*Setting) (settings, error) {
-	set := make(settings)
+func newSettings(list []*Setting) (*settings, error) {
+	seen := make(map[string]bool)
 	for _, s := range list {
-		if _, ok := set[s.Key]; ok {
-			return nil, fmt.Errorf("%s: setting %q is given twice", s.Pos, s.Key)
+		if seen[s.Key] {
+			return nil, errorf(s.Pos, "setting %q is given twice", s.Key)
 		}
-		set[s.Key] = s.Value
+		seen[s.Key] = true
 	}
-	return set, nil
+	return &settings{left: slices.Clone(list)}, nil
 }
 
-func (s settings) text(key, fallback string) string {
-	v, ok := s[key]
-	if !ok || v.Text == nil {
-		return fallback
+// take removes and returns the setting with the key.
+func (s *settings) take(key string) (*Setting, bool) {
+	for i, v := range s.left {
+		if v.Key == key {
+			s.left = slices.Delete(s.left, i, i+1)
+			return v, true
+		}
 	}
-	delete(s, key)
-	return *v.Text
+	return nil, false
 }
 
-func (s settings) number(key string, fallback int64) int64 {
-	v, ok := s[key]
-	if !ok || v.Number == nil {
-		return fallback
+func (s *settings) fail(pos lexer.Position, format string, args ...any) {
+	if s.problem == nil {
+		s.problem = errorf(pos, format, args...)
 	}
-	delete(s, key)
-	return *v.Number
 }
 
-// unused reports settings that are unknown or have a value of the wrong kind.
-func (s settings) unused() error {
-	for _, key := range slices.Sorted(maps.Keys(s)) {
-		return fmt.Errorf("setting %q is unknown here or its value has the wrong kind", key)
+// text replaces out if the setting is given.
+func (s *settings) text(key string, out *string) (lexer.Position, bool) {
+	v, ok := s.take(key)
+	if !ok {
+		return lexer.Position{}, false
+	}
+	if v.Value.Text == nil {
+		s.fail(v.Value.Pos, "value of %q is not a text in quotes", key)
+		return v.Value.Pos, false
+	}
+	*out = *v.Value.Text
+	return v.Value.Pos, true
+}
+
+// list replaces out with the parts of a text between commas, if the setting is given.
+func (s *settings) list(key string, out *[]string) {
+	text := ""
+	if _, ok := s.text(key, &text); !ok {
+		return
+	}
+	*out = nil
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			*out = append(*out, part)
+		}
+	}
+}
+
+// number replaces out if the setting is given.
+func (s *settings) number(key string, least, most int64, out *int64) {
+	v, ok := s.take(key)
+	if !ok {
+		return
+	}
+	if v.Value.Number == nil || *v.Value.Number < least || *v.Value.Number > most {
+		s.fail(v.Value.Pos, "value of %q is not a number from %d to %d", key, least, most)
+		return
+	}
+	*out = *v.Value.Number
+}
+
+// truth replaces out if the setting is given.
+func (s *settings) truth(key string, out *bool) {
+	v, ok := s.take(key)
+	if !ok {
+		return
+	}
+	if v.Value.Bool == nil {
+		s.fail(v.Value.Pos, "value of %q is not true or false", key)
+		return
+	}
+	*out = *v.Value.Bool == "true"
+}
+
+// finish returns the first problem, or that of a setting which nothing took.
+func (s *settings) finish(allowed string) error {
+	if s.problem != nil {
+		return s.problem
+	}
+	if len(s.left) > 0 {
+		return unexpected(s.left[0].Pos, "setting", s.left[0].Key, allowed)
 	}
 	return nil
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -48,8 +48,8 @@
 
 sleep 1
 echo "== the bills and the budget"
-ctl 'show bills' | tee $RUN/bills
-ctl 'show budgets' | tee $RUN/budgets
+ctl --output plain 'show bills' | tee $RUN/bills
+ctl --output plain 'show budgets' | tee $RUN/budgets
 [ "$(grep -c 'demo-' $RUN/bills)" -eq 3 ] || fail "there are not exactly three bills"
 billed=$(awk '/flitch-2026/ && NF == 5 && $1 == "gorenjska" && $2 == "flitch-2026" {print $4}' $RUN/budgets)
 sum=$(awk '$3 ~ /^demo-/ {n += $4} END {print n}' $RUN/bills)
