Let one router at a time give orders to a target

Cause: nothing named who may tell a target to load a model or change its role, and some targets do not check fencing numbers.

A row per target names the holder and a fencing number that each claim raises. A target that checks the number is taken over; any other stays with its holder until all of its orders have a definite answer, or an operator says that the router is gone. No timeout ends a claim.

Ruled out: a lease by time, as its holder may be paused without knowing; sharing a claim among the orders of one router, which saves nothing at the rate of such orders.

Sending to engines is left to a function field: the stand-in has no such call yet.

--- a/internal/fleet/router/configuration.go
+++ b/internal/fleet/router/configuration.go
@@ -8,6 +8,7 @@
 
 	"rosevalve/internal/platform/object"
 	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/target/order"
 	"rosevalve/internal/workspace/catalogue"
 	"rosevalve/internal/workspace/operator"
 )
@@ -29,7 +30,13 @@
 	}
 	objects := &object.Client{Addr: r.Settings.Platform.Addr, HTTP: r.table.HTTP}
 	r.catalogue.Archive = objects.Put
-	r.executor = &operator.Executor{Catalogue: r.catalogue, Routers: r.routerTable, Versions: r.versions}
+	desk := &order.Desk{Holder: r.id, Commit: r.table.Commit, Get: r.table.Get}
+	r.executor = &operator.Executor{
+		Catalogue:     r.catalogue,
+		Routers:       r.routerTable,
+		Versions:      r.versions,
+		ReleaseTarget: desk.Release,
+	}
 }
 
 // routerTable lists the routers for operators.
--- a/internal/workspace/operator/act.go
+++ b/internal/workspace/operator/act.go
@@ -114,6 +114,35 @@
 	return Result{Message: fmt.Sprintf("vm %q: drain is %t", s.Name, leaving)}, nil
 }
 
+func (e *Executor) order(ctx context.Context, cmd command, s *OrderStatement) (Result, error) {
+	if e.Order == nil {
+		return Result{}, errNotConnected("how to give orders to targets")
+	}
+	t, ok := e.Catalogue.Current().Target(s.Target)
+	if !ok {
+		return Result{}, errorf(s.Pos, "target %q does not exist", s.Target)
+	}
+	err := e.audited(ctx, cmd, func() error { return e.Order(ctx, s.Target, t.ChecksFencing, s.Action) })
+	if err != nil {
+		return Result{}, fmt.Errorf("order target %q: %w", s.Target, err)
+	}
+	return Result{Message: fmt.Sprintf("target %q has carried out %q", s.Target, s.Action)}, nil
+}
+
+func (e *Executor) releaseTarget(ctx context.Context, cmd command, s *ReleaseStatement) (Result, error) {
+	if e.ReleaseTarget == nil {
+		return Result{}, errNotConnected("who holds targets")
+	}
+	if !s.Confirmed {
+		return Result{}, fmt.Errorf("an order to target %q may still be carried out; if its router is surely gone, add: confirmed", s.Name)
+	}
+	err := e.audited(ctx, cmd, func() error { return e.ReleaseTarget(ctx, s.Name) })
+	if err != nil {
+		return Result{}, fmt.Errorf("release target %q: %w", s.Name, err)
+	}
+	return Result{Message: fmt.Sprintf("target %q released", s.Name)}, nil
+}
+
 func (e *Executor) release(ctx context.Context, cmd command, s *ReleaseStatement) (Result, error) {
 	if e.Release == nil {
 		return Result{}, errNotConnected("how to release holdings")
--- a/internal/workspace/operator/execute.go
+++ b/internal/workspace/operator/execute.go
@@ -61,6 +61,10 @@
 	Cancel func(ctx context.Context, requestID string) error
 	// Release gives a holding in doubt back to its budget.
 	Release func(ctx context.Context, holding, commandID string) error
+	// Order gives an order to a target; one that does not check fencing numbers must be free.
+	Order func(ctx context.Context, target string, checksFencing bool, action string) error
+	// ReleaseTarget ends a router's hold of a target that may still receive its orders.
+	ReleaseTarget func(ctx context.Context, target string) error
 	// DrainVM takes the router or the targets of a VM out of use, or back into it.
 	DrainVM func(ctx context.Context, vm string, drain bool) error
 }
@@ -99,7 +103,7 @@
 	switch {
 	case s.Show != nil, s.Help != nil, s.Explain != nil, s.Usage != nil:
 		return catalogue.RoleRead
-	case s.TopUp != nil, s.Drain != nil, s.Undrain != nil, s.Release != nil, s.Cancel != nil:
+	case s.TopUp != nil, s.Drain != nil, s.Undrain != nil, s.Release != nil, s.Cancel != nil, s.Order != nil:
 		return catalogue.RoleOperate
 	default:
 		return catalogue.RoleAdminister
@@ -124,6 +128,10 @@
 		return e.drain(ctx, cmd, s.Drain, true)
 	case s.Undrain != nil:
 		return e.drain(ctx, cmd, s.Undrain, false)
+	case s.Order != nil:
+		return e.order(ctx, cmd, s.Order)
+	case s.Release != nil && s.Release.Kind == "target":
+		return e.releaseTarget(ctx, cmd, s.Release)
 	case s.Release != nil:
 		return e.release(ctx, cmd, s.Release)
 	case s.Cancel != nil:
--- a/internal/workspace/operator/execute_test.go
+++ b/internal/workspace/operator/execute_test.go
@@ -211,6 +211,24 @@
 	assert.ErrorContains(t, err, `by ana: set workspace "veneer" weight 9`)
 }
 
+func TestOrders(t *testing.T) {
+	f := configured(t)
+	assertRefused(t, f, `order target "10.0.0.9:8000" "load oak"`, "does not know how to give orders")
+	var got []string
+	f.Order = func(_ context.Context, target string, checks bool, action string) error {
+		got = append(got, fmt.Sprint(target, checks, action))
+		return nil
+	}
+	f.ReleaseTarget = func(_ context.Context, target string) error {
+		got = append(got, "released "+target)
+		return nil
+	}
+	assertDone(t, f, `order target "10.0.0.9:8000" "load oak"`, `release target "10.0.0.9:8000" confirmed`)
+	assertRefused(t, f, `order target "10.0.0.1:1" "load oak"`, "does not exist")
+	assertRefused(t, f, `release target "10.0.0.9:8000"`, "add: confirmed")
+	assert.DeepEqual(t, got, []string{"10.0.0.9:8000trueload oak", "released 10.0.0.9:8000"})
+}
+
 func TestRoles(t *testing.T) {
 	f := configured(t)
 	for _, tc := range []struct {
--- a/internal/workspace/operator/grammar.go
+++ b/internal/workspace/operator/grammar.go
@@ -14,7 +14,8 @@
 	TopUp   *TopUpStatement   `parser:" | 'top' 'up' 'budget' @@"`
 	Drain   *DrainStatement   `parser:" | 'drain' @@"`
 	Undrain *DrainStatement   `parser:" | 'undrain' @@"`
-	Release *ReleaseStatement `parser:" | 'release' 'holding' @@"`
+	Order   *OrderStatement   `parser:" | 'order' 'target' @@"`
+	Release *ReleaseStatement `parser:" | 'release' @@"`
 	Rotate  *RotateStatement  `parser:" | 'rotate' 'key' @@"`
 	Cancel  *RequestStatement `parser:" | 'cancel' 'request' @@"`
 	Explain *RequestStatement `parser:" | 'explain' 'request' @@"`
@@ -70,8 +71,16 @@
 	Name string `parser:"@String"`
 }
 
-// ReleaseStatement gives a holding in doubt back to its budget.
+// OrderStatement tells a target to do something, such as to load a model.
+type OrderStatement struct {
+	Pos    lexer.Position
+	Target string `parser:"@String"`
+	Action string `parser:"@String"`
+}
+
+// ReleaseStatement gives a holding in doubt back to its budget, or ends a router's hold of a target.
 type ReleaseStatement struct {
+	Kind      string `parser:"@('holding' | 'target')"`
 	Name      string `parser:"@String"`
 	Confirmed bool   `parser:"@'confirmed'?"`
 }
--- a/internal/workspace/operator/help.go
+++ b/internal/workspace/operator/help.go
@@ -40,7 +40,11 @@
 	{"top", "adds tokens to a budget", []string{`top up budget "flitch-2026" workspace "gorenjska" by 200000`}},
 	{"drain", "gives a target or a VM no new work", []string{`drain target "10.0.0.9:8000"`, `drain vm "10.0.0.7"`}},
 	{"undrain", "gives a target or a VM work again", []string{`undrain target "10.0.0.9:8000"`, `undrain vm "10.0.0.7"`}},
-	{"release", "gives a holding in doubt back to its budget", []string{`release holding "HOLDING" confirmed`}},
+	{"order", "tells a target to do something", []string{`order target "10.0.0.9:8000" "load oak"`}},
+	{"release", "gives a holding in doubt back to its budget, or frees a target whose router is gone", []string{
+		`release holding "HOLDING" confirmed`,
+		`release target "10.0.0.9:8000" confirmed`,
+	}},
 	{"rotate", "gives a new key; the old one stays valid for a while", []string{
 		`rotate key workspace "gorenjska" key "NEW KEY" [keep "24h"]`,
 		`rotate key operator "ana" key "NEW KEY" [keep "0s"]`,
