--- a/internal/budget/ledger/holding.go
+++ b/internal/budget/ledger/holding.go
@@ -102,3 +102,12 @@
 		return change(a)
 	})
 }
+
+// Holding returns the row of the holding, and whether it is in the table.
+func (l *Ledger) Holding(ctx context.Context, id HoldingID) (HoldingRow, bool, error) {
+	a, err := l.read(ctx, id, nil)
+	if err != nil {
+		return HoldingRow{}, false, fmt.Errorf("read holding %q: %w", id, err)
+	}
+	return a.holding, a.exists(), nil
+}
--- a/internal/fleet/router/budgets.go
+++ b/internal/fleet/router/budgets.go
@@ -35,6 +35,7 @@
 		OnError:        func(err error) { r.Log.Warn("keep budgets", "err", err) },
 	}
 	r.connectReclaimer()
+	r.connectBudgetCommands()
 }
 
 // pickWitness returns a live router, of another failure domain if there is one.
--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -18,6 +18,7 @@
 		inner.MethodWitnessAppend: r.handleAppend,
 		inner.MethodWitnessSeal:   r.handleSeal,
 		inner.MethodRecall:        r.handleRecall,
+		inner.MethodConfiguration: r.catalogue.HandlePeer,
 	}
 	r.view.Join(inner.Member{
 		ID:            r.id,
