--- a/internal/budget/allotment/book.go
+++ b/internal/budget/allotment/book.go
@@ -21,9 +21,12 @@
 	demand   demand
 	flight   *flight
 	retryAt  time.Time // earliest time of the next draw after a failed one
+	refillAt time.Time // earliest time of the next draw ahead of demand
 	lastFail error
 	// failedLeast is the smallest request that the last failure is about.
 	failedLeast int64
+	// available is what the budget had left in the table at the last draw.
+	available int64
 }
 
 // flight is one draw that any number of requests wait for.
--- a/internal/budget/allotment/demand.go
+++ b/internal/budget/allotment/demand.go
@@ -16,10 +16,12 @@
 
 // Demand is what is known when the size of a draw is decided, in tokens.
 type Demand struct {
-	// Least is what the smallest of the waiting requests lacks.
+	// Least is what the smallest of the waiting requests lacks, or 0 if none waits.
 	Least int64
 	// Shortfall is what all of the waiting requests lack together.
 	Shortfall int64
+	// Free is what the holding still has.
+	Free int64
 	// Rate is the number of tokens reserved per second.
 	Rate float64
 	// Available is what the budget has left in the table.
@@ -40,13 +42,18 @@
 			share = eagerShare
 		}
 		ahead := min(int64(d.Rate*horizon.Seconds()), d.Available/share)
-		return max(min(d.Shortfall, d.Available), ahead, d.Least)
+		return max(min(d.Shortfall, d.Available), ahead-max(d.Free, 0), d.Least)
 	}
 }
 
 // SizeFixed returns a draw size that does not depend on demand.
 func SizeFixed(n int64) func(Demand) int64 {
-	return func(d Demand) int64 { return max(n, d.Least) }
+	return func(d Demand) int64 {
+		if d.Least == 0 {
+			return 0
+		}
+		return max(n, d.Least)
+	}
 }
 
 // demand measures what requests ask of a book. The book's lock guards it.
@@ -77,7 +84,11 @@
 
 // next returns what the next draw is for, given what is free, and starts anew.
 func (d *demand) next(free int64) Demand {
-	out := Demand{Least: max(d.least-free, 1), Shortfall: max(d.total-free, 1), Rate: d.rate}
+	out := Demand{Rate: d.rate, Free: free}
+	if d.total > 0 {
+		out.Least = max(d.least-free, 1)
+		out.Shortfall = max(d.total-free, 1)
+	}
 	d.total, d.least = 0, 0
 	return out
 }
--- a/internal/budget/allotment/reserve.go
+++ b/internal/budget/allotment/reserve.go
@@ -19,6 +19,8 @@
 	// A refusal is repeated without asking the table for this long.
 	exhaustedBackoff = 50 * time.Millisecond
 	failedBackoff    = 200 * time.Millisecond
+	// refillPause is the least time between two draws ahead of demand.
+	refillPause = time.Second
 )
 
 // ErrInsufficient reports that no tokens could be had for a reservation.
@@ -113,6 +115,7 @@
 	b.mu.Unlock()
 	for range maxReserveTries {
 		if h := b.reserve(n); h != nil {
+			p.refill(b)
 			return &Reservation{purse: p, book: b, holding: h, tokens: n}, nil
 		}
 		if err := p.awaitDraw(ctx, b, n); err != nil {
@@ -122,6 +125,24 @@
 	return nil, fmt.Errorf("reserve %d tokens of budget %q: %w", n, id, ErrInsufficient)
 }
 
+// refill draws ahead of demand once half of what the horizon asks for is gone, so
+// that an outage of the table finds the holding filled.
+func (p *Purse) refill(b *book) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.flight != nil || b.available == 0 || now.Before(b.retryAt) || now.Before(b.refillAt) {
+		return
+	}
+	d := Demand{Rate: b.demand.rate, Available: b.available}
+	if target := p.Size(d); 2*b.current.free() >= target {
+		return
+	}
+	b.refillAt = now.Add(refillPause)
+	b.flight = &flight{done: make(chan struct{})}
+	go p.fly(b, b.flight)
+}
+
 // awaitDraw waits for a draw that counts n tokens more.
 func (p *Purse) awaitDraw(ctx context.Context, b *book, n int64) error {
 	b.mu.Lock()
@@ -161,8 +182,11 @@
 	close(f.done)
 }
 
-// fail remembers a failed draw for a moment. The caller holds mu.
+// fail remembers a failed draw for a moment, unless it was ahead of demand. The caller holds mu.
 func (b *book) fail(err error, want Demand) {
+	if want.Least == 0 && errors.Is(err, ErrInsufficient) {
+		return
+	}
 	b.lastFail = err
 	b.failedLeast = 0
 	b.retryAt = time.Now().Add(failedBackoff)
@@ -178,7 +202,7 @@
 	var err error
 	for range maxDrawTries {
 		err = p.drawOnce(ctx, b, want)
-		if errors.Is(err, ledger.ErrExhausted) && p.Recall != nil && !recalled {
+		if errors.Is(err, ledger.ErrExhausted) && p.Recall != nil && !recalled && want.Least > 0 {
 			recalled = true
 			drawFailures.Add("recalled", 1)
 			if p.Recall(ctx, b.id) > 0 {
@@ -211,6 +235,7 @@
 	id, opened, term := p.terms(b, h)
 	draws.Add(1)
 	row, err := p.Ledger.Draw(ctx, id, opened, term, func(available int64) int64 {
+		b.seen(available)
 		want.Available = available
 		return p.Size(want)
 	})
@@ -226,6 +251,13 @@
 	return nil
 }
 
+// seen notes what the budget has left in the table.
+func (b *book) seen(available int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.available = available
+}
+
 // terms returns the holding's id, whether it is open, and the term to open it with.
 func (p *Purse) terms(b *book, h *holding) (ledger.HoldingID, bool, ledger.Term) {
 	b.mu.Lock()
