Give budgets an end, a spread and warnings

Several budgets of a workspace are now used by their end date, then by name; a budget that has ended is neither drawn on nor reserved from. The spread, eager or frugal, sets which share of the rest one draw may take. Warnings at 80, 95 and 100% of what is billed or drawn go to the log and to expvar. Tests: many requests during an outage share one draw and are refused together.

--- a/internal/budget/allotment/book.go
+++ b/internal/budget/allotment/book.go
@@ -27,6 +27,8 @@
 	failedLeast int64
 	// available is what the budget had left in the table at the last draw.
 	available int64
+	plan      ledger.Plan
+	warned    int64 // the highest warning level reached, in percent
 }
 
 // flight is one draw that any number of requests wait for.
--- a/internal/budget/allotment/metrics.go
+++ b/internal/budget/allotment/metrics.go
@@ -11,6 +11,7 @@
 	unpaidBills    = expvar.NewInt("budget_unpaid_bills")
 	appends        = expvar.NewInt("budget_witness_appends")
 	appendFailures = expvar.NewInt("budget_witness_append_failures")
+	budgetWarnings = expvar.NewInt("budget_warnings")
 	billFailures   = expvar.NewInt("budget_bills_unacknowledged")
 	renames        = expvar.NewInt("budget_witness_renames")
 )
--- /dev/null
+++ b/internal/budget/allotment/outage_test.go
@@ -0,0 +1,96 @@
+package allotment_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/platform/table"
+	"rosevalve/internal/standin/platform"
+)
+
+// TestOutage checks what becomes of many requests for a budget that can not be drawn on.
+func TestOutage(t *testing.T) {
+	t.Run("one draw serves all who wait", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { assertRefusedTogether(t, 500*time.Millisecond, time.Second) })
+	})
+	t.Run("a table that never answers", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { assertRefusedTogether(t, time.Hour, time.Second) })
+	})
+}
+
+// assertRefusedTogether sends requests to a table that fails after delay, and checks
+// that all are refused after one draw, none of them later than limit.
+func assertRefusedTogether(t *testing.T, delay, limit time.Duration) {
+	t.Helper()
+	var draws atomic.Int64
+	p := &allotment.Purse{Ledger: &ledger.Ledger{Get: func(ctx context.Context, _ ...string) ([]table.Row, error) {
+		draws.Add(1)
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+		}
+		return nil, table.ErrUnavailable
+	}}}
+	began := time.Now()
+	var wait sync.WaitGroup
+	for range 100 {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := p.Reserve(ctx, id(0), 10)
+			assert.Check(t, err != nil)
+		})
+	}
+	wait.Wait()
+	assert.Check(t, time.Since(began) <= limit)
+	assert.Equal(t, draws.Load(), int64(1))
+	_, err := p.Reserve(context.Background(), id(0), 10)
+	assert.Check(t, err != nil)
+}
+
+// TestPlans checks the order in which a workspace's budgets are used, and their end.
+func TestPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewStore()
+		l := &ledger.Ledger{
+			Holder: "r",
+			Commit: func(_ context.Context, c table.Commit) (uint64, error) { return store.Commit(c) },
+			Get:    func(_ context.Context, keys ...string) ([]table.Row, error) { return store.Get(keys), nil },
+			Scan: func(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
+				return store.Scan(prefix, after, limit), nil
+			},
+		}
+		ctx := context.Background()
+		create := func(i int, ends time.Time) {
+			assert.NilError(t, l.CreatePlanned(ctx, id(i), 1000, ledger.Plan{Ends: ends}, id(i).Name))
+		}
+		create(0, time.Time{})
+		create(1, time.Now().Add(2*time.Hour))
+		create(2, time.Now().Add(time.Hour))
+		assertBudgets(t, l, id(2), id(1), id(0))
+
+		p := &allotment.Purse{Ledger: l}
+		r, err := p.Reserve(ctx, id(2), 10)
+		assert.NilError(t, err)
+		r.Release()
+		time.Sleep(time.Hour)
+		assertBudgets(t, l, id(1), id(0))
+		_, err = p.Reserve(ctx, id(2), 10)
+		assert.ErrorIs(t, err, allotment.ErrInsufficient)
+	})
+}
+
+func assertBudgets(t *testing.T, l *ledger.Ledger, want ...ledger.BudgetID) {
+	t.Helper()
+	got, err := l.Budgets(context.Background(), "w")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
--- a/internal/budget/allotment/purse.go
+++ b/internal/budget/allotment/purse.go
@@ -25,6 +25,9 @@
 	defaultIdleAfter      = 30 * time.Second
 )
 
+// warningLevels are the shares of a budget, in percent, that operators are warned at.
+var warningLevels = []int64{80, 95, 100}
+
 // Purse holds this router's books.
 type Purse struct {
 	// Ledger applies draws and settlements to the table.
@@ -47,6 +50,8 @@
 	Append func(ctx context.Context, w Witness, in inner.WitnessAppend) (inner.WitnessAppendAck, error)
 	// Recall asks peers to return their free tokens of a budget and returns the sum.
 	Recall func(ctx context.Context, id ledger.BudgetID) int64
+	// OnLevel receives a budget whose billed and drawn tokens reach a warning level, in percent.
+	OnLevel func(id ledger.BudgetID, percent int64)
 	// OnError receives failures of work that is tried again.
 	OnError func(err error)
 
--- a/internal/budget/allotment/reserve.go
+++ b/internal/budget/allotment/reserve.go
@@ -110,9 +110,9 @@
 func (p *Purse) Reserve(ctx context.Context, id ledger.BudgetID, n int64) (*Reservation, error) {
 	p.init()
 	b := p.book(id)
-	b.mu.Lock()
-	b.demand.ask(n, time.Now())
-	b.mu.Unlock()
+	if !b.ask(n, time.Now()) {
+		return nil, fmt.Errorf("reserve %d tokens of budget %q, which has ended: %w", n, id, ErrInsufficient)
+	}
 	for range maxReserveTries {
 		if h := b.reserve(n); h != nil {
 			p.refill(b)
@@ -125,6 +125,14 @@
 	return nil, fmt.Errorf("reserve %d tokens of budget %q: %w", n, id, ErrInsufficient)
 }
 
+// ask counts a request for n tokens; it reports false if the budget has ended.
+func (b *book) ask(n int64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.demand.ask(n, now)
+	return !b.plan.Ended(now)
+}
+
 // refill draws ahead of demand once half of what the horizon asks for is gone, so
 // that an outage of the table finds the holding filled.
 func (p *Purse) refill(b *book) {
@@ -134,7 +142,7 @@
 	if b.flight != nil || b.available == 0 || now.Before(b.retryAt) || now.Before(b.refillAt) {
 		return
 	}
-	d := Demand{Rate: b.demand.rate, Available: b.available}
+	d := Demand{Rate: b.demand.rate, Available: b.available, Eager: b.plan.Spread == ledger.Eager}
 	if target := p.Size(d); 2*b.current.free() >= target {
 		return
 	}
@@ -234,9 +242,12 @@
 	h, _ := b.holdings()
 	id, opened, term := p.terms(b, h)
 	draws.Add(1)
-	row, err := p.Ledger.Draw(ctx, id, opened, term, func(available int64) int64 {
-		b.seen(available)
-		want.Available = available
+	row, err := p.Ledger.Draw(ctx, id, opened, term, func(row ledger.BudgetRow) int64 {
+		p.seen(b, row)
+		if row.Plan.Ended(time.Now()) {
+			return 0
+		}
+		want.Available, want.Eager = row.Available(), row.Plan.Spread == ledger.Eager
 		return p.Size(want)
 	})
 	if errors.Is(err, ledger.ErrHoldingClosed) {
@@ -251,11 +262,30 @@
 	return nil
 }
 
-// seen notes what the budget has left in the table.
-func (b *book) seen(available int64) {
+// seen notes what is known of the budget, and warns when its use passes a level.
+func (p *Purse) seen(b *book, row ledger.BudgetRow) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.available = available
+	b.available = row.Available()
+	b.plan = row.Plan
+	before := b.warned
+	b.warned = level(row.Committed())
+	after := b.warned
+	b.mu.Unlock()
+	if after > before && p.OnLevel != nil {
+		budgetWarnings.Add(1)
+		p.OnLevel(b.id, after)
+	}
+}
+
+// level returns the highest warning level that the share has reached, in percent.
+func level(percent int64) int64 {
+	reached := int64(0)
+	for _, l := range warningLevels {
+		if percent >= l {
+			reached = l
+		}
+	}
+	return reached
 }
 
 // terms returns the holding's id, whether it is open, and the term to open it with.
--- a/internal/budget/ledger/grant.go
+++ b/internal/budget/ledger/grant.go
@@ -24,7 +24,15 @@
 //
 // Errors are ErrBudgetExists and those of the table.
 func (l *Ledger) Create(ctx context.Context, id BudgetID, tokens int64, commandID string) error {
-	if err := l.grant(ctx, id, tokens, commandID, true); err != nil {
+	return l.CreatePlanned(ctx, id, tokens, Plan{}, commandID)
+}
+
+// CreatePlanned makes a budget with tokens and a plan; a command id that was applied
+// before changes nothing.
+//
+// Errors are ErrBudgetExists and those of the table.
+func (l *Ledger) CreatePlanned(ctx context.Context, id BudgetID, tokens int64, plan Plan, commandID string) error {
+	if err := l.grant(ctx, id, tokens, commandID, &plan); err != nil {
 		return fmt.Errorf("create budget %q: %w", id, err)
 	}
 	return nil
@@ -34,17 +42,18 @@
 //
 // Errors are ErrNoBudget and those of the table.
 func (l *Ledger) TopUp(ctx context.Context, id BudgetID, tokens int64, commandID string) error {
-	if err := l.grant(ctx, id, tokens, commandID, false); err != nil {
+	if err := l.grant(ctx, id, tokens, commandID, nil); err != nil {
 		return fmt.Errorf("top up budget %q: %w", id, err)
 	}
 	return nil
 }
 
-func (l *Ledger) grant(ctx context.Context, id BudgetID, tokens int64, commandID string, create bool) error {
+// grant adds tokens to a budget, which it creates if there is a plan.
+func (l *Ledger) grant(ctx context.Context, id BudgetID, tokens int64, commandID string, plan *Plan) error {
 	var lastErr error
 	for range maxCommitTries {
 		var done bool
-		done, lastErr = l.tryGrant(ctx, id, tokens, commandID, create)
+		done, lastErr = l.tryGrant(ctx, id, tokens, commandID, plan)
 		if done || !retryable(lastErr) {
 			return lastErr
 		}
@@ -53,7 +62,7 @@
 }
 
 // tryGrant reports whether the command has been applied, now or before.
-func (l *Ledger) tryGrant(ctx context.Context, id BudgetID, tokens int64, commandID string, create bool) (bool, error) {
+func (l *Ledger) tryGrant(ctx context.Context, id BudgetID, tokens int64, commandID string, plan *Plan) (bool, error) {
 	grantKey := grantPrefix + commandID
 	rows, err := l.Get(ctx, BudgetKey(id), grantKey)
 	if err != nil {
@@ -70,11 +79,13 @@
 			return false, err
 		}
 	}
-	if create && version != 0 {
+	switch {
+	case plan != nil && version != 0:
 		return false, ErrBudgetExists
-	}
-	if !create && version == 0 {
+	case plan == nil && version == 0:
 		return false, ErrNoBudget
+	case plan != nil:
+		budget.Plan = *plan
 	}
 	budget.Granted += tokens
 	var c table.Commit
--- a/internal/budget/ledger/holding.go
+++ b/internal/budget/ledger/holding.go
@@ -6,17 +6,16 @@
 )
 
 // Draw moves available tokens of the budget into the holding and returns the
-// holding. Size says how many of the available tokens to draw. A holding that is
+// holding. Size says, for the budget as it is, how many tokens to draw. A holding that is
 // not in the table yet begins with the term, unless it has been opened before.
 //
 // Errors are ErrNoBudget, ErrExhausted, ErrHoldingClosed, ErrContended and those of the table.
-func (l *Ledger) Draw(ctx context.Context, id HoldingID, opened bool, term Term, size func(available int64) int64) (HoldingRow, error) {
+func (l *Ledger) Draw(ctx context.Context, id HoldingID, opened bool, term Term, size func(BudgetRow) int64) (HoldingRow, error) {
 	h, err := l.apply(ctx, id, nil, func(a *account) (bool, error) {
 		if a.holding.Closed || (opened && !a.exists()) {
 			return false, ErrHoldingClosed
 		}
-		available := a.budget.Available()
-		n := min(size(available), available)
+		n := min(size(a.budget), a.budget.Available())
 		if n <= 0 {
 			return false, ErrExhausted
 		}
--- a/internal/budget/ledger/ledger.go
+++ b/internal/budget/ledger/ledger.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"strings"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -79,17 +80,29 @@
 	return b, nil
 }
 
-// Budgets returns the ids of the workspace's budgets, ordered by name.
+// Budgets returns the ids of the workspace's budgets that have not ended, in the
+// order in which they are used: by their end, then by name.
 func (l *Ledger) Budgets(ctx context.Context, workspace string) ([]BudgetID, error) {
-	prefix := budgetPrefix + workspace + "/"
-	var ids []BudgetID
-	err := l.scanAll(ctx, prefix, func(r table.Row) error {
-		ids = append(ids, BudgetID{Workspace: workspace, Name: strings.TrimPrefix(r.Key, prefix)})
+	now := time.Now()
+	var budgets []NamedBudget
+	err := l.scanAll(ctx, budgetPrefix+workspace+"/", func(r table.Row) error {
+		b := NamedBudget{ID: parseBudgetKey(r.Key)}
+		if err := r.Decode(&b.Row); err != nil {
+			return err
+		}
+		if !b.Row.Plan.Ended(now) {
+			budgets = append(budgets, b)
+		}
 		return nil
 	})
 	if err != nil {
 		return nil, fmt.Errorf("list budgets of workspace %q: %w", workspace, err)
 	}
+	slices.SortStableFunc(budgets, func(a, b NamedBudget) int { return a.Row.Plan.before(b.Row.Plan) })
+	ids := make([]BudgetID, len(budgets))
+	for i, b := range budgets {
+		ids[i] = b.ID
+	}
 	return ids, nil
 }
 
--- a/internal/budget/ledger/rows.go
+++ b/internal/budget/ledger/rows.go
@@ -64,6 +64,16 @@
 	Allotted int64 `json:"allotted"`
 	// Billed is the sum billed by holdings that are no longer in the table.
 	Billed int64 `json:"billed"`
+	// Plan is what an operator has decided about the budget.
+	Plan Plan `json:"plan"`
+}
+
+// Committed returns the share of the granted tokens that is billed or drawn, in percent.
+func (b BudgetRow) Committed() int64 {
+	if b.Granted == 0 {
+		return 100
+	}
+	return 100 * (b.Allotted + b.Billed) / b.Granted
 }
 
 // Available returns the tokens that no holding has drawn and no former holding has billed.
--- a/internal/fleet/router/budgets.go
+++ b/internal/fleet/router/budgets.go
@@ -32,7 +32,10 @@
 		WitnessGone:    r.witnessGone,
 		Append:         r.appendToWitness,
 		Recall:         r.recall,
-		OnError:        func(err error) { r.Log.Warn("keep budgets", "err", err) },
+		OnLevel: func(id ledger.BudgetID, percent int64) {
+			r.Log.Warn("budget used", "budget", id, "percent_billed_or_drawn", percent)
+		},
+		OnError: func(err error) { r.Log.Warn("keep budgets", "err", err) },
 	}
 	r.connectReclaimer()
 	r.connectBudgetCommands()
--- a/internal/workspace/operator/act.go
+++ b/internal/workspace/operator/act.go
@@ -38,6 +38,24 @@
 	return err
 }
 
+// budgetPlan reads the end, a day in UTC that is not used any more, and the spread of a budget.
+func budgetPlan(set *settings) (ledger.Plan, error) {
+	var plan ledger.Plan
+	var ends, spread string
+	var err error
+	if pos, ok := set.text("ends", &ends); ok {
+		if plan.Ends, err = time.Parse(time.DateOnly, ends); err != nil {
+			return plan, errorf(pos, "end %q is not a day like \"2026-12-31\"", ends)
+		}
+	}
+	if pos, ok := set.text("spread", &spread); ok {
+		if plan.Spread, err = ledger.ParseSpread(spread); err != nil {
+			return plan, errorf(pos, "%v", err)
+		}
+	}
+	return plan, nil
+}
+
 func (e *Executor) createBudget(ctx context.Context, cmd command, s *ChangeStatement) (Result, error) {
 	set, err := newSettings(s.Settings)
 	if err != nil {
@@ -47,9 +65,13 @@
 	tokens := int64(0)
 	pos, _ := set.text("workspace", &id.Workspace)
 	set.number("tokens", 0, maxTokens, &tokens)
-	if err := set.finish("workspace, tokens"); err != nil {
+	plan, planErr := budgetPlan(set)
+	if err := set.finish("workspace, tokens, ends, spread"); err != nil {
 		return Result{}, err
 	}
+	if planErr != nil {
+		return Result{}, planErr
+	}
 	if s.Name == "" || len(s.Name) > maxChars || strings.ContainsAny(s.Name, "/ \t\n\"") {
 		return Result{}, errorf(s.Pos, "name %q is empty, too long, or has a slash, a space or a quote", s.Name)
 	}
@@ -62,7 +84,7 @@
 		}
 		return Result{}, errorf(pos, "workspace %q does not exist", id.Workspace)
 	}
-	err = e.audited(ctx, cmd, func() error { return e.Ledger.Create(ctx, id, tokens, cmd.CommandID) })
+	err = e.audited(ctx, cmd, func() error { return e.Ledger.CreatePlanned(ctx, id, tokens, plan, cmd.CommandID) })
 	if err != nil {
 		return Result{}, fmt.Errorf("execute command: %w", err)
 	}
