--- a/internal/cmd/rosevalve/main.go
+++ b/internal/cmd/rosevalve/main.go
@@ -32,6 +32,7 @@
 	subcommands := []subcommand{
 		routerCommand(stdout, stderr),
 		ctlCommand(os.Stdin, stdout),
+		settingsCommand(stdout),
 		versionCommand(stdout),
 	}
 	if len(args) > 0 {
--- a/internal/fleet/router/configuration.go
+++ b/internal/fleet/router/configuration.go
@@ -18,15 +18,19 @@
 
 // connectConfiguration builds the catalogue and the operators' commands.
 func (r *Router) connectConfiguration() {
+	cfg := r.Settings.Configuration
 	r.catalogue = &catalogue.Catalogue{
-		Commit:   r.table.Commit,
-		Get:      r.table.Get,
-		Scan:     r.table.Scan,
-		AskPeer:  r.askConfiguration,
-		Addr:     r.Settings.Router.InnerListen,
-		Peers:    r.innerPeers,
-		OnChange: r.targets.Update,
-		OnError:  func(err error) { r.Log.Warn("refresh configuration", "err", err) },
+		PollInterval:   cfg.PollInterval,
+		GossipInterval: cfg.GossipInterval,
+		KeepChanges:    uint64(cfg.KeepChanges),
+		Commit:         r.table.Commit,
+		Get:            r.table.Get,
+		Scan:           r.table.Scan,
+		AskPeer:        r.askConfiguration,
+		Addr:           r.Settings.Router.InnerListen,
+		Peers:          r.innerPeers,
+		OnChange:       r.targets.Update,
+		OnError:        func(err error) { r.Log.Warn("refresh configuration", "err", err) },
 	}
 	objects := &object.Client{Addr: r.Settings.Platform.Addr, HTTP: r.table.HTTP}
 	r.catalogue.Archive = objects.Put
--- a/internal/fleet/settings/load.go
+++ b/internal/fleet/settings/load.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 
-	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 	"gopkg.in/ini.v1"
 )
@@ -52,7 +51,7 @@
 		}
 	}
 	if len(problems) > 0 {
-		return Settings{}, fmt.Errorf("settings of %q: %w", f.file, errors.Join(problems...))
+		return Settings{}, &ProblemsError{File: f.file, Problems: problems}
 	}
 	return f.settings, nil
 }
@@ -63,21 +62,30 @@
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
-	file, err := ini.LoadSources(ini.LoadOptions{}, text)
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, SpaceBeforeInlineComment: true}, text)
 	if err != nil {
 		return fmt.Errorf("parse settings: %w", err)
 	}
 	known := make(map[string]bool)
+	sections := make(map[string]bool)
 	for _, o := range f.options {
 		known[o.Name()] = true
+		sections[o.section] = true
 	}
 	for _, section := range file.Sections() {
+		if section.Name() != ini.DefaultSection && !sections[section.Name()] {
+			f.problems = append(f.problems, fmt.Errorf("section [%s] does not exist", section.Name()))
+			continue
+		}
 		for _, key := range section.Keys() {
 			name := section.Name() + "." + key.Name()
 			if !known[name] {
 				f.problems = append(f.problems, fmt.Errorf("section [%s], key %q does not exist", section.Name(), key.Name()))
 				continue
 			}
+			if len(key.ValueWithShadows()) > 1 {
+				f.problems = append(f.problems, fmt.Errorf("section [%s], key %q is given twice", section.Name(), key.Name()))
+			}
 			if err := set(name, key.Value()); err != nil {
 				return fmt.Errorf("set %s: %w", name, err)
 			}
--- a/internal/fleet/settings/operator.go
+++ b/internal/fleet/settings/operator.go
@@ -8,6 +8,6 @@
 
 func (s *Operator) options() []*Option {
 	return []*Option{
-		wordOption("operator", "key", "", "key of the first operator; empty allows no operator", &s.Key),
+		secretOption("operator", "key", "", "key of the first operator; empty allows no operator", &s.Key),
 	}
 }
--- a/internal/fleet/settings/option.go
+++ b/internal/fleet/settings/option.go
@@ -17,6 +17,7 @@
 	fallback string
 	allowed  string
 	doc      string
+	secret   bool // the value is not shown
 	parse    func(text string) error
 }
 
@@ -41,7 +42,11 @@
 // check parses the value and says what is wrong with it.
 func (o *Option) check() error {
 	if err := o.parse(o.value); err != nil {
-		return fmt.Errorf("section [%s], key %q: value %q: %w; allowed: %s", o.section, o.key, o.value, err, o.allowed)
+		shown := o.value
+		if o.secret {
+			shown = "***"
+		}
+		return fmt.Errorf("section [%s], key %q: value %q: %w; allowed: %s", o.section, o.key, shown, err, o.allowed)
 	}
 	return nil
 }
@@ -95,6 +100,13 @@
 	}
 }
 
+// secretOption is a word that errors do not show.
+func secretOption(section, key, fallback, doc string, out *string) *Option {
+	o := wordOption(section, key, fallback, doc, out)
+	o.secret = true
+	return o
+}
+
 func durationOption(section, key, fallback, doc string, least, most time.Duration, out *time.Duration) *Option {
 	return &Option{
 		section: section, key: key, fallback: fallback, doc: doc,
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -4,13 +4,14 @@
 
 // Settings are a router's checked options, by section.
 type Settings struct {
-	Router   Router
-	Platform Platform
-	Fleet    Fleet
-	Budget   Budget
-	Request  Request
-	Operator Operator
-	Log      Log
+	Router        Router
+	Platform      Platform
+	Fleet         Fleet
+	Budget        Budget
+	Request       Request
+	Configuration Configuration
+	Operator      Operator
+	Log           Log
 }
 
 // Options returns the options with their defaults, bound to the settings.
@@ -21,6 +22,7 @@
 		s.Fleet.options(),
 		s.Budget.options(),
 		s.Request.options(),
+		s.Configuration.options(),
 		s.Operator.options(),
 		s.Log.options(),
 	)
