Let a router behind a slow table take its configuration from others

Cause: with reads of 1.7 s a new router was still empty 5 s after a change: its load takes several reads, and it asked others only in an outage. It also took an answer of others before its first read of the table, which could be older than what the router before it at that address had in force. A command id that was used again for another command was answered as if that had been accepted.

A router without configuration waits for the table for 2 s, then asks others, which read the table first. One whose version the changes of a peer do not reach asks for the whole next time. The oracle now also checks that a restarted router which reaches the table begins no lower than what was accepted before. The row of a command id carries a digest of the command.

Ruled out: one deadline of 2 s for a whole load, under which a large configuration behind a slow table would never be read.

--- a/internal/workspace/catalogue/accept.go
+++ b/internal/workspace/catalogue/accept.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"strings"
 
@@ -55,12 +57,20 @@
 type commandRow struct {
 	Version uint64 `json:"version,omitempty"`
 	Refused string `json:"refused,omitempty"`
+	// Digest is that of the command's text.
+	Digest string `json:"digest"`
+}
+
+// digest tells commands apart that were sent with the same id.
+func digest(command string) string {
+	sum := sha256.Sum256([]byte(command))
+	return hex.EncodeToString(sum[:8])
 }
 
 // Accepted returns the version that the command id made, if it was accepted.
 //
-// The error is a *RefusedError if the command was refused.
-func (c *Catalogue) Accepted(ctx context.Context, commandID string) (uint64, bool, error) {
+// The error is a *RefusedError if the command was refused, or the id was used for another one.
+func (c *Catalogue) Accepted(ctx context.Context, commandID, command string) (uint64, bool, error) {
 	rows, err := c.Get(ctx, commandPrefix+commandID)
 	if err != nil || len(rows) == 0 {
 		return 0, false, err
@@ -69,6 +79,9 @@
 	if err := rows[0].Decode(&row); err != nil {
 		return 0, false, err
 	}
+	if row.Digest != digest(command) {
+		return 0, false, &RefusedError{Reason: fmt.Sprintf("command id %q was used for another command", commandID)}
+	}
 	if row.Refused != "" {
 		return 0, false, &RefusedError{Reason: row.Refused}
 	}
@@ -84,7 +97,7 @@
 	version, err := c.repeatAccept(ctx, base, ch)
 	var raced *RacedError
 	if errors.As(err, &raced) {
-		version, err = c.Refuse(ctx, ch.CommandID, raced)
+		version, err = c.Refuse(ctx, ch.CommandID, ch.Command, raced)
 	}
 	if err != nil {
 		return 0, fmt.Errorf("accept change: %w", err)
@@ -97,17 +110,17 @@
 //
 // Another router may still be at work on the same command for an operator who
 // repeated it: the row written here keeps its commit from taking effect later.
-func (c *Catalogue) Refuse(ctx context.Context, commandID string, reason error) (uint64, error) {
+func (c *Catalogue) Refuse(ctx context.Context, commandID, command string, reason error) (uint64, error) {
 	var commit table.Commit
 	commit.Require(commandPrefix+commandID, 0)
-	if err := commit.Set(commandPrefix+commandID, commandRow{Refused: reason.Error()}); err != nil {
+	if err := commit.Set(commandPrefix+commandID, commandRow{Refused: reason.Error(), Digest: digest(command)}); err != nil {
 		return 0, err
 	}
 	_, err := c.Commit(ctx, commit)
 	if err == nil {
 		return 0, reason
 	}
-	version, found, readErr := c.Accepted(ctx, commandID)
+	version, found, readErr := c.Accepted(ctx, commandID, command)
 	var refused *RefusedError
 	switch {
 	case errors.As(readErr, &refused):
@@ -152,7 +165,7 @@
 	if err != nil {
 		return 0, err
 	}
-	done, found, err := c.Accepted(ctx, ch.CommandID)
+	done, found, err := c.Accepted(ctx, ch.CommandID, ch.Command)
 	if err != nil || found {
 		return done, err
 	}
@@ -167,7 +180,7 @@
 	_, err = c.Commit(ctx, commit)
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
-		return c.resolve(ctx, base, ch.CommandID)
+		return c.resolve(ctx, base, ch)
 	}
 	if err != nil {
 		return 0, err
@@ -185,8 +198,8 @@
 }
 
 // resolve finds out what a conflict means: an earlier try of the command may have been applied.
-func (c *Catalogue) resolve(ctx context.Context, base uint64, commandID string) (uint64, error) {
-	done, found, err := c.Accepted(ctx, commandID)
+func (c *Catalogue) resolve(ctx context.Context, base uint64, ch Change) (uint64, error) {
+	done, found, err := c.Accepted(ctx, ch.CommandID, ch.Command)
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		return 0, err
@@ -240,7 +253,7 @@
 	if err := c.Set(headKey, head{Version: ch.Version}); err != nil {
 		return c, err
 	}
-	if err := c.Set(commandPrefix+ch.CommandID, commandRow{Version: ch.Version}); err != nil {
+	if err := c.Set(commandPrefix+ch.CommandID, commandRow{Version: ch.Version, Digest: digest(ch.Command)}); err != nil {
 		return c, err
 	}
 	if err := c.Set(changeKey(ch.Version), ch); err != nil {
--- a/internal/workspace/catalogue/catalogue.go
+++ b/internal/workspace/catalogue/catalogue.go
@@ -17,7 +17,7 @@
 	maxPollInterval       = 8 * time.Second // with its timeout within the 13 s of the largest fleet
 	fleetPollsPerSecond   = 140
 	defaultGossipInterval = time.Second
-	readTimeout           = 2 * time.Second
+	refreshTimeout        = 15 * time.Second // many calls, each with the table client's timeout
 )
 
 // Catalogue keeps the newest snapshot that this router has seen.
@@ -52,7 +52,8 @@
 	offset  func() uint64                   // where the rotation through the peers begins
 	segment uint64                          // changes in an archived segment; tests make it small
 	loaded  atomic.Bool                     // a snapshot was read from the table or a peer
-	reached atomic.Bool                     // the newest read of the table succeeded
+	behind  atomic.Bool                     // a peer's changes did not reach back to this router's version
+	outage  atomic.Bool                     // the newest poll of the table failed
 	heard   atomic.Uint64                   // the highest version that a peer has named
 	teller  atomic.Pointer[string]          // the router that named it
 	wake    atomic.Pointer[chan struct{}]   // starts a round of questions to peers
@@ -94,8 +95,11 @@
 func (c *Catalogue) pollTable(ctx context.Context) {
 	wait := c.phase(c.pollInterval()) // routers that start together poll apart
 	for {
-		if err := c.Refresh(ctx); err != nil {
+		err := c.Refresh(ctx)
+		c.outage.Store(err != nil)
+		if err != nil {
 			c.report(err)
+			c.wakePeers()
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/workspace/catalogue/fleet_test.go
+++ b/internal/workspace/catalogue/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"rosevalve/internal/platform/table"
@@ -229,6 +230,12 @@
 	}
 }
 
+func TestDirectedHistories(t *testing.T) {
+	for _, plan := range [][]step{crossedRepeat, leftBehind()} {
+		assert.NilError(t, run(t, plan, nil))
+	}
+}
+
 func TestFleetKeepsConfiguration(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := steps.Draw(rt, "steps")
@@ -302,9 +309,21 @@
 	{Action: "repeat", Router: 0, Other: 1, Delay: time.Millisecond},
 }
 
+// leftBehind cuts router 3 off until the log no longer reaches back to its version.
+func leftBehind() []step {
+	plan := []step{{Action: "set", Delay: 1}, {Action: "settle"}, {Action: "down", Router: 3}}
+	for i := range testRouters - 1 {
+		plan = append(plan, step{Action: "cut", Router: 3, Other: i})
+	}
+	for i := range 20 {
+		plan = append(plan, step{Action: "set", Item: min(i, 1), Delay: time.Duration(i + 2)})
+	}
+	return append(plan, step{Action: "heal", Router: 3}, step{Action: "settle"})
+}
+
 func assertNoticed(t *testing.T, disable func(c *Catalogue), want string) {
 	t.Helper()
-	plans := [][]step{crossedRepeat}
+	plans := [][]step{crossedRepeat, leftBehind()}
 	for seed := range 400 {
 		plans = append(plans, steps.Example(seed))
 	}
--- a/internal/workspace/catalogue/peers.go
+++ b/internal/workspace/catalogue/peers.go
@@ -13,7 +13,8 @@
 
 const (
 	gossipFanOut   = 3
-	joinPeers      = 64 // routers asked by one that has no configuration
+	joinPeers      = 64              // routers asked by one that has no configuration
+	joinAfter      = 2 * time.Second // wait for a slow table before other routers are asked
 	confirmTimeout = 500 * time.Millisecond
 )
 
@@ -49,8 +50,9 @@
 		interval = defaultGossipInterval
 	}
 	wait := c.phase(interval)
+	began := time.Now()
 	for {
-		c.askPeers(ctx)
+		c.askPeers(ctx, began)
 		select {
 		case <-ctx.Done():
 			return
@@ -62,20 +64,20 @@
 }
 
 // askPeers asks a few routers, in rotation, or many while there is no configuration.
-func (c *Catalogue) askPeers(ctx context.Context) {
+func (c *Catalogue) askPeers(ctx context.Context, began time.Time) {
 	base := c.Current()
-	in := inner.ConfigurationRequest{From: c.Addr, Version: base.version, Whole: !c.reached.Load()}
+	in := inner.ConfigurationRequest{From: c.Addr, Version: base.version, Whole: c.outage.Load() || c.behind.Load()}
 	count := gossipFanOut
 	if !c.Ready() {
-		if c.reached.Load() {
-			return
+		if !c.outage.Load() && time.Since(began) < joinAfter {
+			return // the table goes before peers, which may be behind
 		}
-		in.Confirm = true
+		in.Confirm, in.Whole = true, true
 		count = joinPeers
 	}
 	best := c.askHighest(ctx, c.nextPeers(count), in)
 	if best.Version > base.version || (best.Ready && !c.Ready()) {
-		c.take(base, best)
+		c.behind.Store(!c.take(base, best))
 	}
 	if c.heard.Load() > c.Current().Version() && c.pollInterval() <= max(c.PollInterval, defaultPollInterval) {
 		if err := c.Refresh(ctx); err != nil {
@@ -124,23 +126,24 @@
 	return best
 }
 
-// take installs what a router sent as newer than base, if it is complete.
-func (c *Catalogue) take(base *Snapshot, out inner.ConfigurationResponse) {
+// take installs what a router sent as newer than base, and reports whether that was complete.
+func (c *Catalogue) take(base *Snapshot, out inner.ConfigurationResponse) bool {
 	if out.Whole {
 		c.install(newSnapshot(out.Version, out.Items))
-		return
+		return true
 	}
 	last := base.version
 	for _, ch := range out.Changes {
 		if !c.inSequence(last, ch.Version) {
-			return
+			return false
 		}
 		last = ch.Version
 	}
 	if last != out.Version {
-		return
+		return false
 	}
 	c.install(base.with(out.Changes))
+	return true
 }
 
 // HandlePeer answers another router's question.
--- a/internal/workspace/catalogue/refresh.go
+++ b/internal/workspace/catalogue/refresh.go
@@ -27,10 +27,9 @@
 // Its reads may be slow and cross those of another refresh: each result is exact
 // at its version, and install keeps the highest.
 func (c *Catalogue) Refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	next, err := c.readTable(ctx)
-	c.reached.Store(err == nil)
 	if err != nil {
 		return fmt.Errorf("refresh configuration: %w", err)
 	}
--- a/internal/workspace/catalogue/world_test.go
+++ b/internal/workspace/catalogue/world_test.go
@@ -32,6 +32,7 @@
 	cat  *Catalogue
 	stop context.CancelFunc
 	link link
+	sets int // changes of the link
 }
 
 // world is a fleet before one table, with the oracle's record of what the table applied.
@@ -71,6 +72,10 @@
 // start runs a new incarnation of router i.
 func (w *world) start(i int) {
 	n := w.nodes[i]
+	w.mu.Lock()
+	least, sets := w.accepted, n.sets // in force at once behind a restart, if the table is well
+	well := !n.link.down && n.link.delay <= 500*time.Millisecond
+	w.mu.Unlock()
 	seen := uint64(0) // newest version in force in this incarnation
 	c := &Catalogue{
 		Addr:        strconv.Itoa(i),
@@ -78,8 +83,13 @@
 		segment:     4,
 		Archive:     func(context.Context, string, []byte) error { return nil },
 		Peers:       func() []string { return w.peers(i) },
-		OnChange:    func(s *Snapshot) { seen = w.check(seen, s) },
-		offset:      func() uint64 { return uint64(i) },
+		OnChange: func(s *Snapshot) {
+			if seen == 0 {
+				w.checkFirst(n, s, least, well, sets)
+			}
+			seen = w.check(seen, s)
+		},
+		offset: func() uint64 { return uint64(i) },
 	}
 	c.Commit = func(ctx context.Context, cm table.Commit) (uint64, error) { return w.commit(ctx, n, cm) }
 	c.Get = func(ctx context.Context, keys ...string) ([]table.Row, error) {
@@ -124,6 +134,15 @@
 	return n.link
 }
 
+// checkFirst lets no restarted router go back while it reaches the table.
+func (w *world) checkFirst(n *node, s *Snapshot, least uint64, well bool, sets int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if well && n.sets == sets && s.version < least {
+		w.problems = append(w.problems, fmt.Errorf("restarted with version %d behind %d", s.version, least))
+	}
+}
+
 // check is the oracle of what comes into force: only higher versions, each exactly as accepted.
 func (w *world) check(seen uint64, s *Snapshot) uint64 {
 	w.mu.Lock()
@@ -255,6 +274,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	set(&n.link)
+	n.sets++
 }
 
 func (w *world) ask(ctx context.Context, from int, addr string, in inner.ConfigurationRequest) (inner.ConfigurationResponse, error) {
--- a/internal/workspace/operator/change.go
+++ b/internal/workspace/operator/change.go
@@ -29,13 +29,14 @@
 		return 0, fmt.Errorf("read configuration: %w", err)
 	}
 	s := e.Catalogue.Current()
-	done, found, err := e.Catalogue.Accepted(ctx, cmd.CommandID)
+	text := Redact(cmd.Command)
+	done, found, err := e.Catalogue.Accepted(ctx, cmd.CommandID, text)
 	if err != nil || found {
 		return done, err
 	}
 	item, err := build(s)
 	if err != nil {
-		return e.Catalogue.Refuse(ctx, cmd.CommandID, err)
+		return e.Catalogue.Refuse(ctx, cmd.CommandID, text, err)
 	}
 	base := s.Version()
 	if version != nil {
@@ -44,7 +45,7 @@
 	return e.Catalogue.Accept(ctx, base, catalogue.Change{
 		CommandID: cmd.CommandID,
 		Operator:  cmd.operator,
-		Command:   Redact(cmd.Command),
+		Command:   text,
 		At:        time.Now().UTC(),
 		Items:     []catalogue.Item{item},
 	})
--- a/internal/workspace/operator/execute_test.go
+++ b/internal/workspace/operator/execute_test.go
@@ -201,6 +201,12 @@
 	assert.Assert(t, !exists)
 }
 
+func TestReusedCommandID(t *testing.T) {
+	f := configured(t)
+	_, err := f.Execute(t.Context(), administrator, Request{Command: `set workspace "veneer" weight 9`, CommandID: "c1"})
+	assert.ErrorContains(t, err, "was used for another command")
+}
+
 func TestRacedCommandTellsDifference(t *testing.T) {
 	f := configured(t)
 	seen := f.Catalogue.Current().Version()
