Stream the log on the connection's own goroutine

Cause: a profile of 200 streams showed a pipe and a goroutine between the log and the connection (13% of the processor time) and a context with its timer for each token (8%). The body is now a reader of the log itself, with one timer for each waiting caller; events are classified once and read deadlines are set again only when a tenth of them has passed. Ruled out: JSON checks (6%), which are what refuses malformed events; system calls (42%) are one read and one write a token.

--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -155,7 +155,7 @@
 	a.earlier = true
 	a.position = len(s.prior)
 	if n := len(s.Delivered); n > 0 {
-		a.answerID = runner.Event{Data: s.Delivered[n-1]}.AnswerID()
+		a.answerID = runner.NewEvent(s.Delivered[n-1]).AnswerID()
 	}
 	err := d.run(ctx, s, a, func(f func()) bool {
 		go f()
--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -48,7 +48,7 @@
 func newSession(c Completion) *session {
 	s := &session{Completion: c}
 	for _, data := range c.Delivered {
-		s.note(runner.Event{Data: data})
+		s.note(runner.NewEvent(data))
 	}
 	return s
 }
@@ -76,10 +76,21 @@
 	if err := a.checkID(ev.AnswerID()); err != nil {
 		return err
 	}
-	if ev.Usage != nil {
-		a.usage = s.checkUsage(a, ev.Usage)
-		return s.Sink(withUsage(ev, a.usage))
+	if ev.Usage == nil {
+		return s.takePart(a, ev)
 	}
+	if ev.Text() || ev.Finish() {
+		// The engine reports the usage together with the end of the answer.
+		if err := s.takePart(a, runner.NewEvent(ev.Data)); err != nil {
+			return err
+		}
+	}
+	a.usage = s.checkUsage(a, ev.Usage)
+	return s.Sink(withUsage(ev, a.usage))
+}
+
+// takePart passes on an event that is a part of the answer.
+func (s *session) takePart(a *attempt, ev runner.Event) error {
 	a.finished = a.finished || ev.Finish()
 	if ev.Text() {
 		a.position++
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -1,14 +1,9 @@
 package gateway
 
 import (
-	"bufio"
-	"context"
-	"fmt"
-	"net"
-	"syscall"
+	"io"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
@@ -17,61 +12,20 @@
 )
 
 const (
-	// presenceInterval is the time between checks whether a waiting caller is still there.
-	presenceInterval = 2 * time.Second
 	// callerTimeout bounds the wait for a caller to take a part of its answer.
 	callerTimeout = time.Minute
-)
-
-var errCallerGone = errors.New("caller has gone")
-
-// next waits for events like Log.Next, and fails when the caller has gone.
-func next(conn net.Conn, run *register.Run, offset int) ([][]byte, bool, *answer.Error, error) {
-	for {
-		ctx, cancel := context.WithTimeout(context.Background(), presenceInterval)
-		events, done, fail, err := run.Log().Next(ctx, offset)
-		cancel()
-		if err == nil {
-			return events, done, fail, nil
-		}
-		if gone(conn) {
-			return nil, false, nil, errCallerGone
-		}
-	}
-}
+	// callerTimeoutSlack is how late that may be noticed.
+	callerTimeoutSlack = 5 * time.Second
+	// maxIdleFrame is the largest buffer that a waiting stream keeps.
+	maxIdleFrame = 512
 
-// gone reports whether the other end has closed the connection.
-//
-// It looks at the socket's buffer without taking anything out of it.
-func gone(conn net.Conn) bool {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var n int
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	switch {
-	case err != nil:
-		return true
-	case errors.Is(peekErr, syscall.EAGAIN) || errors.Is(peekErr, syscall.EINTR):
-		return false
-	default:
-		return peekErr != nil || n == 0
-	}
-}
+	waitingComment = ": waiting\n\n"
+)
 
 // relay streams the run's events to the caller.
 func (g *Gateway) relay(ctx *fasthttp.RequestCtx, in *intake, includeUsage bool) {
-	conn := ctx.Conn()
-	events, done, fail, err := next(conn, in.run, 0)
+	first := reader{conn: ctx.Conn(), run: in.run}
+	events, done, fail, err := first.next(0)
 	if err != nil {
 		g.leave(in)
 		return
@@ -81,77 +35,120 @@
 		g.fail(ctx, in.run.ID(), fail)
 		return
 	}
-	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set("Cache-Control", "no-cache")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer g.leave(in)
-		if err := writeLog(w, conn, in.run, includeUsage); err != nil {
-			g.Log.Debug("caller left", "request_id", in.run.ID(), "err", err)
-		}
-	})
+	g.streamLog(ctx, in, &logReader{includeUsage: includeUsage})
 }
 
 // relayRaw streams the run's events to another router, from the beginning and
 // with a comment now and then, by which that router sees that this one lives.
 func (g *Gateway) relayRaw(ctx *fasthttp.RequestCtx, in *intake) {
-	conn := ctx.Conn()
+	g.streamLog(ctx, in, &logReader{includeUsage: true, comments: true})
+}
+
+func (g *Gateway) streamLog(ctx *fasthttp.RequestCtx, in *intake, r *logReader) {
+	r.reader = reader{conn: ctx.Conn(), run: in.run}
+	r.leave = func() { g.leave(in) }
 	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer g.leave(in)
-		for in.run.Log().Waiting(presenceInterval) {
-			_, _ = w.WriteString(": waiting\n\n")
-			if w.Flush() != nil {
-				return
-			}
-		}
-		if err := writeLog(w, conn, in.run, true); err != nil {
-			g.Log.Debug("router left", "request_id", in.run.ID(), "err", err)
-		}
-	})
+	ctx.Response.Header.Set("Cache-Control", "no-cache")
+	ctx.SetBodyStream(r, -1)
 }
 
-// writeLog sends the log from its beginning to its end.
-func writeLog(w *bufio.Writer, conn net.Conn, run *register.Run, includeUsage bool) error {
-	offset := 0
-	for {
-		events, done, fail, err := next(conn, run, offset)
-		if err != nil {
-			return fmt.Errorf("read log: %w", err)
-		}
-		offset += len(events)
-		for _, ev := range events {
-			writeEvent(w, ev)
-		}
-		if done {
-			writeEnd(w, run, includeUsage, fail)
-		}
-		if conn != nil {
-			_ = conn.SetWriteDeadline(time.Now().Add(callerTimeout))
-		}
-		if err := w.Flush(); err != nil {
-			return fmt.Errorf("send events: %w", err)
-		}
-		if done {
-			return nil
+// logReader is the body of a streamed answer: the run's log, framed as events.
+//
+// The server reads it on the connection's own goroutine and sends what each
+// Read returns at once.
+type logReader struct {
+	reader
+	includeUsage bool
+	comments     bool // send a comment while there is nothing else
+	leave        func()
+
+	offset  int
+	ended   bool
+	frame   []byte // framed and not yet read
+	backing []byte // what frame is a part of
+	armed   time.Time
+}
+
+// Read returns the next part of the body.
+func (r *logReader) Read(p []byte) (int, error) {
+	if len(r.frame) == 0 {
+		if err := r.fill(); err != nil {
+			return 0, err
 		}
 	}
+	n := copy(p, r.frame)
+	r.frame = r.frame[n:]
+	r.armTimeout()
+	return n, nil
+}
+
+// fill frames the events that have come since the last call, waiting for one.
+func (r *logReader) fill() error {
+	if r.ended {
+		return io.EOF
+	}
+	if cap(r.backing) > maxIdleFrame {
+		r.backing = nil
+	}
+	out := r.backing[:0]
+	events, done, fail, err := r.next(r.offset)
+	switch {
+	case err == errWaiting && r.comments:
+		out = append(out, waitingComment...)
+	case err != nil:
+		return err
+	}
+	for _, ev := range events {
+		out = appendEvent(out, ev)
+	}
+	if done {
+		out = appendEnd(out, r.run, r.includeUsage, fail)
+	}
+	r.offset += len(events)
+	r.ended = done
+	r.frame, r.backing = out, out
+	return nil
 }
 
-// writeEnd closes a stream; one that failed gets the error in place of the last event.
-func writeEnd(w *bufio.Writer, run *register.Run, includeUsage bool, fail *answer.Error) {
+// next waits like reader.next, but for streams with comments only until one is due.
+func (r *logReader) next(offset int) ([][]byte, bool, *answer.Error, error) {
+	if r.comments {
+		return r.nextWithin(offset)
+	}
+	return r.reader.next(offset)
+}
+
+// armTimeout bounds the write that follows a read.
+func (r *logReader) armTimeout() {
+	if now := time.Now(); r.conn != nil && now.Sub(r.armed) > callerTimeoutSlack {
+		r.armed = now
+		_ = r.conn.SetWriteDeadline(now.Add(callerTimeout))
+	}
+}
+
+// Close ends the stream, whether it was read to the end or not.
+func (r *logReader) Close() error {
+	r.stop()
+	if r.conn != nil {
+		_ = r.conn.SetWriteDeadline(time.Time{})
+	}
+	r.leave()
+	return nil
+}
+
+// appendEnd closes a stream; one that failed gets the error in place of the last event.
+func appendEnd(out []byte, run *register.Run, includeUsage bool, fail *answer.Error) []byte {
 	if fail != nil {
-		writeEvent(w, fail.JSON(run.ID()))
-		return
+		return appendEvent(out, fail.JSON(run.ID()))
 	}
 	if usage := run.Log().Usage(); includeUsage && usage != nil {
-		writeEvent(w, usage)
+		out = appendEvent(out, usage)
 	}
-	writeEvent(w, []byte(chat.DoneEvent))
+	return appendEvent(out, []byte(chat.DoneEvent))
 }
 
-// writeEvent frames one event; a failed write is reported by the next flush.
-func writeEvent(w *bufio.Writer, data []byte) {
-	_, _ = w.WriteString("data: ")
-	_, _ = w.Write(data)
-	_, _ = w.WriteString("\n\n")
+func appendEvent(out, data []byte) []byte {
+	out = append(out, "data: "...)
+	out = append(out, data...)
+	return append(out, "\n\n"...)
 }
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -259,22 +259,14 @@
 
 // relayResult waits for the outcome of the call and sends it.
 func (g *Gateway) relayResult(ctx *fasthttp.RequestCtx, run *register.Run) {
-	offset := 0
-	var events [][]byte
-	for done := false; !done; {
-		var more [][]byte
-		var fail *answer.Error
-		var err error
-		more, done, fail, err = next(ctx.Conn(), run, offset)
-		if err != nil {
-			return
-		}
-		if fail != nil {
-			g.fail(ctx, run.ID(), fail)
-			return
-		}
-		offset += len(more)
-		events = append(events, more...)
+	r := reader{conn: ctx.Conn(), run: run}
+	events, fail, err := r.all()
+	if err != nil {
+		return
+	}
+	if fail != nil {
+		g.fail(ctx, run.ID(), fail)
+		return
 	}
 	var outcome claim.Outcome
 	if err := json.Unmarshal(events[0], &outcome); err != nil {
--- a/internal/request/gateway/whole.go
+++ b/internal/request/gateway/whole.go
@@ -16,22 +16,14 @@
 
 // whole waits for the end of the run and sends one answer.
 func (g *Gateway) whole(ctx *fasthttp.RequestCtx, run *register.Run) {
-	offset := 0
-	var events [][]byte
-	for done := false; !done; {
-		var more [][]byte
-		var fail *answer.Error
-		var err error
-		more, done, fail, err = next(ctx.Conn(), run, offset)
-		if err != nil {
-			return
-		}
-		if fail != nil {
-			g.fail(ctx, run.ID(), fail)
-			return
-		}
-		offset += len(more)
-		events = append(events, more...)
+	r := reader{conn: ctx.Conn(), run: run}
+	events, fail, err := r.all()
+	if err != nil {
+		return
+	}
+	if fail != nil {
+		g.fail(ctx, run.ID(), fail)
+		return
 	}
 	completion, err := assemble(run.Log().Usage(), events)
 	if err != nil {
--- a/internal/request/stream/log.go
+++ b/internal/request/stream/log.go
@@ -1,9 +1,7 @@
 package stream
 
 import (
-	"context"
 	"sync"
-	"time"
 
 	"rosevalve/internal/request/answer"
 )
@@ -76,39 +74,19 @@
 	return len(l.events)
 }
 
-// Next waits for events from the offset on, or for the end of the log.
-//
-// It returns the events, whether the log has ended behind them, and the failure
-// it ended with; the error is that of ctx.
-func (l *Log) Next(ctx context.Context, offset int) ([][]byte, bool, *answer.Error, error) {
-	for {
-		l.mu.Lock()
-		if len(l.events) > offset || l.done {
-			events := l.events[offset:len(l.events):len(l.events)]
-			done, failure := l.done, l.failure
-			l.mu.Unlock()
-			return events, done, failure, nil
-		}
-		if l.changed == nil {
-			l.changed = make(chan struct{})
-		}
-		changed := l.changed
-		l.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return nil, false, nil, ctx.Err()
-		case <-changed:
-		}
+// Poll returns the events from the offset on, whether the log has ended behind
+// them, and the failure it ended with. If there is nothing yet, it returns a
+// channel that is closed at the next change.
+func (l *Log) Poll(offset int) (events [][]byte, done bool, failure *answer.Error, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.events) > offset || l.done {
+		return l.events[offset:len(l.events):len(l.events)], l.done, l.failure, nil
 	}
-}
-
-// Waiting waits for the first event or the end of the log, and reports whether
-// neither has come within the timeout.
-func (l *Log) Waiting(timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	_, _, _, err := l.Next(ctx, 0)
-	return err != nil
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	return nil, false, nil, l.changed
 }
 
 // Join counts a reader.
--- a/internal/target/runner/conn.go
+++ b/internal/target/runner/conn.go
@@ -25,6 +25,9 @@
 func (e *writeError) Error() string { return "write: " + e.err.Error() }
 func (e *writeError) Unwrap() error { return e.err }
 
+// deadlineSlack is the part of a progress timeout by which it may end early.
+const deadlineSlack = 10
+
 // progressConn fails a read or write that makes no progress in time.
 //
 // One goroutine uses it at a time, but for Close.
@@ -37,6 +40,7 @@
 	waiting bool      // a request was written and nothing was read since
 	sent    int       // bytes of the request that were written
 	limit   time.Time // read deadline that the user of the connection has set
+	armed   time.Time // read deadline that is in force
 }
 
 func (c *Client) dial(addr string) (net.Conn, error) {
@@ -64,11 +68,7 @@
 	if c.waiting {
 		timeout = c.firstByte
 	}
-	deadline := time.Now().Add(timeout)
-	if !c.limit.IsZero() && c.limit.Before(deadline) {
-		deadline = c.limit
-	}
-	if err := c.Conn.SetReadDeadline(deadline); err != nil {
+	if err := c.arm(time.Now().Add(timeout), timeout/deadlineSlack); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
@@ -81,6 +81,18 @@
 	return n, err
 }
 
+// arm sets the read deadline, unless the one in force is earlier by no more than the slack.
+func (c *progressConn) arm(deadline time.Time, slack time.Duration) error {
+	if !c.limit.IsZero() && c.limit.Before(deadline) {
+		deadline = c.limit
+	}
+	if early := deadline.Sub(c.armed); early >= 0 && early < slack {
+		return nil
+	}
+	c.armed = deadline
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // Write fails if nothing can be sent within the progress timeout.
 func (c *progressConn) Write(b []byte) (int, error) {
 	if !c.waiting {
--- a/internal/target/runner/events.go
+++ b/internal/target/runner/events.go
@@ -36,28 +36,34 @@
 	Usage *chat.Usage
 	// Done is set on the last event.
 	Done bool
+
+	text, finish bool
+}
+
+// NewEvent returns the event with the payload.
+func NewEvent(data []byte) Event {
+	return Event{Data: data, text: hasText(data), finish: hasFinish(data)}
 }
 
 // Text reports whether the event carries a token of the answer.
-func (e Event) Text() bool {
-	if e.Usage != nil || e.Done {
-		return false
-	}
-	content := fieldValue(e.Data, contentField)
-	if len(content) > 1 && content[0] == '"' && content[1] != '"' {
-		return true
-	}
-	reasoning := fieldValue(e.Data, reasoningField)
-	if len(reasoning) > 1 && reasoning[0] == '"' && reasoning[1] != '"' {
-		return true
+func (e Event) Text() bool { return e.text }
+
+// Finish reports whether the event tells why the answer ends.
+func (e Event) Finish() bool { return e.finish }
+
+func hasText(data []byte) bool {
+	for _, field := range [][]byte{contentField, reasoningField} {
+		value := fieldValue(data, field)
+		if len(value) > 1 && value[0] == '"' && value[1] != '"' {
+			return true
+		}
 	}
-	tools := fieldValue(e.Data, toolField)
+	tools := fieldValue(data, toolField)
 	return len(tools) > 1 && tools[0] == '[' && tools[1] != ']'
 }
 
-// Finish reports whether the event tells why the answer ends.
-func (e Event) Finish() bool {
-	value := fieldValue(e.Data, finishField)
+func hasFinish(data []byte) bool {
+	value := fieldValue(data, finishField)
 	return len(value) > 0 && value[0] == '"'
 }
 
@@ -123,7 +129,7 @@
 	if bytes.HasPrefix(data, errorPrefix) {
 		return Event{}, &reportedError{data: bytes.Clone(data)}
 	}
-	ev := Event{Data: bytes.Clone(data)}
+	ev := NewEvent(bytes.Clone(data))
 	usage := fieldValue(data, usageField)
 	if len(usage) == 0 || usage[0] != '{' {
 		return ev, nil
