--- a/internal/request/gateway/reader.go
+++ b/internal/request/gateway/reader.go
@@ -31,7 +31,7 @@
 func (r *reader) next(offset int) ([][]byte, bool, *answer.Error, error) {
 	for {
 		events, done, fail, err := r.nextWithin(offset)
-		if err != errWaiting {
+		if !errors.Is(err, errWaiting) {
 			return events, done, fail, err
 		}
 	}
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
@@ -93,7 +94,7 @@
 	out := r.backing[:0]
 	events, done, fail, err := r.next(r.offset)
 	switch {
-	case err == errWaiting && r.comments:
+	case errors.Is(err, errWaiting) && r.comments:
 		out = append(out, waitingComment...)
 	case err != nil:
 		return err
