Prove settlements of several budgets, and show the break of unknown runs by one case

The state machine used one budget, so that a commit with the bills of several was never tried; it uses two now, and passes.

--- a/internal/budget/reclaim/broken_test.go
+++ b/internal/budget/reclaim/broken_test.go
@@ -18,6 +18,7 @@
 	name   string
 	broken broken
 	ops    []int
+	steps  []step // a case that shows the break, in place of a search
 }{
 	{name: "bills inserted without condition", broken: broken{dropConditions: "bill/"}, ops: []int{0, 10, 17, opCount, opCount + 1}},
 	{name: "draws without condition on the budget", broken: broken{dropConditions: "budget/"}},
@@ -26,7 +27,22 @@
 	{name: "books read without being sealed", broken: broken{skipSeal: true}},
 	{name: "holdings returned by timeout", broken: broken{skipEvidence: true}},
 	{name: "unknown outcomes taken for refusals", broken: broken{denyUnknown: true}, ops: []int{0, 7, 10, 15, opCount, opCount + 1}},
-	{name: "unknown runs taken for not run", broken: broken{trustUnknown: true, granted: 200}, ops: []int{0, 5, 12, 12, 17, opCount, opCount + 1}},
+	{
+		name:   "unknown runs taken for not run",
+		broken: broken{trustUnknown: true, granted: 200, oneBudget: true},
+		ops:    []int{0, 5, 12, 12, 17, opCount, opCount + 1},
+		steps: []step{
+			{op: 17, a: 0, c: 2},            // router 0 needs 100 ms for each message
+			{op: opCount, a: 0, b: 6, c: 9}, // and announces a request for the whole budget,
+			{op: 0, b: 2},
+			{op: 5, a: 0}, // but freezes before it sends it
+			{op: 12, a: 1, b: 0},
+			{op: opCount, a: 1, b: 10, c: 9}, // the tokens are spent by router 1
+			{op: 0, b: 2},
+			{op: 5, a: 0}, // router 0 wakes
+			{op: 0, b: 5},
+		},
+	},
 }
 
 // TestOracleCatchesBreaks switches off one mechanism at a time; the same cases
@@ -35,19 +51,34 @@
 	for _, c := range breaks {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			assertCaught(t, c.broken, script(c.ops...))
-			assertWhole(t, broken{granted: c.broken.granted}, script(c.ops...))
+			if c.steps != nil {
+				assertCaughtIn(t, c.broken, c.steps)
+			} else {
+				assertCaught(t, c.broken, script(c.ops...))
+			}
+			assertWhole(t, broken{granted: c.broken.granted, oneBudget: c.broken.oneBudget}, script(c.ops...))
 		})
 	}
 }
 
+// assertCaughtIn plays one case, in which the oracle must find the break.
+func assertCaughtIn(t *testing.T, b broken, steps []step) {
+	t.Helper()
+	err := play(t, b, steps)
+	if err == nil {
+		t.Fatal("oracle found nothing")
+	}
+	t.Log(err)
+	assertPasses(t, broken{granted: b.granted, oneBudget: b.oneBudget}, steps)
+}
+
 // assertCaught plays cases until the oracle finds the break.
 func assertCaught(t *testing.T, b broken, steps *rapid.Generator[[]step]) {
 	t.Helper()
 	for seed := range maxBrokenCases {
 		if err := play(t, b, steps.Example(seed)); err != nil {
 			t.Logf("case %d: %v", seed, err)
-			assertPasses(t, broken{granted: b.granted}, steps.Example(seed))
+			assertPasses(t, broken{granted: b.granted, oneBudget: b.oneBudget}, steps.Example(seed))
 			return
 		}
 	}
--- a/internal/budget/reclaim/machine_test.go
+++ b/internal/budget/reclaim/machine_test.go
@@ -109,7 +109,7 @@
 	default:
 		worst := int64(20 * (s.c + 1))
 		used := worst * int64(s.b+1) / shares
-		go n.serve(fmt.Sprint("key-", s.b%keyCount), worst, used, time.Duration(s.c)*300*time.Millisecond, s.c == 3)
+		go n.serve(w.budgetOf(s.c), fmt.Sprint("key-", s.b%keyCount), worst, used, time.Duration(s.c)*300*time.Millisecond, s.c == 3)
 	case 0:
 		time.Sleep(time.Duration(1+s.b) * 100 * time.Millisecond)
 	case 1:
@@ -123,7 +123,7 @@
 	case 5:
 		w.toggleFreeze(n)
 	case 6:
-		w.topUp(int64(50 * (s.c + 1)))
+		w.topUp(budgets[s.b%2], int64(50*(s.c+1)))
 	case 7:
 		w.set(func() { n.lose = 1 + s.c%3 })
 	case 8:
@@ -142,7 +142,7 @@
 	case 17:
 		w.set(func() { n.slow = time.Duration(s.c) * 50 * time.Millisecond })
 	case 15:
-		go func() { _, _ = n.purse.ReturnFree(context.Background(), budget) }()
+		go func() { _, _ = n.purse.ReturnFree(context.Background(), budgets[s.c%2]) }()
 	case 16:
 		w.set(func() { n.alone = !n.alone })
 	}
@@ -257,8 +257,10 @@
 	if err := w.check(); err != nil {
 		return fmt.Errorf("released: %w", err)
 	}
-	if row := w.accounts().budget; row.Allotted != 0 || row.Granted != w.granted {
-		return fmt.Errorf("tokens are missing: %+v of %d granted", row, w.granted)
+	for _, id := range budgets {
+		if row := w.accounts().budgets[id]; row.Allotted != 0 || row.Granted != w.granted[id] {
+			return fmt.Errorf("tokens are missing: %+v of %d granted", row, w.granted[id])
+		}
 	}
 	return w.checkBills(excused)
 }
--- a/internal/budget/reclaim/oracle_test.go
+++ b/internal/budget/reclaim/oracle_test.go
@@ -10,18 +10,21 @@
 
 // accounts are the rows of the ledger as the table has them.
 type accounts struct {
-	budget   ledger.BudgetRow
+	budgets  map[ledger.BudgetID]ledger.BudgetRow
 	holdings []ledger.HoldingRow
 	bills    map[string]ledger.BillRow // by request key
 }
 
 func (w *world) accounts() accounts {
-	out := accounts{bills: make(map[string]ledger.BillRow)}
+	out := accounts{budgets: make(map[ledger.BudgetID]ledger.BudgetRow), bills: make(map[string]ledger.BillRow)}
 	for _, r := range w.store.Scan("", "", 1<<20) {
 		var err error
-		switch kind, _, _ := strings.Cut(r.Key, "/"); kind {
+		switch kind, id, _ := strings.Cut(r.Key, "/"); kind {
 		case "budget":
-			err = r.Decode(&out.budget)
+			var b ledger.BudgetRow
+			err = r.Decode(&b)
+			workspace, name, _ := strings.Cut(id, "/")
+			out.budgets[ledger.BudgetID{Workspace: workspace, Name: name}] = b
 		case "holding":
 			var h ledger.HoldingRow
 			err = r.Decode(&h)
@@ -49,16 +52,33 @@
 	a := w.accounts()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, id := range budgets {
+		if err := w.checkBudget(a, id); err != nil {
+			return fmt.Errorf("budget %s: %w", id.Name, err)
+		}
+	}
+	return nil
+}
+
+func (w *world) checkBudget(a accounts, id ledger.BudgetID) error {
+	budget := a.budgets[id]
 	var drawn, billed, rows, unbilled int64
 	for _, h := range a.holdings {
-		drawn += h.Drawn
-		billed += h.Billed
+		if h.ID().Budget == id {
+			drawn += h.Drawn
+			billed += h.Billed
+		}
 	}
 	for _, b := range a.bills {
-		rows += b.Tokens()
+		if b.Budget == id.Name {
+			rows += b.Tokens()
+		}
 	}
 	worst := make(map[string]int64)
 	for _, run := range w.runs {
+		if run.id != id {
+			continue
+		}
 		n := run.used
 		if !run.over {
 			n = run.max
@@ -71,14 +91,14 @@
 		}
 	}
 	switch {
-	case drawn != a.budget.Allotted:
-		return fmt.Errorf("holdings have drawn %d, but %d are allotted", drawn, a.budget.Allotted)
-	case rows != billed+a.budget.Billed:
-		return fmt.Errorf("bills are %d, but %d+%d are accounted", rows, billed, a.budget.Billed)
-	case a.budget.Available() < 0:
-		return fmt.Errorf("budget is overdrawn: %+v", a.budget)
-	case rows+unbilled > w.granted:
-		return fmt.Errorf("billed %d and may bill %d of %d granted", rows, unbilled, w.granted)
+	case drawn != budget.Allotted:
+		return fmt.Errorf("holdings have drawn %d, but %d are allotted", drawn, budget.Allotted)
+	case rows != billed+budget.Billed:
+		return fmt.Errorf("bills are %d, but %d+%d are accounted", rows, billed, budget.Billed)
+	case budget.Available() < 0:
+		return fmt.Errorf("budget is overdrawn: %+v", budget)
+	case rows+unbilled > w.granted[id]:
+		return fmt.Errorf("billed %d and may bill %d of %d granted", rows, unbilled, w.granted[id])
 	}
 	return nil
 }
--- a/internal/budget/reclaim/world_test.go
+++ b/internal/budget/reclaim/world_test.go
@@ -29,7 +29,7 @@
 )
 
 var (
-	budget  = ledger.BudgetID{Workspace: "w", Name: "b"}
+	budgets = []ledger.BudgetID{{Workspace: "w", Name: "b0"}, {Workspace: "w", Name: "b1"}}
 	errDead = errors.New("router is dead")
 	errCut  = errors.New("routers are cut from each other")
 )
@@ -42,6 +42,7 @@
 	skipEvidence   bool   // holdings are closed by suspicion alone, as a lease by timeout
 	denyUnknown    bool   // a commit whose outcome is unknown counts as refused
 	granted        int64  // tokens at the beginning, if not the usual ones
+	oneBudget      bool   // requests use only the first budget
 	trustUnknown   bool   // a run that a target does not know counts as not run at once
 }
 
@@ -60,7 +61,7 @@
 	runs      map[string]*engineRun
 	started   int
 	requests  int
-	granted   int64
+	granted   map[ledger.BudgetID]int64
 }
 
 // node is one router incarnation.
@@ -88,6 +89,7 @@
 // engineRun is what the engine knows of one run.
 type engineRun struct {
 	node *node
+	id   ledger.BudgetID
 	key  string
 	max  int64
 	used int64
@@ -95,14 +97,24 @@
 }
 
 func newWorld(b broken) *world {
-	w := &world{broken: b, store: platform.NewStore(), cuts: make(map[[2]int]bool), runs: make(map[string]*engineRun)}
+	w := &world{broken: b, store: platform.NewStore(), cuts: make(map[[2]int]bool), runs: make(map[string]*engineRun), granted: make(map[ledger.BudgetID]int64)}
 	for slot := range slots {
 		w.start(slot)
 	}
-	w.topUp(cmp.Or(b.granted, grant))
+	for _, id := range budgets {
+		w.topUp(id, cmp.Or(b.granted, grant))
+	}
 	return w
 }
 
+// budgetOf returns the budget that a request with the number uses.
+func (w *world) budgetOf(i int) ledger.BudgetID {
+	if w.broken.oneBudget {
+		return budgets[0]
+	}
+	return budgets[i%len(budgets)]
+}
+
 // start puts a new incarnation at the slot's address.
 func (w *world) start(slot int) {
 	n := &node{w: w, slot: slot, id: fmt.Sprintf("r%d#%d", slot, len(w.all)), suspected: make(map[string]bool)}
@@ -129,15 +141,15 @@
 	w.all = append(w.all, n)
 }
 
-func (w *world) topUp(tokens int64) {
-	w.granted += tokens
+func (w *world) topUp(budget ledger.BudgetID, tokens int64) {
+	w.granted[budget] += tokens
 	l := &ledger.Ledger{
 		Commit: func(_ context.Context, c table.Commit) (uint64, error) { return w.store.Commit(c) },
 		Get:    func(_ context.Context, keys ...string) ([]table.Row, error) { return w.store.Get(keys), nil },
 	}
-	id := fmt.Sprint("command-", w.granted)
+	id := fmt.Sprintf("%s-%d", budget.Name, w.granted[budget])
 	grantTokens := l.TopUp
-	if w.granted == tokens {
+	if w.granted[budget] == tokens {
 		grantTokens = l.Create
 	}
 	if err := grantTokens(context.Background(), budget, tokens, id); err != nil {
@@ -368,7 +380,7 @@
 }
 
 // serve carries one request from its reservation to its bill.
-func (n *node) serve(key string, worst, used int64, lasts time.Duration, declined bool) {
+func (n *node) serve(budget ledger.BudgetID, key string, worst, used int64, lasts time.Duration, declined bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	r, err := n.purse.Reserve(ctx, budget, worst)
@@ -387,7 +399,7 @@
 	if n.travel() != nil {
 		return
 	}
-	n.w.begin(n, id, key, worst, used, lasts)
+	n.w.begin(&engineRun{node: n, id: budget, key: key, max: worst, used: used}, id, lasts)
 	time.Sleep(lasts)
 	if n.pass() != nil {
 		return
@@ -400,10 +412,9 @@
 }
 
 // begin runs a request at the engine, which ends it whether or not its router lives.
-func (w *world) begin(n *node, id, key string, worst, used int64, lasts time.Duration) {
+func (w *world) begin(run *engineRun, id string, lasts time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	run := &engineRun{node: n, key: key, max: worst, used: used}
 	w.runs[id] = run
 	w.started++
 	time.AfterFunc(lasts, func() {
