--- a/internal/budget/reclaim/doubt.go
+++ b/internal/budget/reclaim/doubt.go
@@ -1,6 +1,7 @@
 package reclaim
 
 import (
+	"context"
 	"expvar"
 
 	"rosevalve/internal/budget/ledger"
@@ -47,13 +48,36 @@
 // Cause says why the tokens can not go back yet.
 func (d Doubt) Cause() Cause { return d.cause }
 
-// Doubts returns what the last sweep has left in doubt.
-func (r *Reclaimer) Doubts() []Doubt {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]Doubt(nil), r.doubts...)
+// Doubts returns the holdings of suspected holders as they are in the table, with
+// what keeps them from being closed or removed. It changes nothing.
+func (r *Reclaimer) Doubts(ctx context.Context) ([]Doubt, error) {
+	rows, err := r.suspects(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []Doubt
+	for _, row := range rows {
+		if cause := r.cause(row); cause != CauseNone {
+			out = append(out, newDoubt(row, cause))
+		}
+	}
+	return out, nil
+}
+
+func (r *Reclaimer) cause(row ledger.HoldingRow) Cause {
+	switch {
+	case row.Closed:
+		return CauseOpenRuns
+	case row.Term.Witness == "":
+		return CauseNoWitness
+	case r.Suspected(row.Term.Witness):
+		return CauseWitnessLost
+	default:
+		return CauseNone
+	}
 }
 
+// keep shows the doubts of a sweep as metrics.
 func (r *Reclaimer) keep(doubts []Doubt) {
 	var tokens int64
 	for _, d := range doubts {
@@ -61,7 +85,4 @@
 	}
 	doubtTokens.Set(tokens)
 	doubtHoldings.Set(int64(len(doubts)))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.doubts = doubts
 }
--- a/internal/budget/reclaim/machine_test.go
+++ b/internal/budget/reclaim/machine_test.go
@@ -242,6 +242,10 @@
 func (w *world) checkEnd() error {
 	excused := make(map[string]bool)
 	a := w.accounts()
+	doubts, err := w.nodes[0].reclaimer.Doubts(context.Background())
+	if err != nil || len(doubts) != len(a.holdings) {
+		return fmt.Errorf("%d of %d holdings are listed in doubt: %w", len(doubts), len(a.holdings), err)
+	}
 	for _, h := range a.holdings {
 		if !w.isDead(h.Holder) || h.Closed || (h.Term.Witness != "" && !w.isDead(h.Term.Witness)) {
 			return fmt.Errorf("holding is left: %+v", h)
--- a/internal/budget/reclaim/reclaimer.go
+++ b/internal/budget/reclaim/reclaimer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,9 +39,6 @@
 	Cancel func(addr, attempt string) (chat.Usage, error)
 	// OnError receives failures of sweeps, which are tried again.
 	OnError func(err error)
-
-	mu     sync.Mutex // guards doubts
-	doubts []Doubt
 }
 
 // Run sweeps until ctx ends.
--- /dev/null
+++ b/internal/budget/reclaim/suspicion_test.go
@@ -0,0 +1,39 @@
+package reclaim
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSuspicion checks since when routers count as missing, and who has the duty to sweep.
+func TestSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		present := []string{"a", "b", "c"}
+		s := &Suspicion{Present: func() []string { return present }}
+		assert.Equal(t, s.MissingFor("a"), time.Duration(0))
+		s.Refresh()
+		time.Sleep(time.Second)
+		assert.Equal(t, s.MissingFor("a"), time.Duration(0))
+		assert.Equal(t, s.MissingFor("never seen"), time.Second)
+
+		present = []string{"b", "c"}
+		s.Refresh()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, s.MissingFor("a"), 2*time.Second)
+
+		present = []string{"a", "b", "c"}
+		s.Refresh()
+		assert.Equal(t, s.MissingFor("a"), time.Duration(0))
+
+		duties := 0
+		for _, id := range present {
+			if s.First(id, 2) {
+				duties++
+			}
+		}
+		assert.Equal(t, duties, 2)
+	})
+}
--- a/internal/fleet/router/budget_tables.go
+++ b/internal/fleet/router/budget_tables.go
@@ -15,7 +15,7 @@
 	r.executor.Usage = r.usageTable
 }
 
-// holdingTable lists all holdings, or those that the last sweep has left in doubt.
+// holdingTable lists all holdings, or those in doubt.
 func (r *Router) holdingTable(ctx context.Context, inDoubt bool) (operator.Table, error) {
 	t := operator.Table{Columns: []operator.Column{
 		{Name: "holding"},
@@ -27,10 +27,14 @@
 		{Name: "doubt"},
 	}}
 	causes := make(map[ledger.HoldingID]string)
-	for _, d := range r.reclaimer.Doubts() {
+	doubts, err := r.reclaimer.Doubts(ctx)
+	if err != nil {
+		return t, fmt.Errorf("list doubts: %w", err)
+	}
+	for _, d := range doubts {
 		causes[d.Holding()] = d.Cause().String()
 	}
-	err := r.ledger.Holdings(ctx, "", func(h ledger.HoldingRow) error {
+	err = r.ledger.Holdings(ctx, "", func(h ledger.HoldingRow) error {
 		cause, doubted := causes[h.ID()]
 		if inDoubt && !doubted {
 			return nil
--- a/internal/fleet/router/reclaim.go
+++ b/internal/fleet/router/reclaim.go
@@ -29,7 +29,7 @@
 		Due: func() bool {
 			suspicion.Refresh()
 			vms.refresh()
-			return true
+			return suspicion.First(r.id, sweepers)
 		},
 		Suspected: func(holder string) bool {
 			return r.departed(vms, holder) || suspicion.MissingFor(holder) >= cfg.ReclaimAfter
@@ -91,6 +91,9 @@
 	addrs map[string]bool // whether a VM that was in the list is still there
 }
 
+// sweepers is the number of routers that search for holdings to reclaim.
+const sweepers = 2
+
 const vmListTimeout = time.Second
 
 // refresh reads the list; a list that can not be read stays as it was.
