--- a/internal/workspace/catalogue/catalogue.go
+++ b/internal/workspace/catalogue/catalogue.go
@@ -14,8 +14,9 @@
 
 const (
 	defaultPollInterval   = time.Second
-	maxPollInterval       = 8 * time.Second // with its timeout within the 13 s of the largest fleet
-	fleetPollsPerSecond   = 140
+	maxPollInterval       = 5500 * time.Millisecond
+	failedPollInterval    = 3 * time.Second // at most, behind a poll that failed
+	fleetPollsPerSecond   = 200
 	defaultGossipInterval = time.Second
 	refreshTimeout        = 15 * time.Second // many calls, each with the table client's timeout
 )
@@ -107,6 +108,9 @@
 		case <-time.After(wait):
 		}
 		wait = c.pollInterval()
+		if err != nil {
+			wait = min(wait, failedPollInterval)
+		}
 	}
 }
 
