--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -15,6 +15,9 @@
 	r.links.Self = r.view.Self
 	r.links.Handlers = map[string]peer.Handler{
 		inner.MethodHeartbeat:     r.view.HandleHeartbeat,
+		inner.MethodWitnessAppend: r.handleAppend,
+		inner.MethodWitnessSeal:   r.handleSeal,
+		inner.MethodRecall:        r.handleRecall,
 		inner.MethodConfiguration: r.catalogue.HandlePeer,
 	}
 	r.view.Join(inner.Member{
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -57,6 +57,8 @@
 	Earlier Location
 	// Delivered holds the events that the caller has already received.
 	Delivered [][]byte
+	// Announce is called before each attempt; after an error it is not sent.
+	Announce func(Location) error
 	// Began is told where each attempt runs; it may be nil.
 	Began func(Location)
 	// Sink receives the events.
@@ -91,6 +93,9 @@
 			break
 		}
 		exclude[target.Addr()] = true
+		if !s.announce(target.Addr(), attemptID(c.RunID, n)) {
+			break
+		}
 		a := s.begin(target.Addr(), attemptID(c.RunID, n))
 		err = d.run(ctx, s, a, target.Go)
 		if err == nil {
@@ -150,12 +155,15 @@
 // takeOver resumes a run that another router has begun. It reports false if the
 // run cannot be resumed and was cancelled as far as possible.
 func (d *Dispatcher) takeOver(ctx context.Context, s *session) (Outcome, bool) {
+	if !s.announce(s.Earlier.Target, s.Earlier.RunID) {
+		return Outcome{}, false
+	}
 	a := s.begin(s.Earlier.Target, s.Earlier.RunID)
 	// What the caller has is the beginning of this very run.
 	a.earlier = true
 	a.position = len(s.prior)
 	if n := len(s.Delivered); n > 0 {
-		a.answerID = runner.Event{Data: s.Delivered[n-1]}.AnswerID()
+		a.answerID = runner.NewEvent(s.Delivered[n-1]).AnswerID()
 	}
 	err := d.run(ctx, s, a, func(f func()) bool {
 		go f()
--- a/internal/request/gateway/completion.go
+++ b/internal/request/gateway/completion.go
@@ -101,6 +101,8 @@
 		}
 		return nil
 	}
+	announcer := g.announcer(run, reservation, allotment.Attempt{Prompt: c.WorstPrompt})
+	c.Announce = announcer.announce
 	outcome := g.Dispatcher.Complete(run.Context(), c)
 	if !outcome.Settled() {
 		// The caller gets its final answer before the target has stopped.
@@ -109,7 +111,7 @@
 	used, ran := outcome.Settle()
 	if !ran {
 		reservation.Release()
-		g.refuse(in, outcome.Failure())
+		g.refuse(in, announcer.failure(outcome.Failure()))
 		return
 	}
 	g.bill(reservation, run, used)
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/admission"
 	"rosevalve/internal/request/answer"
@@ -120,7 +121,7 @@
 		g.Register.Retire(run)
 		return
 	}
-	if g.runCall(in, req, row) == answer.NotRun {
+	if g.runCall(in, req, row, reservation) == answer.NotRun {
 		reservation.Release()
 		return
 	}
@@ -128,8 +129,9 @@
 }
 
 // runCall sends the claimed call and ends the run's log with what came of it.
-func (g *Gateway) runCall(in *intake, req serviceRequest, row claim.Row) answer.RunState {
+func (g *Gateway) runCall(in *intake, req serviceRequest, row claim.Row, reservation *allotment.Reservation) answer.RunState {
 	run := in.run
+	announcer := g.announcer(run, reservation, allotment.Attempt{Prompt: req.service.TokensPerCall, Fixed: true})
 	stop := context.AfterFunc(run.Context(), func() {
 		// The caller is answered at its deadline; the outcome is stored when it comes.
 		run.Log().Finish(nil, &answer.Error{
@@ -146,11 +148,13 @@
 		RunID:      run.ID(),
 		Call:       req.call,
 		Idempotent: req.key == "",
+		Announce:   announcer.announce,
 	})
 	var failure *answer.Error
 	if errors.As(err, &failure) {
 		if failure.Run == answer.NotRun {
 			g.release(run, req, row)
+			failure = announcer.failure(failure)
 		}
 		g.refuse(in, failure)
 		return failure.Run
@@ -259,22 +263,14 @@
 
 // relayResult waits for the outcome of the call and sends it.
 func (g *Gateway) relayResult(ctx *fasthttp.RequestCtx, run *register.Run) {
-	offset := 0
-	var events [][]byte
-	for done := false; !done; {
-		var more [][]byte
-		var fail *answer.Error
-		var err error
-		more, done, fail, err = next(ctx.Conn(), run, offset)
-		if err != nil {
-			return
-		}
-		if fail != nil {
-			g.fail(ctx, run.ID(), fail)
-			return
-		}
-		offset += len(more)
-		events = append(events, more...)
+	r := reader{conn: ctx.Conn(), run: run}
+	events, fail, err := r.all()
+	if err != nil {
+		return
+	}
+	if fail != nil {
+		g.fail(ctx, run.ID(), fail)
+		return
 	}
 	var outcome claim.Outcome
 	if err := json.Unmarshal(events[0], &outcome); err != nil {
