Show, explain and cancel requests of all routers, and drain VMs

Cause: the commands existed, but nothing stood behind them; drain vm had nothing to drain.

Cancelling ends it where it runs.

Ruled out: reading all bills to explain a request that no router remembers; the answer names the list to look in.

--- /dev/null
+++ b/internal/fleet/router/request_tables.go
@@ -0,0 +1,212 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"rosevalve/internal/platform/vmlist"
+	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/request/register"
+	"rosevalve/internal/workspace/operator"
+)
+
+// connectRequestCommands gives the operators' commands access to the requests of all routers and to the VMs.
+func (r *Router) connectRequestCommands() {
+	r.links.Handlers[inner.MethodRequests] = r.handleRequests
+	r.links.Handlers[inner.MethodCancelRequest] = r.handleCancelRequest
+	r.executor.Requests = r.requestTable
+	r.executor.Cancel = r.cancelRequest
+	r.executor.Explain = r.explainRequest
+	vms := &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: r.table.HTTP}
+	r.executor.VMs = func(ctx context.Context) (operator.Table, error) { return vmTable(ctx, vms) }
+}
+
+// localRequests lists the requests that run here, or the one with the id, running or not.
+func (r *Router) localRequests(id string) []inner.RequestState {
+	var out []inner.RequestState
+	for _, run := range r.register.Runs() {
+		s := requestState(run, r.id)
+		if (id == "" && !s.Done) || (id != "" && (s.ID == id || s.Key == id)) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func requestState(run *register.Run, router string) inner.RequestState {
+	_, done, failure, _ := run.Log().Poll(run.Log().Len())
+	s := inner.RequestState{
+		ID:        run.ID(),
+		Workspace: run.Key().Workspace,
+		Key:       run.Key().Request,
+		Router:    router,
+		Began:     run.Began(),
+		Events:    run.Log().Len(),
+		Done:      done,
+		Following: run.Following(),
+	}
+	if failure != nil {
+		s.Failure = failure.Error()
+	}
+	return s
+}
+
+func (r *Router) handleRequests(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.RequestsRequest
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode question for requests: %w", err)
+	}
+	return inner.RequestsResponse{Requests: r.localRequests(in.ID)}, nil
+}
+
+func (r *Router) handleCancelRequest(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.CancelRequest
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode cancellation: %w", err)
+	}
+	return inner.CancelResponse{Found: r.cancelHere(in.ID)}, nil
+}
+
+// cancelHere ends the request if it runs on this router.
+func (r *Router) cancelHere(id string) bool {
+	for _, run := range r.register.Runs() {
+		if run.ID() == id && !requestState(run, r.id).Done {
+			run.Cancel()
+			return true
+		}
+	}
+	return false
+}
+
+// askRouters calls the method at every other router at once and returns how many did not answer.
+func (r *Router) askRouters(call func(addr string) error) int {
+	pool := pond.NewPool(askedAtOnce)
+	var mu sync.Mutex // guards silent
+	silent := 0
+	for _, addr := range r.innerPeers() {
+		pool.Submit(func() {
+			if call(addr) == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			silent++
+		})
+	}
+	pool.StopAndWait()
+	return silent
+}
+
+// fleetRequests collects the requests of all routers that answer.
+func (r *Router) fleetRequests(ctx context.Context, id string) ([]inner.RequestState, int) {
+	var mu sync.Mutex // guards out
+	out := r.localRequests(id)
+	silent := r.askRouters(func(addr string) error {
+		var answer inner.RequestsResponse
+		if err := r.links.Call(ctx, addr, inner.MethodRequests, inner.RequestsRequest{ID: id}, &answer); err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		out = append(out, answer.Requests...)
+		return nil
+	})
+	return out, silent
+}
+
+func (r *Router) requestTable(ctx context.Context) (operator.Table, error) {
+	t := operator.Table{Columns: []operator.Column{
+		{Name: "id"}, {Name: "workspace"}, {Name: "key"}, {Name: "router"}, {Name: "began", Unit: operator.UnitTime},
+		{Name: "age", Unit: operator.UnitDuration}, {Name: "events", Unit: operator.UnitNumber}, {Name: "following", Unit: operator.UnitBool},
+	}}
+	requests, _ := r.fleetRequests(ctx, "")
+	for _, s := range requests {
+		t.Rows = append(t.Rows, []operator.Cell{
+			operator.Text(s.ID), operator.Text(s.Workspace), operator.Text(s.Key), operator.Text(s.Router), operator.Time(s.Began),
+			operator.Duration(time.Since(s.Began)), operator.Number(int64(s.Events)), operator.Bool(s.Following),
+		})
+	}
+	return t, nil
+}
+
+// cancelRequest ends a request wherever it runs.
+func (r *Router) cancelRequest(ctx context.Context, id string) error {
+	if r.cancelHere(id) {
+		return nil
+	}
+	var mu sync.Mutex // guards found
+	found := false
+	silent := r.askRouters(func(addr string) error {
+		var answer inner.CancelResponse
+		if err := r.links.Call(ctx, addr, inner.MethodCancelRequest, inner.CancelRequest{ID: id}, &answer); err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		found = found || answer.Found
+		return nil
+	})
+	if !found {
+		return fmt.Errorf("no router runs request %q; %d did not answer", id, silent)
+	}
+	return nil
+}
+
+// explainRequest tells what each router knows of a request, and its bill.
+func (r *Router) explainRequest(ctx context.Context, id string) (operator.Table, error) {
+	t := operator.Table{Columns: []operator.Column{{Name: "at", Unit: operator.UnitTime}, {Name: "where"}, {Name: "what"}}}
+	add := func(at time.Time, where, format string, args ...any) {
+		t.Rows = append(t.Rows, []operator.Cell{operator.Time(at), operator.Text(where), operator.Text(fmt.Sprintf(format, args...))})
+	}
+	requests, silent := r.fleetRequests(ctx, id)
+	for _, s := range requests {
+		add(s.Began, s.Router, "workspace %q, key %q: %s", s.Workspace, s.Key, requestProgress(s))
+		bill, billed, err := r.ledger.Bill(ctx, s.Workspace, s.Key)
+		switch {
+		case err != nil:
+			return t, fmt.Errorf("read bill: %w", err)
+		case billed:
+			add(bill.At, "bill", "budget %q, %d prompt and %d completion tokens, by %s", bill.Budget, bill.PromptTokens, bill.CompletionTokens, bill.Holder)
+		default:
+			add(time.Time{}, "bill", "none in the table yet")
+		}
+	}
+	if silent > 0 {
+		add(time.Time{}, "fleet", "%d routers did not answer", silent)
+	}
+	if len(requests) == 0 {
+		return t, fmt.Errorf("no router that answers knows it; %d did not answer; its bill is among: show bills where request_key = %q", silent, id)
+	}
+	return t, nil
+}
+
+func requestProgress(s inner.RequestState) string {
+	switch {
+	case s.Failure != "":
+		return fmt.Sprintf("ended after %d events: %s", s.Events, s.Failure)
+	case s.Done:
+		return fmt.Sprintf("whole after %d events", s.Events)
+	case s.Following:
+		return fmt.Sprintf("reads it from another router, %d events so far", s.Events)
+	default:
+		return fmt.Sprintf("runs, %d events so far", s.Events)
+	}
+}
+
+// vmTable lists the VMs as the platform shows them.
+func vmTable(ctx context.Context, vms *vmlist.Client) (operator.Table, error) {
+	t := operator.Table{Columns: []operator.Column{{Name: "addr"}, {Name: "failure_domain"}, {Name: "leaving", Unit: operator.UnitBool}}}
+	list, err := vms.List(ctx)
+	if err != nil {
+		return t, err
+	}
+	for _, v := range list {
+		t.Rows = append(t.Rows, []operator.Cell{operator.Text(v.Addr), operator.Text(v.FailureDomain), operator.Bool(v.Leaving)})
+	}
+	return t, nil
+}
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -102,6 +102,7 @@
 	r.connectFleet()
 	r.connectRuns()
 	r.connectRequests()
+	r.connectRequestCommands()
 }
 
 // connectPlatform builds the clients of the platform's services.
--- a/internal/workspace/operator/act.go
+++ b/internal/workspace/operator/act.go
@@ -81,39 +81,6 @@
 	return Result{Message: fmt.Sprintf("budget %q topped up by %d tokens", id, s.Tokens)}, nil
 }
 
-func (e *Executor) drain(ctx context.Context, cmd command, s *DrainStatement, leaving bool) (Result, error) {
-	if s.Kind == "vm" {
-		return e.drainVM(ctx, cmd, s, leaving)
-	}
-	version, err := e.change(ctx, cmd, nil, func(now *catalogue.Snapshot) (catalogue.Item, error) {
-		if err := requireItem(now, s.Pos, catalogue.KindTarget, s.Name); err != nil {
-			return catalogue.Item{}, err
-		}
-		t, _ := now.Target(s.Name)
-		t.Leaving = leaving
-		return catalogue.NewItem(catalogue.KindTarget, s.Name, t)
-	})
-	if err != nil {
-		return Result{}, changeError("drain", s.Kind, s.Name, err)
-	}
-	message := fmt.Sprintf("target %q receives no new work", s.Name)
-	if !leaving {
-		message = fmt.Sprintf("target %q receives work again", s.Name)
-	}
-	return Result{Message: message, Version: version}, nil
-}
-
-func (e *Executor) drainVM(ctx context.Context, cmd command, s *DrainStatement, leaving bool) (Result, error) {
-	if e.DrainVM == nil {
-		return Result{}, errNotConnected("how to drain VMs")
-	}
-	err := e.audited(ctx, cmd, func() error { return e.DrainVM(ctx, s.Name, leaving) })
-	if err != nil {
-		return Result{}, fmt.Errorf("drain vm %q: %w", s.Name, err)
-	}
-	return Result{Message: fmt.Sprintf("vm %q: drain is %t", s.Name, leaving)}, nil
-}
-
 func (e *Executor) order(ctx context.Context, cmd command, s *OrderStatement) (Result, error) {
 	if e.Order == nil {
 		return Result{}, errNotConnected("how to give orders to targets")
--- a/internal/workspace/operator/change.go
+++ b/internal/workspace/operator/change.go
@@ -17,10 +17,15 @@
 	maxKeyKeep     = 30 * 24 * time.Hour
 )
 
-// edit builds the item that a command makes out of the configuration.
-type edit func(s *catalogue.Snapshot) (catalogue.Item, error)
+// edit builds the items that a command makes out of the configuration.
+type edit func(s *catalogue.Snapshot) ([]catalogue.Item, error)
 
-// change accepts one item on top of the newest configuration.
+// one returns an item as an edit returns it.
+func one(item catalogue.Item, err error) ([]catalogue.Item, error) {
+	return []catalogue.Item{item}, err
+}
+
+// change accepts items on top of the newest configuration.
 //
 // The command's row is read behind the configuration: if an earlier try of the
 // command has been accepted, its version is the answer whatever is there now.
@@ -34,7 +39,7 @@
 	if err != nil || found {
 		return done, err
 	}
-	item, err := build(s)
+	items, err := build(s)
 	if err != nil {
 		return e.Catalogue.Refuse(ctx, cmd.CommandID, text, err)
 	}
@@ -47,7 +52,7 @@
 		Operator:  cmd.operator,
 		Command:   text,
 		At:        time.Now().UTC(),
-		Items:     []catalogue.Item{item},
+		Items:     items,
 	})
 }
 
@@ -56,11 +61,11 @@
 	if err != nil {
 		return Result{}, err
 	}
-	version, err := e.change(ctx, cmd, s.Version, func(now *catalogue.Snapshot) (catalogue.Item, error) {
+	version, err := e.change(ctx, cmd, s.Version, func(now *catalogue.Snapshot) ([]catalogue.Item, error) {
 		if _, exists := now.Item(kind, s.Name); exists {
-			return catalogue.Item{}, errorf(s.Pos, "%s %q exists already; change it with: set %s %q", kind, s.Name, kind, s.Name)
+			return nil, errorf(s.Pos, "%s %q exists already; change it with: set %s %q", kind, s.Name, kind, s.Name)
 		}
-		return buildItem(now, kind, s)
+		return one(buildItem(now, kind, s))
 	})
 	if err != nil {
 		return Result{}, changeError("create", s.Kind, s.Name, err)
@@ -73,11 +78,11 @@
 	if err != nil {
 		return Result{}, err
 	}
-	version, err := e.change(ctx, cmd, s.Version, func(now *catalogue.Snapshot) (catalogue.Item, error) {
+	version, err := e.change(ctx, cmd, s.Version, func(now *catalogue.Snapshot) ([]catalogue.Item, error) {
 		if err := requireItem(now, s.Pos, kind, s.Name); err != nil {
-			return catalogue.Item{}, err
+			return nil, err
 		}
-		return buildItem(now, kind, s)
+		return one(buildItem(now, kind, s))
 	})
 	if err != nil {
 		return Result{}, changeError("set", s.Kind, s.Name, err)
@@ -90,14 +95,14 @@
 	if err != nil {
 		return Result{}, err
 	}
-	version, err := e.change(ctx, cmd, s.Version, func(now *catalogue.Snapshot) (catalogue.Item, error) {
+	version, err := e.change(ctx, cmd, s.Version, func(now *catalogue.Snapshot) ([]catalogue.Item, error) {
 		if err := requireItem(now, s.Pos, kind, s.Name); err != nil {
-			return catalogue.Item{}, err
+			return nil, err
 		}
 		if err := checkDeletion(now, s, kind); err != nil {
-			return catalogue.Item{}, err
+			return nil, err
 		}
-		return catalogue.Deletion(kind, s.Name), nil
+		return []catalogue.Item{catalogue.Deletion(kind, s.Name)}, nil
 	})
 	if err != nil {
 		return Result{}, changeError("delete", s.Kind, s.Name, err)
@@ -131,8 +136,8 @@
 		}
 	}
 	until := time.Now().UTC().Add(keep).Truncate(time.Second)
-	version, err := e.change(ctx, cmd, nil, func(now *catalogue.Snapshot) (catalogue.Item, error) {
-		return rotateItem(now, kind, s, until)
+	version, err := e.change(ctx, cmd, nil, func(now *catalogue.Snapshot) ([]catalogue.Item, error) {
+		return one(rotateItem(now, kind, s, until))
 	})
 	if err != nil {
 		return Result{}, changeError("rotate key of", s.Kind, s.Name, err)
--- a/internal/workspace/operator/execute.go
+++ b/internal/workspace/operator/execute.go
@@ -65,7 +65,7 @@
 	Order func(ctx context.Context, target string, checksFencing bool, action string) error
 	// ReleaseTarget ends a router's hold of a target that may still receive its orders.
 	ReleaseTarget func(ctx context.Context, target string) error
-	// DrainVM takes the router or the targets of a VM out of use, or back into it.
+	// DrainVM takes the router on a VM out of use, or back into it.
 	DrainVM func(ctx context.Context, vm string, drain bool) error
 }
 
--- a/internal/workspace/operator/execute_test.go
+++ b/internal/workspace/operator/execute_test.go
@@ -129,6 +129,14 @@
 		assertDone(t, f, `undrain target "10.0.0.9:8000"`)
 		assertRows(t, f, `show targets where leaving = true`)
 	})
+	t.Run("drain and undrain the targets of a VM", func(t *testing.T) {
+		f := configured(t)
+		assertDone(t, f, `create target "10.0.0.9:8001" models "oak"`, `drain vm "10.0.0.9"`)
+		assertRows(t, f, `show targets where leaving = true`, "10.0.0.9:8000", "10.0.0.9:8001")
+		assertDone(t, f, `undrain vm "10.0.0.9"`)
+		assertRows(t, f, `show targets where leaving = true`)
+		assertRefused(t, f, `drain vm "10.0.0.7"`, `vm "10.0.0.7" has no target`)
+	})
 	t.Run("both keys are valid after a rotation", func(t *testing.T) {
 		f := configured(t)
 		assertDone(t, f, `rotate key workspace "veneer" key "a-fourth-key-of-enough-characters" keep "1h"`)
