--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,14 @@
 test:
 	scripts/test.sh
 
-# A long search for breaks of the budgets, at any seed: make fuzz SEED=7 CHECKS=100000.
+# A long search for breaks of budgets, configuration and the commands' parser, at any seed: make fuzz SEED=7 CHECKS=100000.
 SEED ?= 0
 CHECKS ?= 50000
 
 fuzz:
 	$(GO) test -timeout 0 ./internal/budget/reclaim -run TestBudgetsUnderFaults -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+	$(GO) test -timeout 0 ./internal/workspace/catalogue -run TestFleetKeepsConfiguration -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 1m ./internal/workspace/operator
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -14,6 +14,7 @@
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/pool"
+	"rosevalve/internal/workspace/catalogue"
 )
 
 const idleTimeout = 2 * time.Minute
@@ -26,6 +27,7 @@
 	Version  uint64            `json:"config_version"`
 	Ready    bool              `json:"ready"`
 	Draining bool              `json:"draining"`
+	Config   catalogue.State   `json:"config"`
 	Books    []allotment.State `json:"books"`
 	Witness  []witness.State   `json:"witness"`
 	Targets  []pool.State      `json:"targets"`
@@ -96,6 +98,7 @@
 		Version:  r.catalogue.Current().Version(),
 		Ready:    r.catalogue.Ready(),
 		Draining: r.draining.Load(),
+		Config:   r.catalogue.State(),
 		Books:    r.purse.State(),
 		Witness:  r.books.State(),
 		Targets:  r.targets.State(),
--- a/internal/workspace/catalogue/accept.go
+++ b/internal/workspace/catalogue/accept.go
@@ -102,6 +102,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("accept change: %w", err)
 	}
+	accepts.Add(1)
 	c.tidy(ctx, version)
 	return version, nil
 }
@@ -118,6 +119,7 @@
 	}
 	_, err := c.Commit(ctx, commit)
 	if err == nil {
+		refusals.Add(1)
 		return 0, reason
 	}
 	version, found, readErr := c.Accepted(ctx, commandID, command)
--- a/internal/workspace/catalogue/catalogue.go
+++ b/internal/workspace/catalogue/catalogue.go
@@ -98,7 +98,9 @@
 	for {
 		err := c.Refresh(ctx)
 		c.outage.Store(err != nil)
+		polls.Add(1)
 		if err != nil {
+			failedPolls.Add(1)
 			c.report(err)
 			c.wakePeers()
 		}
@@ -148,6 +150,7 @@
 		return
 	}
 	c.current.Store(next)
+	installs.Add(1)
 	if c.OnChange != nil {
 		c.OnChange(next)
 	}
--- a/internal/workspace/catalogue/fleet_test.go
+++ b/internal/workspace/catalogue/fleet_test.go
@@ -37,7 +37,7 @@
 	return step{
 		Action: rapid.SampledFrom([]string{
 			"set", "set", "set", "race", "race", "delete", "repeat", "down", "slow", "lose", "late", "heal",
-			"cut", "join", "restart", "settle", "wait",
+			"lag", "cut", "join", "restart", "settle", "wait",
 		}).Draw(t, "action"),
 		Router: rapid.IntRange(0, testRouters-1).Draw(t, "router"),
 		Other:  rapid.IntRange(0, testRouters-1).Draw(t, "other"),
@@ -97,8 +97,11 @@
 		d.setLink(n, func(l *link) { l.lose = 1 })
 	case "late":
 		d.setLink(n, func(l *link) { l.late = s.Delay })
+	case "lag":
+		d.setLag(n, s.Delay/4)
 	case "heal":
 		d.setLink(n, func(l *link) { *l = link{} })
+		d.setLag(n, 0)
 	case "cut", "join":
 		d.setCut(s.Router, s.Other, s.Action == "cut")
 	case "restart":
--- a/internal/workspace/catalogue/world_test.go
+++ b/internal/workspace/catalogue/world_test.go
@@ -32,7 +32,8 @@
 	cat  *Catalogue
 	stop context.CancelFunc
 	link link
-	sets int // changes of the link
+	sets int           // changes of the link
+	lag  time.Duration // of its answers to other routers
 }
 
 // world is a fleet before one table, with the oracle's record of what the table applied.
@@ -264,6 +265,12 @@
 	w.cut[[2]int{min(i, j), max(i, j)}] = isCut
 }
 
+func (w *world) setLag(n *node, lag time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n.lag = lag
+}
+
 func (w *world) readCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -284,14 +291,14 @@
 	}
 	w.mu.Lock()
 	isCut := w.cut[[2]int{min(from, to), max(from, to)}]
-	c := w.nodes[to].cat
+	c, lag := w.nodes[to].cat, w.nodes[to].lag
 	w.mu.Unlock()
 	if isCut || c == nil {
 		_ = sleep(ctx, time.Second)
 		return inner.ConfigurationResponse{}, errors.New("peer does not answer")
 	}
 	out := c.Answer(ctx, in)
-	return out, sleep(ctx, linkDelay)
+	return out, sleep(ctx, lag+linkDelay)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
