Ask six routers behind a new version

Cause: rounds of three left one router in some of the changes to its next poll, so that p99 on 8 routers was 806 to 902 ms.

--- a/internal/workspace/catalogue/catalogue.go
+++ b/internal/workspace/catalogue/catalogue.go
@@ -53,6 +53,7 @@
 	offset  func() uint64                   // where the rotation through the peers begins
 	segment uint64                          // changes in an archived segment; tests make it small
 	loaded  atomic.Bool                     // a snapshot was read from the table or a peer
+	fresh   atomic.Bool                     // a version was installed that no peer has been told of
 	behind  atomic.Bool                     // a peer's changes did not reach back to this router's version
 	outage  atomic.Bool                     // the newest poll of the table failed
 	heard   atomic.Uint64                   // the highest version that a peer has named
@@ -155,6 +156,7 @@
 		c.OnChange(next)
 	}
 	c.loaded.Store(true)
+	c.fresh.Store(true)
 	c.wakePeers() // each router tells a few others at once
 	if next.problem != nil {
 		c.report(fmt.Errorf("old value stays in force: %w", next.problem))
--- a/internal/workspace/catalogue/peers.go
+++ b/internal/workspace/catalogue/peers.go
@@ -13,6 +13,7 @@
 
 const (
 	gossipFanOut   = 3
+	spreadFanOut   = 6               // behind a new version
 	joinPeers      = 64              // routers asked by one that has no configuration
 	joinAfter      = 2 * time.Second // wait for a slow table before other routers are asked
 	confirmTimeout = 500 * time.Millisecond
@@ -68,6 +69,9 @@
 	base := c.Current()
 	in := inner.ConfigurationRequest{From: c.Addr, Version: base.version, Whole: c.outage.Load() || c.behind.Load()}
 	count := gossipFanOut
+	if c.fresh.Swap(false) {
+		count = spreadFanOut
+	}
 	if !c.Ready() {
 		if !c.outage.Load() && time.Since(began) < joinAfter {
 			return // the table goes before peers, which may be behind
