Count a run as begun when the request for its rest does not arrive

Cause: a stream that was cut and whose engine then refused the connection took the state of the refused resumption, so that the answer was "not_run" for a run that had delivered tokens; a run taken over from another router and lost at its engine left no trace in the state either.

--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -143,6 +143,7 @@
 	}
 	for n := 0; n < maxResumes && resumable(ctx, a.check(err)); n++ {
 		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
+		a.begun = true
 	}
 	return a.check(err)
 }
@@ -152,7 +153,7 @@
 func (d *Dispatcher) takeOver(ctx context.Context, s *session) (Outcome, bool) {
 	a := s.begin(s.Earlier.Target, s.Earlier.RunID)
 	// What the caller has is the beginning of this very run.
-	a.earlier = true
+	a.earlier, a.begun = true, true
 	a.position = len(s.prior)
 	if n := len(s.Delivered); n > 0 {
 		a.answerID = runner.NewEvent(s.Delivered[n-1]).AnswerID()
@@ -167,7 +168,7 @@
 	if ctx.Err() != nil {
 		return d.abandon(ctx, s, a), true
 	}
-	_, _ = d.Cancel(a.target, a.runID)
+	s.failed(a, d.Cancel)
 	return Outcome{}, false
 }
 
--- a/internal/request/dispatch/outcome.go
+++ b/internal/request/dispatch/outcome.go
@@ -8,7 +8,6 @@
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
-	"rosevalve/internal/target/runner"
 )
 
 // Outcome is what a request used and how it ended.
@@ -47,7 +46,7 @@
 		case a.err == nil:
 			out := s.whole(a)
 			return out.usage, true
-		case runner.State(a.err) == answer.NotRun:
+		case a.state() == answer.NotRun:
 			return chat.Usage{}, false
 		case err != nil:
 			return s.known(a), true
--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -38,6 +38,7 @@
 	runID    string
 	earlier  bool   // another router began the run
 	answerID []byte // as the run's first event names it
+	begun    bool   // the run may have begun before the last request for it
 	position int    // text events of this run that the caller has
 	finished bool
 	usage    *chat.Usage
@@ -193,6 +194,20 @@
 	return err
 }
 
+// state tells whether the run has run. A request for the rest of a run that does
+// not reach the engine says nothing about the run itself.
+func (a *attempt) state() answer.RunState {
+	state := runner.State(a.err)
+	switch {
+	case a.position > 0:
+		return answer.Ran
+	case a.begun:
+		return max(state, answer.Unknown)
+	default:
+		return state
+	}
+}
+
 // seen returns the tokens that have arrived from the run, at most limit.
 func (a *attempt) seen(limit int64) int64 { return min(int64(a.position), limit) }
 
@@ -205,7 +220,7 @@
 
 // failed notes a failed attempt, stopping it if it may have run.
 func (s *session) failed(a *attempt, cancel func(addr, runID string) (chat.Usage, error)) {
-	state := runner.State(a.err)
+	state := a.state()
 	if state == answer.NotRun {
 		return
 	}
--- a/internal/request/gateway/faults_test.go
+++ b/internal/request/gateway/faults_test.go
@@ -201,6 +201,31 @@
 	}
 }
 
+func TestEnginesDie(t *testing.T) {
+	// Both engines have begun no run of the key but the first's, which dies after some tokens.
+	die := func(t *testing.T, both bool) (r reply) {
+		inWorld(t, 1, func(t *testing.T, w *world) {
+			time.AfterFunc(2*testInterval+testInterval/2, func() {
+				for addr, e := range w.engines {
+					if both || len(e.CountsNow().Runs) > 0 {
+						w.killTarget(addr)
+					}
+				}
+			})
+			r = w.nodes[0].send("/v1/chat/completions", completionBody("a"))
+		})
+		return r
+	}
+	t.Run("one", func(t *testing.T) {
+		r := die(t, false)
+		assert.Equal(t, r.text(), wantText("a"), "%s", r.body)
+	})
+	t.Run("both", func(t *testing.T) {
+		r := die(t, true)
+		assert.Equal(t, r.refusal().Error.Run, "ran", "%s", r.body)
+	})
+}
+
 func TestSilentConnectionsCostOneTimeout(t *testing.T) {
 	// slow counts requests that wait for a silent connection, of those sent one after another.
 	slow := func(t *testing.T, keep bool) int {
--- a/internal/request/gateway/fleet_test.go
+++ b/internal/request/gateway/fleet_test.go
@@ -28,7 +28,7 @@
 func drawStep(t *rapid.T) step {
 	s := step{Kind: rapid.SampledFrom([]string{
 		"complete", "complete", "complete", "hold", "hold", "hold", "wait", "wait", "conn", "conn",
-		"outage", "back", "lost", "delayed", "kill", "decline", "accept",
+		"outage", "back", "lost", "delayed", "kill", "kill engine", "decline", "accept",
 	}).Draw(t, "kind")}
 	s.Router = rapid.IntRange(0, 2).Draw(t, "router")
 	s.Key = rapid.IntRange(0, 2).Draw(t, "key")
@@ -90,6 +90,8 @@
 		if w.members()[0].ID != w.nodes[s.Router].addr { // someone survives
 			w.nodes[s.Router].kill()
 		}
+	case "kill engine":
+		w.killTarget(fmt.Sprintf("10.0.1.%d:80", s.Key%testEngines+1))
 	case "decline", "accept":
 		for _, e := range w.engines {
 			e.SetFault(engine.Fault{Decline: s.Kind == "decline"})
--- a/internal/request/gateway/world_test.go
+++ b/internal/request/gateway/world_test.go
@@ -35,6 +35,7 @@
 
 const (
 	testTokens    = 5
+	testEngines   = 2
 	testInterval  = 10 * time.Millisecond
 	testFirstByte = 2 * time.Second
 	testProgress  = time.Second
@@ -147,6 +148,8 @@
 	delayed int // commits that take effect late, after an unknown outcome
 	ended   bool
 	conns   []net.Conn
+
+	targetConns map[string][]net.Conn
 }
 
 // node is one router.
@@ -172,12 +175,14 @@
 		engines:   make(map[string]*engine.Server),
 		services:  make(map[string]*service.Server),
 		listeners: make(map[string]*pipeListener),
+
+		targetConns: make(map[string][]net.Conn),
 	}
 	items := []catalogue.Item{
 		item("workspace", "care", catalogue.Workspace{Name: "care", Weight: 1, KeyHashes: []string{catalogue.HashKey("secret")}}),
 		item("service", "beds", catalogue.Service{Name: "beds", TokensPerCall: 1}),
 	}
-	for i := range 2 {
+	for i := range testEngines {
 		addr := fmt.Sprintf("10.0.1.%d:80", i+1)
 		w.engines[addr] = &engine.Server{Models: []string{"m"}, TokenInterval: testInterval}
 		w.serve(addr, w.engines[addr].Serve)
@@ -341,9 +346,23 @@
 	if err != nil {
 		return nil, err
 	}
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	n.world.targetConns[addr] = append(n.world.targetConns[addr], conn)
 	return &faultyConn{Conn: conn, fault: fault}, nil
 }
 
+// killTarget ends a target: its connections break and it takes no new ones.
+func (w *world) killTarget(addr string) {
+	_ = w.listeners[addr].Close()
+	w.mu.Lock()
+	conns := w.targetConns[addr]
+	w.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
 func (w *world) nextFault() connFault {
 	w.mu.Lock()
 	defer w.mu.Unlock()
