Leave attempts that never reached a target out of the retry budget

Cause: with one of two engines killed, 59 of 696 requests were refused with no_target although the other engine was free, because refused connections used up the retry budget. A refused connection costs the targets nothing; what a target declines or may have begun still counts.

--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -82,8 +82,9 @@
 		}
 	}
 	exclude := make(map[string]bool)
+	var last error
 	for n := range maxAttempts {
-		if ctx.Err() != nil || n > 0 && !d.Retries.Withdraw() {
+		if ctx.Err() != nil || n > 0 && !d.Retries.allows(last) {
 			break
 		}
 		target, err := d.Engine(c.Model, exclude)
@@ -100,6 +101,7 @@
 			return d.abandon(ctx, s, a)
 		}
 		s.failed(a, d.Cancel)
+		last = err
 	}
 	return s.refused(ctx)
 }
--- a/internal/request/dispatch/retry.go
+++ b/internal/request/dispatch/retry.go
@@ -1,6 +1,13 @@
 package dispatch
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/runner"
+)
 
 const (
 	defaultRetryRatio   = 0.1
@@ -30,6 +37,16 @@
 	b.spent = max(0, b.spent-ratio)
 }
 
+// allows reports whether an attempt that failed with last may be repeated. One
+// that never reached its target costs no target anything and is not counted.
+func (b *RetryBudget) allows(last error) bool {
+	var e *runner.Error
+	if errors.As(last, &e) && e.Run == answer.NotRun && e.Status == 0 {
+		return true
+	}
+	return b.Withdraw()
+}
+
 // Withdraw reports whether an attempt may be repeated.
 func (b *RetryBudget) Withdraw() bool {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/request/dispatch/retry_test.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/runner"
+)
+
+// allowed counts the repetitions that the budget allows out of requests that all fail with the error.
+func allowed(requests int, err error) int {
+	var b RetryBudget
+	n := 0
+	for range requests {
+		b.Deposit()
+		if b.allows(err) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRetryBudget(t *testing.T) {
+	const requests = 1000
+	t.Run("bounds repetitions that reach targets", func(t *testing.T) {
+		for _, err := range []error{
+			&runner.Error{Run: answer.Unknown},
+			&runner.Error{Run: answer.NotRun, Status: 503},
+		} {
+			n := allowed(requests, err)
+			assert.Assert(t, n >= requests/10 && n <= requests/10+defaultRetryReserve+1, "%d", n)
+		}
+	})
+	t.Run("does not count what reached none", func(t *testing.T) {
+		assert.Equal(t, allowed(requests, &runner.Error{Run: answer.NotRun}), requests)
+	})
+}
--- a/internal/request/dispatch/service.go
+++ b/internal/request/dispatch/service.go
@@ -32,8 +32,9 @@
 	c.Call.Fresh = !c.Idempotent
 	exclude := make(map[string]bool)
 	state := answer.NotRun
+	var last error
 	for n := range maxAttempts {
-		if ctx.Err() != nil || n > 0 && !d.Retries.Withdraw() {
+		if ctx.Err() != nil || n > 0 && !d.Retries.allows(last) {
 			break
 		}
 		target, err := d.Service(c.Service, exclude)
@@ -45,6 +46,7 @@
 		if err == nil {
 			return result, nil
 		}
+		last = err
 		// A later attempt that did not run says nothing about an earlier one.
 		state = max(state, runner.State(err))
 		if !d.mayRepeat(runner.State(err), c.Idempotent) {
