--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,13 @@
 test:
 	scripts/test.sh
 
+# A long search for breaks of the budgets, at any seed: make fuzz SEED=7 CHECKS=100000.
+SEED ?= 0
+CHECKS ?= 50000
+
+fuzz:
+	$(GO) test -timeout 0 ./internal/budget/reclaim -run TestBudgetsUnderFaults -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -57,6 +57,8 @@
 	Earlier Location
 	// Delivered holds the events that the caller has already received.
 	Delivered [][]byte
+	// Announce is called before each attempt; after an error it is not sent.
+	Announce func(Location) error
 	// Began is told where each attempt runs; it may be nil.
 	Began func(Location)
 	// Sink receives the events.
@@ -92,6 +94,9 @@
 			break
 		}
 		exclude[target.Addr()] = true
+		if !s.announce(target.Addr(), attemptID(c.RunID, n)) {
+			break
+		}
 		a := s.begin(target.Addr(), attemptID(c.RunID, n))
 		err = d.run(ctx, s, a, target.Go)
 		if err == nil {
@@ -153,6 +158,9 @@
 // takeOver resumes a run that another router has begun. It reports false if the
 // run cannot be resumed and was cancelled as far as possible.
 func (d *Dispatcher) takeOver(ctx context.Context, s *session) (Outcome, bool) {
+	if !s.announce(s.Earlier.Target, s.Earlier.RunID) {
+		return Outcome{}, false
+	}
 	a := s.begin(s.Earlier.Target, s.Earlier.RunID)
 	// What the caller has is the beginning of this very run.
 	a.earlier, a.begun = true, true
--- a/internal/request/dispatch/service.go
+++ b/internal/request/dispatch/service.go
@@ -21,6 +21,8 @@
 	Call runner.Call
 	// Idempotent allows a call that may have run to be sent again.
 	Idempotent bool
+	// Announce is called before each attempt; after an error it is not sent.
+	Announce func(Location) error
 }
 
 // CallService runs the call at a target of the service. It returns the outcome
@@ -42,6 +44,9 @@
 			break
 		}
 		exclude[target.Addr()] = true
+		if c.Announce != nil && c.Announce(Location{Target: target.Addr(), RunID: c.RunID}) != nil {
+			break
+		}
 		result, err := d.call(target, c)
 		if err == nil {
 			return result, nil
--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -54,6 +54,11 @@
 	return s
 }
 
+// announce reports whether the attempt may be sent.
+func (s *session) announce(target, runID string) bool {
+	return s.Announce == nil || s.Announce(Location{Target: target, RunID: runID}) == nil
+}
+
 func (s *session) begin(target, runID string) *attempt {
 	if s.Began != nil {
 		s.Began(Location{Target: target, RunID: runID})
