--- a/internal/cmd/standin/main.go
+++ b/internal/cmd/standin/main.go
@@ -16,7 +16,7 @@
 		Name:        "rosevalve-standin",
 		Usage:       "rosevalve-standin SUBCOMMAND [FLAGS]",
 		ShortHelp:   "stand-ins for the systems around the routers",
-		Subcommands: []*ff.Command{platformCommand(), engineCommand(), serviceCommand(), loadCommand(stdout), inforceCommand(stdout)},
+		Subcommands: []*ff.Command{platformCommand(), engineCommand(), serviceCommand(), relayCommand(stdout), loadCommand(stdout), inforceCommand(stdout)},
 	}
 	err := root.ParseAndRun(ctx, args)
 	switch {
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -159,6 +159,8 @@
 // run cannot be resumed and was cancelled as far as possible.
 func (d *Dispatcher) takeOver(ctx context.Context, s *session) (Outcome, bool) {
 	if !s.announce(s.Earlier.Target, s.Earlier.RunID) {
+		// The earlier run may go on, and is not this router's to bill.
+		s.state = answer.Unknown
 		return Outcome{}, false
 	}
 	a := s.begin(s.Earlier.Target, s.Earlier.RunID)
--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -252,8 +252,8 @@
 
 // refused is the outcome when no attempt is left.
 func (s *session) refused(ctx context.Context) Outcome {
-	out := Outcome{ran: s.state != answer.NotRun, usage: s.usage, failure: noTarget(s.state)}
-	if out.ran {
+	out := Outcome{ran: s.usage != chat.Usage{}, usage: s.usage, failure: noTarget(s.state)}
+	if s.state != answer.NotRun {
 		out.failure.Status = fasthttp.StatusBadGateway
 		out.failure.Code = "target_failed"
 		out.failure.Message = "the target failed while it ran the request"
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -13,7 +13,7 @@
 RATE=${RATE:-60}
 DURATION=${DURATION:-12s}
 SETTLE=${SETTLE:-40s}
-SCENARIOS=(none kill_router freeze_router platform_down platform_lossy platform_slow kill_engine engine_silent kill_router_platform_down freeze_router_platform_lossy kill_two_routers)
+SCENARIOS=(none kill_router freeze_router platform_down platform_lossy platform_slow kill_engine engine_silent silent_connections crossed_answers stop_router kill_router_platform_down freeze_router_platform_lossy kill_two_routers)
 
 pid_of() {
   awk -v name="$1" '$1 == name {print $2}' "$RUN/pids" | tail -n 1
@@ -56,6 +56,13 @@
   sleep 4
   engine_fault '{}'
 }
+silent_connections() { engine_fault '{"silence_open":true}'; }
+crossed_answers() {
+  engine_fault '{"crossed":true}'
+  sleep 4
+  engine_fault '{}'
+}
+stop_router() { kill -TERM "$(pid_of router-0)"; }
 kill_router_platform_down() {
   platform_fault '{"down":true}'
   sleep 1
