Suspect a target's idle connections after a second of silence

Cause: with all connections to one of two engines silenced under 60 requests/s, every answer was whole, but the 99th percentile of all first tokens was 30 s: until the first silent request failed at its first-byte timeout, each new one took another silent connection. A read that waits for more than a second now retires the idle connections and goes on waiting. scripts/faults.sh no longer waits for the connection that it has silenced itself.

--- a/internal/request/gateway/faults_test.go
+++ b/internal/request/gateway/faults_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,41 +228,50 @@
 	})
 }
 
-func TestSilentConnectionsCostOneTimeout(t *testing.T) {
-	// slow counts requests that wait for a silent connection, of those sent one after another.
-	slow := func(t *testing.T, keep bool) int {
-		count := 0
-		inWorld(t, 1, func(t *testing.T, w *world) {
-			const requests = 16
-			if keep {
-				keepSilent(w.nodes[0])
-			}
-			done := make(chan bool)
-			for i := range requests {
-				go func() {
-					w.nodes[0].send("/v1/chat/completions", completionBody(fmt.Sprint("warm", i)))
-					done <- true
-				}()
-			}
-			for range requests {
-				<-done
-			}
-			for _, e := range w.engines {
-				e.SetFault(engine.Fault{SilenceOpen: true})
-			}
-			for i := range requests {
+// slowOnSilent counts the requests that wait for a connection that has gone
+// silent, of those that begin at an interval.
+func slowOnSilent(t *testing.T, interval time.Duration, keep bool) int {
+	t.Helper()
+	const requests = 16
+	var slow atomic.Int64
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		n.client.KeepSilent = keep
+		var wait sync.WaitGroup
+		for i := range requests {
+			wait.Go(func() { n.send("/v1/chat/completions", completionBody(fmt.Sprint("warm", i))) })
+		}
+		wait.Wait()
+		for _, e := range w.engines {
+			e.SetFault(engine.Fault{SilenceOpen: true})
+		}
+		for i := range requests {
+			wait.Go(func() {
 				began := time.Now()
-				r := w.nodes[0].send("/v1/chat/completions", completionBody(fmt.Sprint("a", i)))
+				r := n.send("/v1/chat/completions", completionBody(fmt.Sprint("a", i)))
 				if time.Since(began) >= testProgress || r.text() != wantText(fmt.Sprint("a", i)) {
-					count++
+					slow.Add(1)
 				}
-			}
-		})
-		return count
-	}
-	const engines = 2
-	assert.Assert(t, slow(t, false) <= engines)
-	assert.Assert(t, slow(t, true) > engines, "the oracle did not notice")
+			})
+			time.Sleep(interval)
+		}
+		wait.Wait()
+	})
+	return int(slow.Load())
+}
+
+func TestSilentConnections(t *testing.T) {
+	t.Run("one request after another", func(t *testing.T) {
+		const interval = testFirstByte + testProgress
+		assert.Assert(t, slowOnSilent(t, interval, false) <= testEngines)
+		assert.Assert(t, slowOnSilent(t, interval, true) > testEngines, "the oracle did not notice")
+	})
+	t.Run("requests that overlap", func(t *testing.T) {
+		// Suspicion comes after a second, in which four requests begin.
+		const interval, most = 250 * time.Millisecond, 4 * testEngines
+		assert.Assert(t, slowOnSilent(t, interval, false) <= most)
+		assert.Assert(t, slowOnSilent(t, interval, true) > most, "the oracle did not notice")
+	})
 }
 
 func TestDeadlineIsAnsweredAtOnce(t *testing.T) {
--- a/internal/request/gateway/world_test.go
+++ b/internal/request/gateway/world_test.go
@@ -594,6 +594,3 @@
 	}
 	return out
 }
-
-// keepSilent leaves connections to silent targets in use.
-func keepSilent(n *node) { n.client.KeepSilent = true }
--- a/internal/target/runner/conn.go
+++ b/internal/target/runner/conn.go
@@ -25,8 +25,12 @@
 func (e *writeError) Error() string { return "write: " + e.err.Error() }
 func (e *writeError) Unwrap() error { return e.err }
 
-// deadlineSlack is the part of a progress timeout by which it may end early.
-const deadlineSlack = 10
+const (
+	// deadlineSlack is the part of a progress timeout by which it may end early.
+	deadlineSlack = 10
+	// suspectAfter is the longest wait that raises no suspicion against a target's connections.
+	suspectAfter = time.Second
+)
 
 // progressConn fails a read or write that makes no progress in time.
 //
@@ -35,7 +39,7 @@
 	net.Conn
 	firstByte time.Duration
 	progress  time.Duration
-	silent    func() // called when a read makes no progress
+	silent    func() // called when a read or write makes no progress for a while
 
 	waiting bool      // a request was written and nothing was read since
 	sent    int       // bytes of the request that were written
@@ -62,29 +66,47 @@
 	return nil
 }
 
-// Read fails if nothing arrives within the progress timeout.
+// Read fails if nothing arrives within the progress timeout. A read that takes
+// longer than suspectAfter raises suspicion before that, so that new requests
+// do not wait on connections that were silenced with this one.
 func (c *progressConn) Read(b []byte) (int, error) {
 	timeout := c.progress
 	if c.waiting {
 		timeout = c.firstByte
 	}
-	if err := c.arm(time.Now().Add(timeout), timeout/deadlineSlack); err != nil {
+	began := time.Now()
+	end := began.Add(timeout)
+	if !c.limit.IsZero() && c.limit.Before(end) {
+		end = c.limit
+	}
+	first := min(suspectAfter, timeout)
+	if err := c.arm(began.Add(first), end, first/deadlineSlack); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.waiting = false
-	}
 	if isTimeout(err) {
 		c.silent()
+		n, err = c.readUntil(b, end)
+	}
+	if n > 0 {
+		c.waiting = false
 	}
 	return n, err
 }
 
+// readUntil goes on with a read that has raised suspicion.
+func (c *progressConn) readUntil(b []byte, end time.Time) (int, error) {
+	c.armed = end
+	if err := c.Conn.SetReadDeadline(end); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
 // arm sets the read deadline, unless the one in force is earlier by no more than the slack.
-func (c *progressConn) arm(deadline time.Time, slack time.Duration) error {
-	if !c.limit.IsZero() && c.limit.Before(deadline) {
-		deadline = c.limit
+func (c *progressConn) arm(deadline, end time.Time, slack time.Duration) error {
+	if end.Before(deadline) {
+		deadline = end
 	}
 	if early := deadline.Sub(c.armed); early >= 0 && early < slack {
 		return nil
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -56,7 +56,10 @@
   sleep 4
   engine_fault '{}'
 }
-silent_connections() { engine_fault '{"silence_open":true}'; }
+silent_connections() {
+  # The connection that orders it goes silent too.
+  curl -sS -m 1 -o /dev/null -d '{"silence_open":true}' "http://127.0.0.1:$((BASE + 801))/fault" || true
+}
 crossed_answers() {
   engine_fault '{"crossed":true}'
   sleep 4
