Follow a run on a new connection when a used one is silent for a second

Cause: requests that began before a silence was suspected still waited for the whole first-byte timeout. On a connection that was used before, an engine has a second for its first byte; then the run is asked for on a new connection, and cancelled and made elsewhere if the engine does not have it.

--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -148,6 +148,11 @@
 	} else {
 		err = d.Stream(ctx, a.target, a.runID, s.Body, sink)
 	}
+	if err != nil && ctx.Err() == nil && runner.State(err) == answer.Unknown {
+		// The answer may have been lost on the way; the engine knows of the run if it has begun.
+		a.begun = true
+		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
+	}
 	for n := 0; n < maxResumes && resumable(ctx, a.check(err)); n++ {
 		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
 		a.begun = true
--- a/internal/target/runner/conn.go
+++ b/internal/target/runner/conn.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,13 +42,16 @@
 	progress  time.Duration
 	silent    func() // called when a read or write makes no progress for a while
 
-	waiting bool      // a request was written and nothing was read since
-	sent    int       // bytes of the request that were written
-	limit   time.Time // read deadline that the user of the connection has set
-	armed   time.Time // read deadline that is in force
+	engine *atomic.Bool // the target keeps runs
+
+	requests int       // sent on the connection
+	waiting  bool      // a request was written and nothing was read since
+	sent     int       // bytes of the request that were written
+	limit    time.Time // read deadline that the user of the connection has set
+	armed    time.Time // read deadline that is in force
 }
 
-func (c *Client) dial(addr string) (net.Conn, error) {
+func (c *Client) dial(addr string, engine *atomic.Bool) (net.Conn, error) {
 	conn, err := c.Dial(addr)
 	if err != nil {
 		return nil, &dialError{err: err}
@@ -57,6 +61,7 @@
 		firstByte: c.FirstByte,
 		progress:  c.Progress,
 		silent:    func() { c.retire(addr) },
+		engine:    engine,
 	}, nil
 }
 
@@ -70,10 +75,7 @@
 // longer than suspectAfter raises suspicion before that, so that new requests
 // do not wait on connections that were silenced with this one.
 func (c *progressConn) Read(b []byte) (int, error) {
-	timeout := c.progress
-	if c.waiting {
-		timeout = c.firstByte
-	}
+	timeout := c.timeout()
 	began := time.Now()
 	end := began.Add(timeout)
 	if !c.limit.IsZero() && c.limit.Before(end) {
@@ -86,6 +88,8 @@
 	n, err := c.Conn.Read(b)
 	if isTimeout(err) {
 		c.silent()
+	}
+	if isTimeout(err) && time.Now().Before(end) {
 		n, err = c.readUntil(b, end)
 	}
 	if n > 0 {
@@ -94,6 +98,19 @@
 	return n, err
 }
 
+// timeout returns the progress timeout of the next read. A connection that was
+// used before may have gone silent since, and a run can be followed on a new one.
+func (c *progressConn) timeout() time.Duration {
+	switch {
+	case !c.waiting:
+		return c.progress
+	case c.requests > 1 && c.engine.Load():
+		return min(c.firstByte, suspectAfter)
+	default:
+		return c.firstByte
+	}
+}
+
 // readUntil goes on with a read that has raised suspicion.
 func (c *progressConn) readUntil(b []byte, end time.Time) (int, error) {
 	c.armed = end
@@ -120,6 +137,7 @@
 	if !c.waiting {
 		c.waiting = true
 		c.sent = 0
+		c.requests++
 	}
 	if err := c.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
 		return 0, &writeError{sent: c.sent, err: err}
--- a/internal/target/runner/engine.go
+++ b/internal/target/runner/engine.go
@@ -34,6 +34,7 @@
 	req.Header.SetContentType(jsonType)
 	req.Header.Set(chat.HeaderRun, runID)
 	req.SetBodyRaw(body)
+	c.host(addr).engine.Store(true)
 	return c.events(ctx, addr, false, req, runID, sink)
 }
 
--- a/internal/target/runner/runner.go
+++ b/internal/target/runner/runner.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,9 @@
 type host struct {
 	kept  *fasthttp.HostClient // reuses connections
 	fresh *fasthttp.HostClient // uses each connection once
+	// engine targets keep runs, so that a request on a silent connection can be
+	// followed on another one.
+	engine *atomic.Bool
 }
 
 func (c *Client) init() {
@@ -104,7 +108,8 @@
 		return h
 	}
 	c.prune(time.Now())
-	h = &host{kept: c.httpClient(addr), fresh: c.httpClient(addr)}
+	h = &host{engine: &atomic.Bool{}}
+	h.kept, h.fresh = c.httpClient(addr, h.engine), c.httpClient(addr, h.engine)
 	c.hosts[addr] = h
 	return h
 }
@@ -122,7 +127,7 @@
 }
 
 // httpClient returns a client that sends each request once.
-func (c *Client) httpClient(addr string) *fasthttp.HostClient {
+func (c *Client) httpClient(addr string, engine *atomic.Bool) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      addr,
 		StreamResponseBody:        true,
@@ -132,7 +137,7 @@
 		MaxConns:                  maxConnsPerTarget,
 		MaxIdleConnDuration:       maxIdleConnDuration,
 		MaxConnDuration:           c.MaxAge,
-		Dial:                      c.dial,
+		Dial:                      func(addr string) (net.Conn, error) { return c.dial(addr, engine) },
 	}
 }
 
--- a/scripts/relay.sh
+++ b/scripts/relay.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Measures what relaying costs one router: relay.sh tokens | idle
+# PROCS bounds the cores of the router, STREAMS is the number of streams.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -10,7 +11,7 @@
 ROUTER=127.0.0.1:$((BASE + 1))
 case "${1:-}" in
 tokens) ENGINES=1 INTERVAL=2ms STREAMS=${STREAMS:-250} TIMES="--warm 3s --duration 5s" ;;
-idle) ENGINES=${ENGINES:-40} INTERVAL=30s STREAMS=${STREAMS:-5000} TIMES="--warm 15s --duration 10s" ;;
+idle) ENGINES=${ENGINES:-40} INTERVAL=10s STREAMS=${STREAMS:-5000} TIMES="--warm 25s --duration 10s" ;;
 *)
   echo "usage: relay.sh tokens | idle" >&2
   exit 2
@@ -37,7 +38,7 @@
 [operator]
 key = demo-operator-key
 INI
-bin/rosevalve router --config "$RUN/router.ini" >"$RUN/router.log" 2>&1 &
+env ${PROCS:+GOMAXPROCS=$PROCS} bin/rosevalve router --config "$RUN/router.ini" >"$RUN/router.log" 2>&1 &
 router=$!
 pids+=("$router")
 ctl() {
