Share targets fairly among workspaces and refuse what would wait too long

Requests went to the less loaded of two targets with a fixed bound of 256 and no queue, so one workspace's long work stood before everyone's questions. Each model and service now has a queue: workspaces share by weighted virtual time, urgent requests have a bounded head start (borrowed virtual time), and a request whose expected wait exceeds its bound is refused at once with when to come back. Targets get a learnt limit (AIMD on first-token time, token gap and declines), a breaker with probes, and leave by configuration or VM list.

Ruled out: strict priority of urgent work (a test shows it starves long work) and order of arrival (tests show Jain's index below 0.9 and urgent requests behind long ones). The tests of call faults now wait for ejected targets to be probed between two faults, so that each fault still meets a target.

--- a/internal/fleet/router/requests.go
+++ b/internal/fleet/router/requests.go
@@ -30,8 +30,7 @@
 		Register: r.register,
 		Purse:    r.purse,
 		Dispatcher: &dispatch.Dispatcher{
-			Engine:  r.targets.Engine,
-			Service: r.targets.Service,
+			Acquire: r.queues.Acquire,
 			Stream:  client.Stream,
 			Resume:  client.Resume,
 			Cancel:  client.Cancel,
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -22,8 +22,10 @@
 	"rosevalve/internal/fleet/settings"
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/request/gateway"
+	"rosevalve/internal/request/queue"
 	"rosevalve/internal/request/register"
 	"rosevalve/internal/target/pool"
+	"rosevalve/internal/target/report"
 	"rosevalve/internal/workspace/catalogue"
 	"rosevalve/internal/workspace/operator"
 )
@@ -50,6 +52,8 @@
 	books     *witness.Books
 	reclaimer *reclaim.Reclaimer
 	targets   *pool.Pool
+	queues    *queue.Queues
+	reports   *report.Reader
 	register  *register.Register
 	homes     *register.Homes
 	view      *membership.View
@@ -80,6 +84,7 @@
 	}
 	start(func() error { return r.catalogue.Run(background) })
 	start(func() error { return r.view.Run(background) })
+	start(func() error { return r.runTargets(background) })
 	start(func() error { return r.purse.Run(background) })
 	start(func() error { return r.reclaimer.Run(background) })
 	start(func() error { return r.links.Serve(background, innerListener) })
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -13,6 +13,7 @@
 	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/queue"
 	"rosevalve/internal/target/pool"
 )
 
@@ -29,6 +30,7 @@
 	Books    []allotment.State `json:"books"`
 	Witness  []witness.State   `json:"witness"`
 	Targets  []pool.State      `json:"targets"`
+	Queues   []queue.State     `json:"queues"`
 	Members  []inner.Member    `json:"members"`
 	Runs     []RunState        `json:"runs"`
 }
@@ -99,6 +101,7 @@
 		Books:    r.purse.State(),
 		Witness:  r.books.State(),
 		Targets:  r.targets.State(),
+		Queues:   r.queues.State(),
 		Members:  r.view.Members(),
 	}
 	for _, run := range r.register.Runs() {
--- a/internal/fleet/router/targets.go
+++ b/internal/fleet/router/targets.go
@@ -1,8 +1,134 @@
 package router
 
-import "rosevalve/internal/target/pool"
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
 
-// connectTargets builds the pool of targets, which the catalogue feeds.
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/platform/vmlist"
+	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/request/queue"
+	"rosevalve/internal/target/health"
+	"rosevalve/internal/target/pool"
+	"rosevalve/internal/target/report"
+)
+
+const (
+	percent           = 100
+	rebalanceInterval = 10 * time.Second
+)
+
+// connectTargets builds the pool of targets, which the catalogue feeds, and the queues before it.
 func (r *Router) connectTargets() {
-	r.targets = &pool.Pool{}
+	cfg := r.Settings.Load
+	r.targets = &pool.Pool{
+		Self:     r.Settings.Router.InnerListen,
+		Position: r.position,
+		Goals: health.Goals{
+			FirstToken: cfg.FirstTokenGoal,
+			TokenGap:   cfg.TokenGapGoal,
+			Initial:    int(cfg.InitialLimit),
+			Most:       int(cfg.MaxLimit),
+		},
+		Reserve:   float64(cfg.UrgentReserve) / percent,
+		Subset:    int(cfg.Subset),
+		LoadBound: float64(cfg.AffinityBound) / percent,
+		Patience:  cfg.Patience,
+	}
+	r.queues = &queue.Queues{
+		Pick:       r.targets.Pick,
+		Places:     r.targets.Places,
+		ProbeIn:    r.targets.ProbeIn,
+		UrgentWait: cfg.UrgentWait,
+		LongWait:   cfg.LongWait,
+		Warp:       cfg.UrgentHeadStart,
+		LongShare:  float64(cfg.LongShare) / percent,
+	}
+	r.reports = &report.Reader{
+		Engines:  r.targets.Engines,
+		Interval: cfg.ReportInterval,
+		OnLoad:   r.targets.ReportLoad,
+		OnCache:  r.targets.ReportCache,
+	}
+	r.targets.OnRoom = r.queues.Room
+	r.targets.Probe = r.reports.Probe
+}
+
+// runTargets keeps the pool and the queues up to date until ctx ends.
+func (r *Router) runTargets(ctx context.Context) error {
+	var group sync.WaitGroup
+	for _, run := range []func(context.Context) error{r.targets.Run, r.queues.Run, r.reports.Run, r.followVMs, r.followPosition} {
+		group.Go(func() { _ = run(ctx) })
+	}
+	group.Wait()
+	return ctx.Err()
+}
+
+// followVMs takes leaving VMs out of the pool. While the list cannot be read, the last one holds.
+func (r *Router) followVMs(ctx context.Context) error {
+	client := &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: &fasthttp.Client{}}
+	tick := time.NewTicker(r.Settings.Load.VMListInterval)
+	defer tick.Stop()
+	for {
+		if vms, err := client.List(ctx); err != nil {
+			r.Log.Debug("read VM list", "err", err)
+		} else {
+			r.targets.SetLeaving(leavingVMs(vms))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func leavingVMs(vms []vmlist.VM) map[string]bool {
+	out := make(map[string]bool)
+	for _, vm := range vms {
+		if vm.Leaving {
+			out[vm.Addr] = true
+		}
+	}
+	return out
+}
+
+// followPosition computes the subsets again when this router's place has changed.
+func (r *Router) followPosition(ctx context.Context) error {
+	tick := time.NewTicker(rebalanceInterval)
+	defer tick.Stop()
+	var lastIndex, lastCount int
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if i, n := r.position(); i != lastIndex || n != lastCount {
+			lastIndex, lastCount = i, n
+			r.targets.Rebalance()
+		}
+	}
+}
+
+// position returns this router's place among the live routers by address.
+func (r *Router) position() (index, count int) {
+	if r.view == nil {
+		return 0, 0
+	}
+	var ids []string
+	for _, m := range r.view.Members() {
+		if m.State == inner.Alive {
+			ids = append(ids, m.ID)
+		}
+	}
+	slices.Sort(ids)
+	index = slices.Index(ids, r.id)
+	if index < 0 {
+		return 0, 0
+	}
+	return index, len(ids)
 }
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -9,6 +9,7 @@
 	Fleet         Fleet
 	Budget        Budget
 	Request       Request
+	Load          Load
 	Configuration Configuration
 	Operator      Operator
 	Log           Log
@@ -22,6 +23,7 @@
 		s.Fleet.options(),
 		s.Budget.options(),
 		s.Request.options(),
+		s.Load.options(),
 		s.Configuration.options(),
 		s.Operator.options(),
 		s.Log.options(),
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -19,7 +19,9 @@
 	maxKeyLength = 200
 	// tokensPerMessage covers the tokens with which an engine frames a message.
 	tokensPerMessage = 8
-	bearerPrefix     = "Bearer "
+	// bytesPerToken is the usual length of a token.
+	bytesPerToken = 4
+	bearerPrefix  = "Bearer "
 )
 
 // Limits bound what a request may ask for.
@@ -41,6 +43,7 @@
 	urgent    bool
 	body      []byte
 	bodyHash  uint64
+	prefix    uint64
 }
 
 // Workspace returns the workspace that pays.
@@ -55,6 +58,12 @@
 // WorstPrompt returns the most tokens that the prompt can have.
 func (r *Request) WorstPrompt() int64 { return r.prompt }
 
+// ExpectedTokens returns what the request is likely to use at most.
+func (r *Request) ExpectedTokens() int64 { return r.prompt/bytesPerToken + r.max }
+
+// Prefix identifies the beginning of the prompt, or is zero if it is short.
+func (r *Request) Prefix() uint64 { return r.prefix }
+
 // Stream reports whether the caller wants the answer as a stream.
 func (r *Request) Stream() bool { return r.stream }
 
@@ -116,6 +125,7 @@
 		usage:     in.StreamOptions != nil && in.StreamOptions.IncludeUsage,
 		urgent:    in.Priority != chat.PriorityLong,
 		bodyHash:  Hash(body),
+		prefix:    chat.PrefixHash(in.Messages),
 	}
 	engineBody, err := rewrite(fields, r.max)
 	if err != nil {
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/queue"
 	"rosevalve/internal/target/pool"
 	"rosevalve/internal/target/runner"
 )
@@ -22,10 +23,8 @@
 
 // Dispatcher runs requests at targets.
 type Dispatcher struct {
-	// Engine picks an engine with the model that is not in the set.
-	Engine func(model string, exclude map[string]bool) (*pool.Target, error)
-	// Service picks a target of the plain service that is not in the set.
-	Service func(name string, exclude map[string]bool) (*pool.Target, error)
+	// Acquire waits for a place at a target, or refuses with when to come back.
+	Acquire func(ctx context.Context, t queue.Ticket) (*pool.Place, *answer.Error)
 	// Stream sends a completion request.
 	Stream func(ctx context.Context, addr, runID string, body []byte, sink func(runner.Event) error) error
 	// Resume asks for the rest of a run.
@@ -45,6 +44,8 @@
 type Completion struct {
 	// Model is the model's name.
 	Model string
+	// Ticket asks for the places of the attempts.
+	Ticket queue.Ticket
 	// RunID is the id of the first attempt; each later attempt adds its number.
 	RunID string
 	// Body is sent to the engine.
@@ -88,16 +89,19 @@
 		if ctx.Err() != nil || n > 0 && !d.Retries.Withdraw() {
 			break
 		}
-		target, err := d.Engine(c.Model, exclude)
-		if err != nil {
+		place, refusal := d.acquire(ctx, c.Ticket, exclude)
+		if refusal != nil {
+			s.refusal = refusal
 			break
 		}
-		exclude[target.Addr()] = true
-		if !s.announce(target.Addr(), attemptID(c.RunID, n)) {
+		exclude[place.Addr()] = true
+		if !s.announce(place.Addr(), attemptID(c.RunID, n)) {
+			place.Release()
 			break
 		}
-		a := s.begin(target.Addr(), attemptID(c.RunID, n))
-		err = d.run(ctx, s, a, target.Go)
+		a := s.begin(place.Addr(), attemptID(c.RunID, n))
+		a.place = place
+		err := d.run(ctx, s, a, place.Go)
 		if err == nil {
 			return s.whole(a)
 		}
@@ -123,6 +127,7 @@
 		defer close(a.done)
 		a.err = errors.New("attempt panicked")
 		a.err = d.stream(ctx, s, a)
+		a.report(ctx)
 	})
 	if !ok {
 		a.err = &runner.Error{Run: answer.NotRun, Err: fmt.Errorf("target %s has no free worker", a.target)}
@@ -139,7 +144,10 @@
 
 // stream sends the request and resumes the stream where it is cut.
 func (d *Dispatcher) stream(ctx context.Context, s *session, a *attempt) error {
-	sink := func(ev runner.Event) error { return s.take(a, ev) }
+	sink := func(ev runner.Event) error {
+		a.observe(ev)
+		return s.take(a, ev)
+	}
 	var err error
 	if a.earlier {
 		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
--- /dev/null
+++ b/internal/request/dispatch/place.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/queue"
+	"rosevalve/internal/target/pool"
+	"rosevalve/internal/target/runner"
+)
+
+// acquire waits for a place at a target that the request has not been sent to.
+func (d *Dispatcher) acquire(ctx context.Context, t queue.Ticket, exclude map[string]bool) (*pool.Place, *answer.Error) {
+	t.Demand.Exclude = exclude
+	return d.Acquire(ctx, t)
+}
+
+// observe tells the place what the target has sent.
+func (a *attempt) observe(ev runner.Event) {
+	if a.place == nil {
+		return
+	}
+	if ev.Text() {
+		a.place.Token()
+	}
+	if ev.Usage != nil {
+		a.place.Used(ev.Usage.PromptTokens + ev.Usage.CompletionTokens)
+	}
+}
+
+// report tells the place how the attempt has ended.
+func (a *attempt) report(ctx context.Context) {
+	if a.place != nil {
+		a.place.Report(verdict(ctx, a.err))
+	}
+}
+
+// verdict returns what an attempt that ended with err shows about its target.
+func verdict(ctx context.Context, err error) pool.Outcome {
+	if err == nil {
+		return pool.Succeeded
+	}
+	if ctx.Err() != nil || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return pool.Cancelled
+	}
+	var failed *runner.Error
+	switch {
+	case !errors.As(err, &failed) || failed.Run != answer.NotRun:
+		return pool.Failed
+	case failed.Status != 0:
+		return pool.Declined
+	default:
+		return pool.Unreachable
+	}
+}
--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -12,6 +12,7 @@
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/pool"
 	"rosevalve/internal/target/runner"
 )
 
@@ -30,15 +31,17 @@
 	begun    atomic.Bool
 	state    answer.RunState
 	usage    chat.Usage // of the last attempt that ran
+	refusal  *answer.Error
 }
 
 // attempt is one run at one target.
 type attempt struct {
 	target   string
 	runID    string
-	earlier  bool   // another router began the run
-	answerID []byte // as the run's first event names it
-	position int    // text events of this run that the caller has
+	place    *pool.Place // nil for a run that another router began
+	earlier  bool        // another router began the run
+	answerID []byte      // as the run's first event names it
+	position int         // text events of this run that the caller has
 	finished bool
 	usage    *chat.Usage
 	done     chan struct{} // closed when the attempt has ended; err is valid then
@@ -243,6 +246,9 @@
 		out.failure.Code = "target_failed"
 		out.failure.Message = "the target failed while it ran the request"
 	}
+	if s.refusal != nil && !out.ran {
+		out.failure = s.refusal
+	}
 	if ctx.Err() != nil {
 		out.failure = givenUp(ctx, s.state)
 	}
--- a/internal/request/gateway/completion.go
+++ b/internal/request/gateway/completion.go
@@ -73,6 +73,7 @@
 	}
 	c := dispatch.Completion{
 		Model:       req.Model(),
+		Ticket:      ticket(req),
 		RunID:       run.ID(),
 		Body:        req.Body(),
 		WorstPrompt: req.WorstPrompt(),
--- a/internal/request/gateway/faults_test.go
+++ b/internal/request/gateway/faults_test.go
@@ -30,6 +30,9 @@
 	os.Exit(m.Run())
 }
 
+// probeWait is long enough for the targets that a fault has ejected to be probed, so that every fault meets a target.
+const probeWait = 20 * time.Second
+
 // inWorld runs f with a fleet in virtual time.
 func inWorld(t *testing.T, routers int, f func(t *testing.T, w *world)) {
 	t.Helper()
@@ -97,6 +100,7 @@
 	for i, fault := range cutPoints(260, 240, 5) {
 		key := fmt.Sprintf("k%d", i)
 		path := "/v1/services/beds/hold-" + key
+		time.Sleep(probeWait)
 		w.faults = []connFault{fault}
 		first := w.nodes[0].send(path, "{}", HeaderKey, key)
 		second := w.nodes[1].send(path, "{}", HeaderKey, key)
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -15,6 +15,7 @@
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/claim"
 	"rosevalve/internal/request/dispatch"
+	"rosevalve/internal/request/queue"
 	"rosevalve/internal/request/register"
 	"rosevalve/internal/target/runner"
 	"rosevalve/internal/workspace/catalogue"
@@ -30,6 +31,7 @@
 // serviceRequest is one checked call of a plain service.
 type serviceRequest struct {
 	service catalogue.Service
+	ticket  queue.Ticket
 	call    runner.Call
 	budget  string
 	key     string // claim key, if the route is not idempotent
@@ -49,7 +51,7 @@
 		g.fail(ctx, "", answer.Invalid(fasthttp.StatusNotFound, "service", "service %q does not exist", name))
 		return
 	}
-	req := newServiceRequest(ctx, service, "/"+path)
+	req := newServiceRequest(ctx, workspace, service, "/"+path)
 	in, fail := g.begin(ctx, workspace.Name, callHash(req.call))
 	if fail != nil {
 		g.fail(ctx, "", fail)
@@ -69,9 +71,10 @@
 	g.relayResult(ctx, in.run)
 }
 
-func newServiceRequest(ctx *fasthttp.RequestCtx, service catalogue.Service, path string) serviceRequest {
+func newServiceRequest(ctx *fasthttp.RequestCtx, workspace catalogue.Workspace, service catalogue.Service, path string) serviceRequest {
 	return serviceRequest{
 		service: service,
+		ticket:  serviceTicket(workspace, service),
 		budget:  string(ctx.Request.Header.Peek(HeaderBudget)),
 		call: runner.Call{
 			Method:      string(ctx.Method()),
@@ -144,7 +147,7 @@
 	})
 	defer stop()
 	result, err := g.Dispatcher.CallService(run.Context(), dispatch.ServiceCall{
-		Service:    req.service.Name,
+		Ticket:     req.ticket,
 		RunID:      run.ID(),
 		Call:       req.call,
 		Idempotent: req.key == "",
--- a/internal/target/pool/pool.go
+++ b/internal/target/pool/pool.go
@@ -1,144 +1,236 @@
 package pool
 
 import (
-	"math/rand/v2"
+	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/cockroachdb/errors"
 
+	"rosevalve/internal/target/balance"
+	"rosevalve/internal/target/health"
 	"rosevalve/internal/workspace/catalogue"
 )
 
-const defaultConcurrency = 256
+const (
+	defaultLoadBound  = 1.25
+	defaultSubset     = 32
+	defaultReserve    = 0.1
+	defaultPatience   = 2 * time.Second
+	defaultMostActive = 512
+)
 
 // ErrNoTarget reports that no target is left for a request.
 var ErrNoTarget = errors.New("no target available")
 
-// Target is one model engine or plain service.
-type Target struct {
-	addr    string
-	workers pond.Pool
-
-	mu          sync.Mutex // guards the fields below
-	info        catalogue.Target
-	outstanding int
-}
-
-// Addr returns the IP address and port.
-func (t *Target) Addr() string { return t.addr }
-
-// Go runs f on one of the target's workers and reports whether one was free.
-func (t *Target) Go(f func()) bool {
-	t.mu.Lock()
-	t.outstanding++
-	t.mu.Unlock()
-	_, ok := t.workers.TrySubmit(func() {
-		defer t.release()
-		f()
-	})
-	if !ok {
-		t.release()
-	}
-	return ok
+// ErrNoRoom reports that the targets for a request have no free place now.
+var ErrNoRoom = errors.New("no free place at any target")
+
+// Demand is what a request asks of a target.
+type Demand struct {
+	// Model is the model of a request for an engine.
+	Model string
+	// Service is the name of a plain service, if the request is for one.
+	Service string
+	// Urgent requests may use the places that long ones leave free.
+	Urgent bool
+	// Tokens is the most that the request can use.
+	Tokens int64
+	// Prefix identifies the beginning of the prompt, or is zero.
+	Prefix uint64
+	// Exclude holds the addresses that the request has been sent to.
+	Exclude map[string]bool
 }
 
-func (t *Target) release() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.outstanding--
+// Pool holds the targets in force.
+type Pool struct {
+	// Self names this router.
+	Self string
+	// Position returns this router's place among all routers, if it is known.
+	Position func() (index, count int)
+	// Goals bound the learnt limit of each target.
+	Goals health.Goals
+	// Reserve is the share of each target's limit that long requests leave free.
+	Reserve float64
+	// NoReserve lets long requests take every place.
+	NoReserve bool
+	// Subset is the most targets of one model that this router uses.
+	Subset int
+	// LoadBound is how far above the mean load a target may be and still be chosen for its cached prefix.
+	LoadBound float64
+	// NoAffinity switches the choice by prefix off.
+	NoAffinity bool
+	// Patience is the time without an event after which a busy engine is avoided.
+	Patience time.Duration
+	// Choose picks one of the candidates; the default is bounded affinity, then two choices.
+	Choose func(prefix uint64, cost float64, candidates []balance.Candidate) int
+	// OnRoom is called when a target that serves the models or the service may have room.
+	OnRoom func(models []string, service string)
+	// Probe asks an ejected target whether it answers.
+	Probe func(t catalogue.Target) error
+
+	index atomic.Pointer[index]
+
+	mu        sync.Mutex // guards the fields below, and orders updates of index
+	vmLeaving map[string]bool
+	latest    []catalogue.Target
 }
 
-func (t *Target) snapshot() (catalogue.Target, int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.info, t.outstanding
-}
+// Update takes over the targets of a configuration.
+func (p *Pool) Update(s *catalogue.Snapshot) { p.Set(s.Targets()) }
 
-// Pool holds the targets in force.
-type Pool struct {
-	// Concurrency bounds the requests that one target is given at a time.
-	Concurrency int
+// Set takes over the targets.
+func (p *Pool) Set(targets []catalogue.Target) {
+	p.mu.Lock()
+	p.latest = targets
+	p.rebuild()
+	p.mu.Unlock()
+	p.allRoom()
+}
 
-	mu      sync.RWMutex // guards targets
-	targets map[string]*Target
+// Rebalance computes the subsets again after this router's position changed.
+func (p *Pool) Rebalance() {
+	p.mu.Lock()
+	p.rebuild()
+	p.mu.Unlock()
+	p.allRoom()
 }
 
-// Update takes over the targets of a configuration.
-func (p *Pool) Update(s *catalogue.Snapshot) {
+// SetLeaving takes over which VMs are leaving, by IP address or by address and port.
+func (p *Pool) SetLeaving(vms map[string]bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	next := make(map[string]*Target)
-	for _, info := range s.Targets() {
-		t, ok := p.targets[info.Addr]
+	p.vmLeaving = vms
+	current := p.current()
+	for addr, t := range current.all {
+		t.mu.Lock()
+		t.vmLeaving = vmLeaves(vms, addr)
+		t.mu.Unlock()
+	}
+	p.mu.Unlock()
+	p.allRoom()
+}
+
+func vmLeaves(vms map[string]bool, addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	return vms[addr] || (err == nil && vms[host])
+}
+
+// rebuild replaces the index. The caller holds mu.
+func (p *Pool) rebuild() {
+	old := p.current()
+	all := make(map[string]*target, len(p.latest))
+	for _, info := range p.latest {
+		t, ok := old.all[info.Addr]
 		if !ok {
 			t = p.newTarget(info.Addr)
 		}
 		t.mu.Lock()
 		t.info = info
+		t.reserve = p.reserve()
+		t.vmLeaving = vmLeaves(p.vmLeaving, info.Addr)
 		t.mu.Unlock()
-		next[info.Addr] = t
+		all[info.Addr] = t
 	}
-	p.targets = next
+	p.index.Store(newIndex(all, p.latest, p.position(), p.subset()))
 }
 
-func (p *Pool) newTarget(addr string) *Target {
-	n := p.Concurrency
-	if n == 0 {
-		n = defaultConcurrency
+func (p *Pool) newTarget(addr string) *target {
+	return &target{
+		addr:     addr,
+		hash:     balance.Hash(addr),
+		workers:  pond.NewPool(p.mostActive(), pond.WithNonBlocking(true)),
+		limit:    health.NewLimit(p.Goals),
+		progress: health.Progress{Patience: p.patience()},
 	}
-	return &Target{addr: addr, workers: pond.NewPool(n, pond.WithNonBlocking(true), pond.WithQueueSize(0))}
 }
 
-// Engine picks a target that serves the model, leaving out those in the set.
-func (p *Pool) Engine(model string, exclude map[string]bool) (*Target, error) {
-	return p.pick(exclude, func(t catalogue.Target) bool { return t.ServesModel(model) })
+func (p *Pool) current() *index {
+	if i := p.index.Load(); i != nil {
+		return i
+	}
+	return &index{}
 }
 
-// Service picks a target of the plain service, leaving out those in the set.
-func (p *Pool) Service(name string, exclude map[string]bool) (*Target, error) {
-	return p.pick(exclude, func(t catalogue.Target) bool { return t.Service == name })
+// Engines returns the addresses of the engines that this router uses.
+func (p *Pool) Engines() []string { return p.current().engines() }
+
+func (p *Pool) find(addr string) *target { return p.current().all[addr] }
+
+func (p *Pool) position() balance.Position {
+	at := balance.Position{Self: p.Self}
+	if p.Position != nil {
+		at.Index, at.Count = p.Position()
+	}
+	return at
 }
 
-// pick takes the less loaded of two random candidates.
-func (p *Pool) pick(exclude map[string]bool, fits func(catalogue.Target) bool) (*Target, error) {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	var candidates []*Target
-	var loads []int
-	for addr, t := range p.targets {
-		info, outstanding := t.snapshot()
-		if exclude[addr] || info.Leaving || !fits(info) {
-			continue
-		}
-		candidates = append(candidates, t)
-		loads = append(loads, outstanding)
+// room tells that a target may have room.
+func (p *Pool) room(t *target) {
+	if p.OnRoom == nil {
+		return
 	}
-	if len(candidates) == 0 {
-		return nil, ErrNoTarget
+	info := t.served()
+	p.OnRoom(info.Models, info.Service)
+}
+
+func (p *Pool) allRoom() {
+	if p.OnRoom == nil {
+		return
 	}
-	i, j := rand.IntN(len(candidates)), rand.IntN(len(candidates))
-	if loads[j] < loads[i] {
-		i = j
+	models, services := p.current().names()
+	p.OnRoom(models, "")
+	for _, s := range services {
+		p.OnRoom(nil, s)
 	}
-	return candidates[i], nil
 }
 
-// State describes one target for the process's state dump.
-type State struct {
-	Addr        string `json:"addr"`
-	Outstanding int    `json:"outstanding"`
-	Leaving     bool   `json:"leaving"`
+// ejected counts an ejection and tells those who wait that there is less to wait for.
+func (p *Pool) ejected(t *target) {
+	ejections.Add(1)
+	p.room(t)
+}
+
+func (p *Pool) mostActive() int {
+	if p.Goals.Most == 0 {
+		return defaultMostActive
+	}
+	return p.Goals.Most
+}
+
+func (p *Pool) reserve() float64 {
+	switch {
+	case p.NoReserve:
+		return 0
+	case p.Reserve == 0:
+		return defaultReserve
+	default:
+		return p.Reserve
+	}
+}
+
+func (p *Pool) subset() int {
+	if p.Subset == 0 {
+		return defaultSubset
+	}
+	return p.Subset
+}
+
+func (p *Pool) patience() time.Duration {
+	if p.Patience == 0 {
+		return defaultPatience
+	}
+	return p.Patience
 }
 
-// State returns the targets as they are now.
-func (p *Pool) State() []State {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	out := make([]State, 0, len(p.targets))
-	for addr, t := range p.targets {
-		info, outstanding := t.snapshot()
-		out = append(out, State{Addr: addr, Outstanding: outstanding, Leaving: info.Leaving})
+func (p *Pool) loadBound() float64 {
+	switch {
+	case p.NoAffinity:
+		return 0
+	case p.LoadBound == 0:
+		return defaultLoadBound
+	default:
+		return p.LoadBound
 	}
-	return out
 }
