Prove that leaving and failed targets get no new work, deal subsets evenly

The first way of dealing subsets let stretches run on from one router to the next, so that one target less moved the subset of router 700 by 44 places; a test saw 0 of 32 targets kept. Stretches now begin at fixed places of a round. Subsets by hash alone are uneven, which a test shows.

--- /dev/null
+++ b/internal/target/balance/balance_test.go
@@ -0,0 +1,144 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func names(prefix string, n int) []string {
+	out := make([]string, n)
+	for i := range n {
+		out[i] = fmt.Sprintf("%s-%d", prefix, i)
+	}
+	return out
+}
+
+// usersOfTargets counts how many routers use each of the targets.
+func usersOfTargets(routers, targets, size int, numbered bool) map[string]int {
+	users := make(map[string]int)
+	all := names("target", targets)
+	for i := range routers {
+		at := Position{Self: fmt.Sprint("router-", i)}
+		if numbered {
+			at.Index, at.Count = i, routers
+		}
+		for _, t := range Subset("oak", at, all, size) {
+			users[t]++
+		}
+	}
+	return users
+}
+
+// spread returns the largest number of users over the mean, and the smallest.
+func spread(users map[string]int, targets int) (highest, lowest float64) {
+	sum, most, least := 0, 0, 1<<30
+	for _, n := range users {
+		sum += n
+		most = max(most, n)
+		least = min(least, n)
+	}
+	if len(users) < targets {
+		least = 0
+	}
+	mean := float64(sum) / float64(targets)
+	return float64(most) / mean, float64(least) / mean
+}
+
+func TestNumberedSubsetsAreEven(t *testing.T) {
+	highest, lowest := spread(usersOfTargets(1100, 508, 32, true), 508)
+	assert.Assert(t, highest <= 1.1 && lowest >= 0.9, "the spread is from %f to %f", lowest, highest)
+}
+
+func TestHashedSubsetsAreUneven(t *testing.T) {
+	highest, _ := spread(usersOfTargets(1100, 508, 32, false), 508)
+	assert.Assert(t, highest > 1.1, "the spread is up to %f although the numbering is off", highest)
+}
+
+func TestSubsetChangesLittleWithOneTarget(t *testing.T) {
+	all := names("target", 508)
+	at := Position{Self: "r", Index: 700, Count: 1100}
+	before := make(map[string]bool)
+	for _, addr := range Subset("oak", at, all, 32) {
+		before[addr] = true
+	}
+	kept := 0
+	for _, addr := range Subset("oak", at, all[1:], 32) {
+		if before[addr] {
+			kept++
+		}
+	}
+	assert.Assert(t, kept >= 16, "only %d of 32 targets were kept", kept)
+}
+
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	candidates := make([]Candidate, 8)
+	for i := range candidates {
+		candidates[i] = Candidate{Hash: Hash(fmt.Sprint(i)), Room: true}
+	}
+	c := Chooser{LoadBound: 1.25, Rand: rand.New(rand.NewPCG(1, 1)).IntN}
+	first := c.Choose(42, 1, candidates)
+	chosen := make(map[int]int)
+	for range 800 {
+		i := c.Choose(42, 1, candidates)
+		chosen[i]++
+		candidates[i].Load++
+	}
+	assert.Assert(t, chosen[first] >= 100 && chosen[first] <= 126, "the first target got %d of 800", chosen[first])
+}
+
+func TestAffinityKeepsAPrefixOnOneTarget(t *testing.T) {
+	candidates := make([]Candidate, 8)
+	for i := range candidates {
+		candidates[i] = Candidate{Hash: Hash(fmt.Sprint(i)), Load: 100, Room: true}
+	}
+	with := distinct(Chooser{LoadBound: 1.25, Rand: rand.New(rand.NewPCG(1, 1)).IntN}, candidates)
+	without := distinct(Chooser{Rand: rand.New(rand.NewPCG(1, 1)).IntN}, candidates)
+	assert.Equal(t, with, 1)
+	assert.Assert(t, without > 1)
+}
+
+// distinct counts the targets that one prefix is sent to.
+func distinct(c Chooser, candidates []Candidate) int {
+	seen := make(map[int]bool)
+	for range 50 {
+		seen[c.Choose(7, 1, candidates)] = true
+	}
+	return len(seen)
+}
+
+func TestWrongHintNeverChoosesATargetWithoutRoom(t *testing.T) {
+	r := rand.New(rand.NewPCG(2, 2))
+	c := Chooser{LoadBound: 1.25, Rand: r.IntN}
+	for range 2000 {
+		candidates := make([]Candidate, 1+r.IntN(6))
+		room := false
+		for i := range candidates {
+			candidates[i] = Candidate{Hash: r.Uint64(), Load: float64(r.IntN(100)), Room: r.IntN(2) == 0, Cached: r.IntN(2) == 0}
+			room = room || candidates[i].Room
+		}
+		i := c.Choose(r.Uint64(), 10, candidates)
+		assert.Equal(t, i >= 0, room)
+		assert.Assert(t, i < 0 || candidates[i].Room)
+	}
+}
+
+func BenchmarkSubset(b *testing.B) {
+	all := names("target", 508)
+	for i := 0; b.Loop(); i++ {
+		Subset("oak", Position{Self: "r", Index: i % 1100, Count: 1100}, all, 32)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	candidates := make([]Candidate, 32)
+	for i := range candidates {
+		candidates[i] = Candidate{Hash: Hash(fmt.Sprint(i)), Load: float64(i), Room: true}
+	}
+	c := Chooser{LoadBound: 1.25}
+	for i := 0; b.Loop(); i++ {
+		c.Choose(uint64(i), 100, candidates)
+	}
+}
--- a/internal/target/balance/subset.go
+++ b/internal/target/balance/subset.go
@@ -27,8 +27,8 @@
 // for the model.
 //
 // Routers are dealt into rounds. A round orders the targets by a hash of its own
-// and gives each of its routers the next stretch of that order, so that a round
-// covers the targets evenly. A router that does not know its place uses an order
+// and gives each of its routers a stretch of that order, so that a round covers
+// the targets evenly and one target more or less moves a stretch by one. A router that does not know its place uses an order
 // of its own; the subsets are then even only on average.
 func Subset(model string, at Position, targets []string, size int) []string {
 	if size <= 0 || size >= len(targets) {
@@ -37,36 +37,21 @@
 	if at.Count == 0 {
 		return stretch(order(Mix(Hash(model), Hash(at.Self)), targets), 0, size)
 	}
-	// A round's stretches begin at multiples of size and wrap around, so the
-	// round after it goes on where it stopped.
-	start := at.Index * size
-	round := start / len(targets)
-	offset := start % len(targets)
-	out := stretch(order(Mix(Hash(model), uint64(round)), targets), offset, size)
-	if missing := size - len(out); missing > 0 {
-		out = fill(out, order(Mix(Hash(model), uint64(round+1)), targets), missing)
-	}
-	return out
+	perRound := (len(targets) + size - 1) / size
+	round, place := at.Index/perRound, at.Index%perRound
+	ordered := order(Mix(Hash(model), uint64(round)), targets)
+	return stretch(ordered, place*len(targets)/perRound, size)
 }
 
-// fill adds the first targets of the order that are not in out yet.
-func fill(out, ordered []string, missing int) []string {
-	for _, t := range ordered {
-		if missing == 0 {
-			break
-		}
-		if !slices.Contains(out, t) {
-			out = append(out, t)
-			missing--
-		}
+// stretch returns size targets from the offset on, going round at the end.
+func stretch(ordered []string, offset, size int) []string {
+	out := make([]string, 0, size)
+	for i := range size {
+		out = append(out, ordered[(offset+i)%len(ordered)])
 	}
 	return out
 }
 
-func stretch(ordered []string, offset, size int) []string {
-	return ordered[offset:min(offset+size, len(ordered))]
-}
-
 // order sorts the targets by their hash with the seed.
 func order(seed uint64, targets []string) []string {
 	type ranked struct {
--- /dev/null
+++ b/internal/target/pool/pool_test.go
@@ -0,0 +1,192 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/target/health"
+	"rosevalve/internal/workspace/catalogue"
+)
+
+var demand = Demand{Model: "oak", Urgent: true, Tokens: 10}
+
+func engines(n int) []catalogue.Target {
+	var out []catalogue.Target
+	for i := range n {
+		out = append(out, catalogue.Target{Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Models: []string{"oak"}})
+	}
+	return out
+}
+
+// picks takes and gives back n places and counts them by target.
+func picks(t *testing.T, p *Pool, n int) map[string]int {
+	t.Helper()
+	out := make(map[string]int)
+	for range n {
+		place, err := p.Pick(demand)
+		assert.NilError(t, err)
+		out[place.Addr()]++
+		place.Release()
+	}
+	return out
+}
+
+func TestLeavingTargetsGetNoNewWork(t *testing.T) {
+	first := engines(2)[0].Addr
+	for name, leave := range map[string]func(p *Pool){
+		"nothing leaves": func(*Pool) {},
+		"configuration": func(p *Pool) {
+			targets := engines(2)
+			targets[0].Leaving = true
+			p.Set(targets)
+		},
+		"removed":               func(p *Pool) { p.Set(engines(2)[1:]) },
+		"VM list":               func(p *Pool) { p.SetLeaving(map[string]bool{"10.0.0.1": true}) },
+		"VM list, with port":    func(p *Pool) { p.SetLeaving(map[string]bool{first: true}) },
+		"VM list, then changed": func(p *Pool) { p.SetLeaving(map[string]bool{first: true}); p.Set(engines(2)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &Pool{}
+			p.Set(engines(2))
+			stream, err := p.Pick(Demand{Model: "oak", Urgent: true, Exclude: map[string]bool{"10.0.0.2:80": true}})
+			assert.NilError(t, err)
+			leave(p)
+			// The stream that runs on the leaving target goes on.
+			stream.Token()
+			stream.Report(Succeeded)
+			stream.Release()
+			// With nothing leaving, the check sees the work that it forbids otherwise.
+			assert.Equal(t, picks(t, p, 100)[first] > 0, name == "nothing leaves")
+		})
+	}
+}
+
+func TestLeavingIsTakenBack(t *testing.T) {
+	p := &Pool{}
+	p.Set(engines(2))
+	p.SetLeaving(map[string]bool{"10.0.0.1": true})
+	p.SetLeaving(nil)
+	assert.Assert(t, picks(t, p, 100)["10.0.0.1:80"] > 0)
+}
+
+// fail takes a place at the first target and reports the outcome.
+func fail(t *testing.T, p *Pool, o Outcome) {
+	t.Helper()
+	d := demand
+	d.Exclude = map[string]bool{"10.0.0.2:80": true}
+	place, err := p.Pick(d)
+	assert.NilError(t, err)
+	place.Report(o)
+	place.Release()
+}
+
+func TestFailingTargetIsEjectedAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var answers atomic.Bool
+		p := &Pool{Probe: func(catalogue.Target) error {
+			if answers.Load() {
+				return nil
+			}
+			return errors.New("no answer")
+		}}
+		p.Set(engines(2))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = p.Run(ctx) }()
+		fail(t, p, Unreachable)
+		assert.Equal(t, picks(t, p, 100)["10.0.0.1:80"], 0)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, picks(t, p, 100)["10.0.0.1:80"], 0)
+		answers.Store(true)
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		assert.Assert(t, picks(t, p, 100)["10.0.0.1:80"] > 0)
+		fail(t, p, Succeeded)
+		assert.Equal(t, p.State()[0].Breaker, health.Closed.String())
+		cancel()
+	})
+}
+
+func TestSoftFailuresEjectAfterThree(t *testing.T) {
+	p := &Pool{}
+	p.Set(engines(2))
+	fail(t, p, Failed)
+	fail(t, p, Failed)
+	assert.Assert(t, picks(t, p, 100)["10.0.0.1:80"] > 0)
+	fail(t, p, Failed)
+	assert.Equal(t, picks(t, p, 100)["10.0.0.1:80"], 0)
+}
+
+func TestSilentEngineIsAvoidedBeforeItFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Pool{Patience: 2 * time.Second}
+		p.Set(engines(2))
+		d := demand
+		d.Exclude = map[string]bool{"10.0.0.2:80": true}
+		stuck, err := p.Pick(d)
+		assert.NilError(t, err)
+		time.Sleep(3 * time.Second)
+		other := Demand{Model: "oak", Urgent: true, Tokens: 100, Exclude: map[string]bool{"10.0.0.1:80": true}}
+		busy, err := p.Pick(other)
+		assert.NilError(t, err)
+		busy.Token()
+		assert.Equal(t, picks(t, p, 100)["10.0.0.1:80"], 0)
+		stuck.Token()
+		assert.Assert(t, picks(t, p, 100)["10.0.0.1:80"] > 0)
+		stuck.Release()
+		busy.Release()
+	})
+}
+
+func TestWrongHintsBreakNothing(t *testing.T) {
+	p := &Pool{}
+	p.Set(engines(2))
+	p.ReportLoad("10.0.0.1:80", 1<<40)
+	p.ReportLoad("10.9.9.9:80", 5)
+	p.ReportCache("10.0.0.1:80", 7, true)
+	p.ReportCache("10.0.0.1:80", 8, false)
+	fail(t, p, Unreachable)
+	d := demand
+	d.Prefix = 7
+	place, err := p.Pick(d)
+	assert.NilError(t, err)
+	assert.Equal(t, place.Addr(), "10.0.0.2:80")
+	place.Release()
+}
+
+func TestLimitIsLearnt(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := health.NewLimit(health.Goals{Initial: 16})
+	for range 200 {
+		l.TokenGap(now, 20*time.Millisecond, l.Value())
+	}
+	grown := l.Value()
+	assert.Assert(t, grown > 16)
+	for i := range 5 {
+		l.TokenGap(now.Add(time.Duration(i)*time.Second), 100*time.Millisecond, 1)
+	}
+	assert.Assert(t, l.Value() < grown)
+	unused := l.Value()
+	for range 200 {
+		l.Done(now, 0)
+	}
+	assert.Equal(t, l.Value(), unused)
+}
+
+func BenchmarkPick(b *testing.B) {
+	p := &Pool{}
+	p.Set(engines(32))
+	for b.Loop() {
+		place, err := p.Pick(demand)
+		if err != nil {
+			b.Fatal(err)
+		}
+		place.Release()
+	}
+}
