Split the first-token goal between queue and engine, shorten the head start

Cause: the goal of 530 ms was given to the queue (300 ms) and to the engine (530 ms) instead of to both together, so limits grew until long work filled the engines' own queues; and a head start of 200,000 tokens let urgent work exceed its share for most of the minute.

Load reports of 5 s spread worse than none; they are now ignored after 2 s and not read from more engines than that allows.

--- a/internal/request/queue/queues.go
+++ b/internal/request/queue/queues.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	defaultUrgentWait = 300 * time.Millisecond
+	defaultUrgentWait = 100 * time.Millisecond
 	defaultLongWait   = 30 * time.Second
-	defaultWarp       = 200_000 // tokens
+	defaultWarp       = 20_000 // tokens
 	defaultLongShare  = 0.1
 	reviewInterval    = 100 * time.Millisecond
 	leastRetryAfter   = 100 * time.Millisecond
--- a/internal/target/health/limit.go
+++ b/internal/target/health/limit.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	defaultFirstToken = 530 * time.Millisecond
+	defaultFirstToken = 250 * time.Millisecond
 	defaultTokenGap   = 62 * time.Millisecond
 	defaultInitial    = 16
 	defaultLeast      = 1
--- a/internal/target/pool/hint.go
+++ b/internal/target/pool/hint.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	hintMaxAge       = 10 * time.Second
+	hintMaxAge       = 2 * time.Second // older reports spread load worse than none
 	maxHintedPrefix  = 4096
 	tokensPerRequest = 400 // what a request reported by a target is taken to cost
 )
--- a/internal/target/pool/pool.go
+++ b/internal/target/pool/pool.go
@@ -16,8 +16,8 @@
 
 const (
 	defaultLoadBound  = 1.25
-	defaultSubset     = 32
-	defaultReserve    = 0.1
+	defaultSubset     = 16
+	defaultReserve    = 0.2
 	defaultPatience   = 2 * time.Second
 	defaultMostActive = 512
 )
--- a/internal/target/report/report.go
+++ b/internal/target/report/report.go
@@ -19,7 +19,9 @@
 	defaultInterval = time.Second
 	// leastSpacing bounds the calls to all targets together, and with them the traffic for control.
 	leastSpacing = 50 * time.Millisecond
-	maxConns     = 4
+	// mostAge is the age beyond which a report is of no use; with so many engines none is read.
+	mostAge  = 2 * time.Second
+	maxConns = 4
 )
 
 // Load is an engine's own report of its load.
@@ -56,6 +58,9 @@
 	r.seen = make(map[string]int64)
 	for {
 		addrs := r.Engines()
+		if time.Duration(len(addrs))*leastSpacing > mostAge {
+			addrs = nil
+		}
 		for _, addr := range addrs {
 			r.read(addr)
 			if !sleep(ctx, r.spacing(len(addrs))) {
