Let the engine's stand-in batch, cache prefixes and report late

Prompts take time unless their prefix is cached, tokens take longer the more runs there are, the load report lags and cache events come late and with gaps. All of it is off by default.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,7 +38,11 @@
 	// ResumeGrace is how long a run goes on without a reader.
 	ResumeGrace time.Duration
 
+	// Batch describes how the speed depends on the work.
+	Batch Batch
+
 	conns fault.Listener
+	cache prefixCache
 
 	mu      sync.Mutex // guards the fields below
 	running int
@@ -47,6 +51,10 @@
 	counts  Counts
 	fault   Fault
 	arrived int64
+
+	reported   Load
+	reportedAt time.Time
+	current    Load
 }
 
 // Counts are what the engine has done, as evidence for tests.
@@ -61,6 +69,9 @@
 	Declined int64 `json:"declined"`
 	// Cancelled is the number of runs cancelled.
 	Cancelled int64 `json:"cancelled"`
+	// CacheHits and CacheMisses count the prompts whose prefix was and was not cached.
+	CacheHits   int64 `json:"cache_hits"`
+	CacheMisses int64 `json:"cache_misses"`
 }
 
 // run is one generation; its answer is a function of its request alone.
@@ -71,6 +82,7 @@
 	prompt   int64
 	max      int64
 	urgent   bool
+	prefix   uint64
 	sequence int64
 	granted  chan struct{} // closed when the run gets a slot
 	cancel   chan struct{} // closed when the run is cancelled
@@ -140,9 +152,12 @@
 		s.listModels(ctx)
 	case path == "/load":
 		s.reportLoad(ctx)
+	case path == "/cache-events":
+		s.showCacheEvents(ctx)
 	case path == "/counts":
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.counts.CacheHits, s.counts.CacheMisses = s.cache.counts()
 		reply(ctx, fasthttp.StatusOK, s.counts)
 	case path == "/fault":
 		s.setFault(ctx)
@@ -208,6 +223,7 @@
 		prompt:  prompt,
 		max:     maxTokens,
 		urgent:  in.Priority != chat.PriorityLong,
+		prefix:  chat.PrefixHash(in.Messages),
 		granted: make(chan struct{}),
 		cancel:  make(chan struct{}),
 	}
@@ -273,7 +289,10 @@
 // generate produces the tokens of the run until it is complete or cancelled.
 func (s *Server) generate(r *run) {
 	defer s.release(r)
-	tick := time.NewTicker(s.TokenInterval)
+	if !s.prefill(r) {
+		return
+	}
+	tick := time.NewTicker(s.interval())
 	defer tick.Stop()
 	for {
 		select {
@@ -281,6 +300,7 @@
 			return
 		case <-tick.C:
 		}
+		tick.Reset(s.interval())
 		if r.advance() {
 			return
 		}
@@ -356,19 +376,6 @@
 	reply(ctx, fasthttp.StatusOK, out)
 }
 
-// Load is the engine's own report of its load.
-type Load struct {
-	Running int `json:"running"`
-	Waiting int `json:"waiting"`
-	Slots   int `json:"slots"`
-}
-
-func (s *Server) reportLoad(ctx *fasthttp.RequestCtx) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	reply(ctx, fasthttp.StatusOK, Load{Running: s.running, Waiting: len(s.waiting), Slots: s.Slots})
-}
-
 func decline(ctx *fasthttp.RequestCtx, status int, text string) {
 	ctx.Error(text, status)
 	ctx.Response.Header.Set(chat.HeaderDeclined, "1")
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,6 +8,7 @@
 ROUTER_COUNT=${ROSEVALVE_ROUTERS:-3}
 PLATFORM=127.0.0.1:$((BASE + 900))
 ENGINES=("127.0.0.1:$((BASE + 801))" "127.0.0.1:$((BASE + 802))")
+ENGINE_FLAGS=${ROSEVALVE_ENGINE_FLAGS:-}
 SERVICE=127.0.0.1:$((BASE + 811))
 ROUTERS=()
 INNER=()
@@ -122,7 +123,7 @@
   mkdir -p "$RUN"
   start platform bin/rosevalve-standin platform --listen "$PLATFORM"
   for engine in "${ENGINES[@]}"; do
-    start "engine-${engine#*:}" bin/rosevalve-standin engine --listen "$engine"
+    start "engine-${engine#*:}" bin/rosevalve-standin engine --listen "$engine" $ENGINE_FLAGS
   done
   start service bin/rosevalve-standin service --listen "$SERVICE"
   wait_for "http://$PLATFORM/counts"
