Start limits low and cut them by how slow the target is

With three routers, two engines of 16 slots and 4 times their capacity, urgent first-token p95 was 1,252 ms (p50 384 ms) over 20 s: the first limit of 16 at three routers is three times the slots, and a tenth less at a time takes most of the trial to undo.

--- a/internal/fleet/settings/balance.go
+++ b/internal/fleet/settings/balance.go
@@ -43,7 +43,7 @@
 		intOption("load", "long_share", "10", "percentage of a workspace's tokens that its long requests get beside urgent ones", 1, 90, &s.LongShare),
 		durationOption("load", "first_token_goal", "250ms", "time from sending an urgent request to its first token above which a target is slow", time.Millisecond, time.Hour, &s.FirstTokenGoal),
 		durationOption("load", "token_gap_goal", "62ms", "time between two tokens above which a target is slow", time.Millisecond, time.Hour, &s.TokenGapGoal),
-		intOption("load", "initial_limit", "16", "requests that a new target is given at a time", 1, 1<<16, &s.InitialLimit),
+		intOption("load", "initial_limit", "8", "requests that a new target is given at a time", 1, 1<<16, &s.InitialLimit),
 		intOption("load", "max_limit", "512", "largest number of requests that a target is given at a time", 1, 1<<16, &s.MaxLimit),
 		intOption("load", "subset", "16", "most targets of one model that a router uses", 1, 1<<16, &s.Subset),
 		intOption("load", "affinity_bound", "125", "percentage of the mean load up to which a target is chosen for its cached prefix", 100, 10000, &s.AffinityBound),
--- a/internal/target/health/limit.go
+++ b/internal/target/health/limit.go
@@ -5,12 +5,14 @@
 const (
 	defaultFirstToken = 250 * time.Millisecond
 	defaultTokenGap   = 62 * time.Millisecond
-	defaultInitial    = 16
+	defaultInitial    = 8
 	defaultLeast      = 1
 	defaultMost       = 512
 
-	slowFactor     = 0.9
+	mildestCut     = 0.95
+	hardestCut     = 0.7
 	declineFactor  = 0.7
+	firstGrowth    = 0.25 // for each good sample until the first cut
 	cutInterval    = 500 * time.Millisecond
 	growthUseShare = 0.8 // a limit that is not reached tells nothing, so it does not grow
 )
@@ -51,13 +53,14 @@
 	return g
 }
 
-// Limit is the number of requests that a target is given at a time. It grows by
-// one for each round of good samples and shrinks by a factor when the target is
-// slow or declines (AIMD).
+// Limit is the number of requests that a target is given at a time. It grows
+// quickly until the target is first slow or declines, and then by one for each
+// round of good samples; it shrinks by a factor that follows how slow the target
+// is (AIMD).
 type Limit struct {
 	goals   Goals
 	value   float64
-	lastCut time.Time
+	lastCut time.Time // zero until the first cut
 }
 
 // NewLimit returns the limit of a target that nothing is known about.
@@ -71,34 +74,35 @@
 
 // FirstToken takes in the time that an urgent request waited for its first token.
 func (l *Limit) FirstToken(now time.Time, d time.Duration, outstanding int) {
-	l.sample(now, d <= l.goals.FirstToken, outstanding)
+	l.sample(now, d, l.goals.FirstToken, outstanding)
 }
 
 // TokenGap takes in the mean time between tokens of one run.
 func (l *Limit) TokenGap(now time.Time, d time.Duration, outstanding int) {
-	l.sample(now, d <= l.goals.TokenGap, outstanding)
+	l.sample(now, d, l.goals.TokenGap, outstanding)
 }
 
 // Done takes in an answer that came whole.
-func (l *Limit) Done(now time.Time, outstanding int) { l.sample(now, true, outstanding) }
+func (l *Limit) Done(now time.Time, outstanding int) { l.sample(now, 0, 0, outstanding) }
 
 // Declined takes in a request that the target refused because it is full.
 func (l *Limit) Declined(now time.Time, outstanding int) {
 	l.cut(now, min(l.value, float64(outstanding))*declineFactor)
 }
 
-func (l *Limit) sample(now time.Time, good bool, outstanding int) {
+func (l *Limit) sample(now time.Time, d, goal time.Duration, outstanding int) {
 	switch {
-	case !good && float64(outstanding) <= l.value:
-		l.cut(now, l.value*slowFactor)
-	case good && float64(outstanding) >= growthUseShare*l.value:
+	case d > goal && float64(outstanding) <= l.value:
+		factor := float64(goal) / float64(d)
+		l.cut(now, l.value*min(mildestCut, max(hardestCut, factor)))
+	case d <= goal && float64(outstanding) >= growthUseShare*l.value:
 		l.grow()
 	}
 }
 
 // cut lowers the limit, but only once until an earlier cut can have taken effect.
 func (l *Limit) cut(now time.Time, to float64) {
-	if l.goals.Fixed || now.Sub(l.lastCut) < cutInterval {
+	if l.goals.Fixed || !l.lastCut.IsZero() && now.Sub(l.lastCut) < cutInterval {
 		return
 	}
 	l.lastCut = now
@@ -109,5 +113,9 @@
 	if l.goals.Fixed {
 		return
 	}
-	l.value = min(l.value+1/l.value, float64(l.goals.Most))
+	step := firstGrowth
+	if !l.lastCut.IsZero() {
+		step = 1 / l.value
+	}
+	l.value = min(l.value+step, float64(l.goals.Most))
 }
--- a/internal/target/pool/pool_test.go
+++ b/internal/target/pool/pool_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestLimitIsLearnt(t *testing.T) {
-	now := time.Unix(0, 0)
+	now := time.Unix(1, 0)
 	l := health.NewLimit(health.Goals{Initial: 16})
 	for range 200 {
 		l.TokenGap(now, 20*time.Millisecond, l.Value())
