Probe a constant number of routers and send a bounded number of statements

Each heartbeat carried the full list to three peers, so its size grew with the fleet, a silent router was suspected by its counter alone, and a restarted router at the same address stood beside its old incarnation.

Now a beat probes two peers and carries at most six fresh statements; a page of versions finds what was missed. A router that answers neither directly nor through two others is suspected and may refute. Epochs order the incarnations at an address; of two that contend the one that answers there stays. Timers run on the time that this process was awake.

Each of epochs, awake time, probes through others and refutation is switched off in a test that must then fail.

--- /dev/null
+++ b/internal/fleet/membership/exchange.go
@@ -0,0 +1,148 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"rosevalve/internal/protocol/inner"
+)
+
+// exchange sends one heartbeat and takes over what the answer brings.
+func (v *View) exchange(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	out := v.heartbeat()
+	var ack inner.HeartbeatAck
+	if err := v.Call(ctx, addr, inner.MethodHeartbeat, out, &ack); err != nil {
+		return fmt.Errorf("send heartbeat to %s: %w", addr, err)
+	}
+	if ack.Sender.InnerAddr != addr {
+		return fmt.Errorf("router at %s says that its address is %s", addr, ack.Sender.InnerAddr)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hear(ack.Sender)
+	v.mergeAll(ack.Events)
+	v.mergeAll(ack.Missing)
+	v.turnPage(out.Page, ack.Missing)
+	return nil
+}
+
+// HandleHeartbeat answers a peer's heartbeat.
+func (v *View) HandleHeartbeat(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.Heartbeat
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode heartbeat: %w", err)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ack := inner.HeartbeatAck{Events: v.events()}
+	if s, ok := v.members[in.Sender.InnerAddr]; ok && v.doubts(s, in.Sender) {
+		ack.Events = append(ack.Events, v.doubt(s))
+	}
+	v.hear(in.Sender)
+	v.mergeAll(in.Events)
+	if in.Page != nil {
+		ack.Missing = v.missing(*in.Page)
+	}
+	ack.Sender = v.self
+	return ack, nil
+}
+
+// doubts reports whether the sender must be told that it is suspected, removed or
+// shadowed, so that it can refute. The caller holds mu.
+func (v *View) doubts(s *seen, sender inner.Member) bool {
+	if s.member.ID != sender.ID {
+		return s.member.Epoch >= sender.Epoch
+	}
+	silenced := s.dead || s.member.State == inner.Suspect
+	return silenced && s.member.Counter >= sender.Counter
+}
+
+// doubt returns the statement that the sender must refute. The caller holds mu.
+func (v *View) doubt(s *seen) inner.Member {
+	m := s.member
+	if m.State != inner.Dead {
+		m.State = inner.Suspect
+	}
+	return m
+}
+
+func (v *View) heartbeat() inner.Heartbeat {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := inner.Heartbeat{Sender: v.self, Events: v.events()}
+	if v.paging || v.beats%pageEvery == 0 {
+		out.Page = v.page()
+	}
+	return out
+}
+
+// hear takes over what a router says of itself. The caller holds mu.
+func (v *View) hear(sender inner.Member) {
+	v.merge(sender)
+	if s, ok := v.members[sender.InnerAddr]; ok && s.member.ID == sender.ID {
+		s.heard = v.awake
+	}
+}
+
+// mergeAll takes over statements about others. The caller holds mu.
+func (v *View) mergeAll(members []inner.Member) {
+	for _, m := range members {
+		v.merge(m)
+	}
+}
+
+// page describes the next part of the view. The caller holds mu.
+func (v *View) page() *inner.Page {
+	p := &inner.Page{After: v.cursor}
+	i, found := slices.BinarySearch(v.sorted, v.cursor)
+	if found {
+		i++
+	}
+	for ; i < len(v.sorted) && len(p.Versions) < pageSize; i++ {
+		p.Versions = append(p.Versions, v.members[v.sorted[i]].member.Version())
+	}
+	if i < len(v.sorted) {
+		p.Upto = v.sorted[i-1]
+	}
+	return p
+}
+
+// turnPage moves on to the next part, or to the first statement that was not brought
+// because the answer was full. The caller holds mu.
+func (v *View) turnPage(p *inner.Page, brought []inner.Member) {
+	if p == nil || p.After != v.cursor {
+		return
+	}
+	v.paging = len(brought) > 0
+	v.cursor = p.Upto
+	if len(brought) == maxMissing {
+		v.cursor = brought[maxMissing-1].InnerAddr
+	}
+}
+
+// missing returns what this view has in the page's range and the page lacks, ordered
+// by address. The caller holds mu.
+func (v *View) missing(p inner.Page) []inner.Member {
+	known := make(map[string]inner.Version, len(p.Versions))
+	for _, version := range p.Versions {
+		known[version.InnerAddr] = version
+	}
+	var out []inner.Member
+	i, _ := slices.BinarySearch(v.sorted, p.After)
+	for ; i < len(v.sorted) && len(out) < maxMissing; i++ {
+		addr := v.sorted[i]
+		if p.Upto != "" && addr > p.Upto {
+			break
+		}
+		s := v.members[addr]
+		if version, ok := known[addr]; addr == p.After || s.dead || ok && !v.newer(s.member.Version(), version) {
+			continue
+		}
+		out = append(out, s.member)
+	}
+	return out
+}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
+	"math/bits"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,42 +11,121 @@
 )
 
 const (
-	fanOut          = 3
+	maxEvents   = 6 // statements about others in one message
+	maxMissing  = 6 // statements that answer one page
+	pageSize    = 12
+	pageEvery   = 4  // beats between pages while they bring nothing
+	searchEvery = 8  // beats between calls to addresses that are not in the view
+	maxSeeds    = 3  // addresses that are asked in one beat while nobody is known
+	maxAnnounce = 32 // peers that are told directly of a change of this router
+	maxProbes   = 16 // probes at the same time
+
 	defaultInterval = 500 * time.Millisecond
 	defaultSuspect  = 3 * time.Second
 	defaultForget   = 30 * time.Second
+	probeTimeout    = time.Second
 )
 
 // View is what this router believes of the fleet.
 type View struct {
 	// Seeds are the inner addresses that are asked while nobody is known.
 	Seeds []string
-	// Interval is the time between heartbeats.
+	// Contacts returns further inner addresses where routers may be, such as those of the VM list.
+	Contacts func() []string
+	// Interval is the time between beats.
 	Interval time.Duration
-	// SuspectAfter is how long a router may be silent before it is suspected.
+	// SuspectAfter is how long a suspected router has to refute the suspicion.
 	SuspectAfter time.Duration
-	// ForgetAfter is how long a router may be silent before it is dropped.
+	// ForgetAfter is how long the removal of a router is remembered.
 	ForgetAfter time.Duration
 	// Call sends an inner message to an address.
 	Call func(ctx context.Context, addr, method string, in, out any) error
+	// OnReplaced runs once if another router answers at this router's address.
+	OnReplaced func()
+
+	// newer, elapsed, indirect and refute are mechanisms that tests switch off.
+	newer    func(a, b inner.Version) bool
+	elapsed  func(d time.Duration) time.Duration
+	indirect func(ctx context.Context, addr string) bool
+	refute   func(counter uint64) uint64
+
+	probes sync.WaitGroup
+
+	mu       sync.Mutex // guards the fields below
+	self     inner.Member
+	members  map[string]*seen // by inner address
+	sorted   []string         // addresses of members, in order
+	pending  map[string]int   // by inner address: times that the statement is still sent
+	awake    time.Duration    // time that this process has run, without its pauses
+	lastBeat time.Time
+	beats    int
+	near     rota
+	all      rota
+	cursor   string // address after which the next page begins
+	paging   bool   // the last page brought something
+	contest  uint64 // epoch of another incarnation at this router's address
+	replaced bool
+	inFlight map[string]bool // addresses being probed
+	random   *rand.Rand
+	counts   Counts
+	snapshot []inner.Member // nil after a change
+}
 
-	mu      sync.Mutex // guards the fields below
-	self    inner.Member
-	members map[string]*seen
+// Counts are the events of a view since its start.
+type Counts struct {
+	Suspicions  int64 `json:"suspicions"`
+	Refutations int64 `json:"refutations"`
+	Removals    int64 `json:"removals"`
+	Pauses      int64 `json:"pauses"`
 }
 
-// seen is a member with the time of its newest statement.
+// seen is a member with the awake times of what is known of it.
 type seen struct {
 	member inner.Member
-	at     time.Time
+	dead   bool
+	since  time.Duration // when the suspicion or the removal began
+	heard  time.Duration // when it last answered or asked this router itself
 }
 
 // Join sets this router's own entry; it must come before Run.
 func (v *View) Join(self inner.Member) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.setDefaults()
+	if self.Epoch == 0 {
+		// The clock only makes a contest rare: see settleContest.
+		self.Epoch = uint64(time.Now().UnixMilli())
+	}
 	v.self = self
 	v.members = make(map[string]*seen)
+	v.pending = make(map[string]int)
+	v.inFlight = make(map[string]bool)
+	v.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	v.lastBeat = time.Now()
+}
+
+func (v *View) setDefaults() {
+	if v.Interval == 0 {
+		v.Interval = defaultInterval
+	}
+	if v.SuspectAfter == 0 {
+		v.SuspectAfter = defaultSuspect
+	}
+	if v.ForgetAfter == 0 {
+		v.ForgetAfter = defaultForget
+	}
+	if v.newer == nil {
+		v.newer = inner.Version.Newer
+	}
+	if v.elapsed == nil {
+		v.elapsed = func(d time.Duration) time.Duration { return min(d, 2*v.Interval) }
+	}
+	if v.indirect == nil {
+		v.indirect = v.probeThroughOthers
+	}
+	if v.refute == nil {
+		v.refute = func(counter uint64) uint64 { return counter + 1 }
+	}
 }
 
 // Self returns this router's own entry.
@@ -59,21 +135,17 @@
 	return v.self
 }
 
-// Leave announces that this router takes no new callers.
-func (v *View) Leave() {
+// Counts returns the events since the start.
+func (v *View) Counts() Counts {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.self.State = inner.Leaving
-	v.self.Counter++
+	return v.counts
 }
 
-// Run sends heartbeats until ctx ends.
+// Run sends beats until ctx ends.
 func (v *View) Run(ctx context.Context) error {
-	interval := v.Interval
-	if interval == 0 {
-		interval = defaultInterval
-	}
-	tick := time.NewTicker(interval)
+	defer v.probes.Wait()
+	tick := time.NewTicker(v.Interval)
 	defer tick.Stop()
 	for {
 		v.beat(ctx)
@@ -86,112 +158,41 @@
 }
 
 func (v *View) beat(ctx context.Context) {
-	v.mu.Lock()
-	v.self.Counter++
-	v.expire(time.Now())
-	v.mu.Unlock()
-	var wait sync.WaitGroup
-	for _, addr := range v.pick() {
-		wait.Go(func() { v.exchange(ctx, addr) })
-	}
-	wait.Wait()
-}
-
-func (v *View) exchange(ctx context.Context, addr string) {
-	var ack inner.HeartbeatAck
-	if err := v.Call(ctx, addr, inner.MethodHeartbeat, inner.Heartbeat{Members: v.statements()}, &ack); err != nil {
-		return
+	v.advance(time.Now())
+	v.settleContest(ctx)
+	for _, addr := range v.targets() {
+		v.probes.Go(func() { v.probe(ctx, addr) })
 	}
-	v.merge(ack.Members)
 }
 
-// HandleHeartbeat answers a peer's heartbeat.
-func (v *View) HandleHeartbeat(_ context.Context, params json.RawMessage) (any, error) {
-	var in inner.Heartbeat
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("decode heartbeat: %w", err)
-	}
-	v.merge(in.Members)
-	return inner.HeartbeatAck{Members: v.statements()}, nil
-}
-
-// pick returns the addresses for one round of heartbeats.
-func (v *View) pick() []string {
+// advance moves the awake time on and removes what has been silent. A pause of this
+// process is not silence of the others, so it counts as at most two intervals.
+func (v *View) advance(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var addrs []string
-	for _, s := range v.members {
-		addrs = append(addrs, s.member.InnerAddr)
+	passed := now.Sub(v.lastBeat)
+	v.lastBeat = now
+	counted := v.elapsed(passed)
+	if counted < passed {
+		v.counts.Pauses++
 	}
-	if len(addrs) < fanOut {
-		for _, a := range v.Seeds {
-			if a != v.self.InnerAddr && !slices.Contains(addrs, a) {
-				addrs = append(addrs, a)
-			}
-		}
+	v.awake += counted
+	v.beats++
+	for addr, s := range v.members {
+		v.expire(addr, s)
 	}
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	return addrs[:min(fanOut, len(addrs))]
 }
 
-// statements returns this router's entry and all that it has heard of.
-func (v *View) statements() []inner.Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	out := []inner.Member{v.self}
-	for _, s := range v.members {
-		out = append(out, s.member)
-	}
-	return out
-}
-
-// merge takes over statements that are newer than those known.
-func (v *View) merge(members []inner.Member) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	for _, m := range members {
-		if m.ID == v.self.ID {
-			continue
-		}
-		known, ok := v.members[m.ID]
-		if ok && known.member.Counter >= m.Counter {
-			continue
-		}
-		v.members[m.ID] = &seen{member: m, at: now}
-	}
-}
-
-// expire drops routers that have been silent for long. The caller holds mu.
-func (v *View) expire(now time.Time) {
-	forget := v.ForgetAfter
-	if forget == 0 {
-		forget = defaultForget
-	}
-	for id, s := range v.members {
-		if now.Sub(s.at) > forget {
-			delete(v.members, id)
-		}
+// expire removes a suspect that has not refuted, and forgets old removals. The caller holds mu.
+func (v *View) expire(addr string, s *seen) {
+	switch {
+	case s.dead && v.awake-s.since > v.ForgetAfter:
+		v.forget(addr)
+	case !s.dead && s.member.State == inner.Suspect && v.awake-s.since >= v.SuspectAfter && v.awake-s.heard >= v.SuspectAfter:
+		v.remove(s)
+		v.counts.Removals++
 	}
 }
 
-// Members returns this router and the others with their believed states, ordered by id.
-func (v *View) Members() []inner.Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	suspect := v.SuspectAfter
-	if suspect == 0 {
-		suspect = defaultSuspect
-	}
-	now := time.Now()
-	out := []inner.Member{v.self}
-	for _, s := range v.members {
-		m := s.member
-		if m.State == inner.Alive && now.Sub(s.at) > suspect {
-			m.State = inner.Suspect
-		}
-		out = append(out, m)
-	}
-	slices.SortFunc(out, func(a, b inner.Member) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
+// sends returns how often a statement is sent on so that all hear it. The caller holds mu.
+func (v *View) sends() int { return 3 * bits.Len(uint(len(v.members)+1)) }
--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -13,7 +13,10 @@
 	r.links = &peer.Links{}
 	r.view = &membership.View{Seeds: cfg.Fleet.Seeds, Interval: cfg.Fleet.HeartbeatInterval, Call: r.links.Call}
 	r.links.Self = r.view.Self
-	r.links.Handlers = map[string]peer.Handler{inner.MethodHeartbeat: r.view.HandleHeartbeat}
+	r.links.Handlers = map[string]peer.Handler{
+		inner.MethodHeartbeat: r.view.HandleHeartbeat,
+		inner.MethodProbe:     r.view.HandleProbe,
+	}
 	r.view.Join(inner.Member{
 		ID:            r.id,
 		InnerAddr:     cfg.Router.InnerListen,
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -107,7 +107,7 @@
 // drain leaves the entries, waits for callers to notice and for streams to end, and gives tokens back.
 func (r *Router) drain(server *fasthttp.Server) error {
 	r.Log.Info("draining", "id", r.id)
-	r.view.Leave()
+	r.view.Leave(context.Background())
 	time.Sleep(r.Settings.Router.EntryMaxAge)
 	r.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.Router.DrainLimit)
--- a/internal/protocol/inner/inner.go
+++ b/internal/protocol/inner/inner.go
@@ -9,6 +9,7 @@
 const (
 	MethodHello     = "hello"
 	MethodHeartbeat = "heartbeat"
+	MethodProbe     = "probe"
 )
 
 // MemberState is what is believed of a router.
@@ -39,16 +40,10 @@
 	FailureDomain string      `json:"failure_domain"`
 	Region        string      `json:"region"`
 	State         MemberState `json:"state"`
+	// Epoch orders the incarnations at one address; the highest is the current one.
+	Epoch uint64 `json:"epoch"`
 	// Counter grows with each statement that the router makes about itself.
 	Counter uint64 `json:"counter"`
-}
-
-// Heartbeat tells a peer what the sender believes.
-type Heartbeat struct {
-	Members []Member `json:"members"`
-}
-
-// HeartbeatAck answers with what the receiver believes.
-type HeartbeatAck struct {
-	Members []Member `json:"members"`
+	// Busy says that the router prefers that callers go elsewhere.
+	Busy bool `json:"busy,omitempty"`
 }
