--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"github.com/valyala/fasthttp"
+
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
@@ -14,8 +16,9 @@
 	r.view = &membership.View{Seeds: cfg.Fleet.Seeds, Interval: cfg.Fleet.HeartbeatInterval, Call: r.links.Call}
 	r.links.Self = r.view.Self
 	r.links.Handlers = map[string]peer.Handler{
-		inner.MethodHeartbeat: r.view.HandleHeartbeat,
-		inner.MethodProbe:     r.view.HandleProbe,
+		inner.MethodHeartbeat:     r.view.HandleHeartbeat,
+		inner.MethodProbe:         r.view.HandleProbe,
+		inner.MethodConfiguration: r.catalogue.HandlePeer,
 	}
 	r.view.Join(inner.Member{
 		ID:            r.id,
@@ -25,7 +28,6 @@
 		Region:        cfg.Router.Region,
 	})
 	r.directory = &entry.Directory{Routers: r.entries, MaxAge: cfg.Router.EntryMaxAge}
-	r.directory.Start()
 }
 
 // entries lists the routers that take new callers.
@@ -33,12 +35,26 @@
 	var out []entry.Entry
 	for _, m := range r.view.Members() {
 		if m.State == inner.Alive {
-			out = append(out, entry.Entry{URL: "http://" + m.CallerAddr, FailureDomain: m.FailureDomain})
+			out = append(out, entry.Entry{
+				URL:           "http://" + m.CallerAddr,
+				FailureDomain: m.FailureDomain,
+				Region:        m.Region,
+				Busy:          m.Busy,
+			})
 		}
 	}
 	return out
 }
 
+// entriesFor answers a caller in its own order. A caller may name itself and its region.
+func (r *Router) entriesFor(ctx *fasthttp.RequestCtx) entry.Answer {
+	caller := string(ctx.QueryArgs().Peek("caller"))
+	if caller == "" {
+		caller = ctx.RemoteIP().String() + "|" + string(ctx.Request.Header.Peek("Authorization"))
+	}
+	return r.directory.Answer(caller, string(ctx.QueryArgs().Peek("region")))
+}
+
 func (r *Router) routerRows() [][]string {
 	var out [][]string
 	for _, m := range r.view.Members() {
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/fleet/drain"
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
@@ -29,6 +29,7 @@
 const (
 	platformConns = 64
 	closeTimeout  = 5 * time.Second
+	leaveSpread   = 2 * time.Second // until every router that is reached leaves a leaving one out
 )
 
 // Router is one router process.
@@ -39,13 +40,15 @@
 	Log *log.Logger
 
 	id        string
-	draining  atomic.Bool
+	leaving   atomic.Bool // callers are sent elsewhere
+	draining  atomic.Bool // new requests are refused
 	table     *table.Client
 	catalogue *catalogue.Catalogue
 	ledger    *ledger.Ledger
 	purse     *allotment.Purse
 	targets   *pool.Pool
 	register  *register.Register
+	homes     *register.Homes
 	view      *membership.View
 	links     *peer.Links
 	directory *entry.Directory
@@ -93,6 +96,7 @@
 	r.connectConfiguration()
 	r.connectBudgets()
 	r.connectFleet()
+	r.connectRuns()
 	r.connectRequests()
 }
 
@@ -104,18 +108,27 @@
 	}}
 }
 
-// drain leaves the entries, waits for callers to notice and for streams to end, and gives tokens back.
+// drain stops the router gracefully.
 func (r *Router) drain(server *fasthttp.Server) error {
 	r.Log.Info("draining", "id", r.id)
-	r.view.Leave(context.Background())
-	time.Sleep(r.Settings.Router.EntryMaxAge)
-	r.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.Router.DrainLimit)
-	defer cancel()
-	shutdownErr := server.ShutdownWithContext(ctx)
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancelClose()
-	if err := errors.Join(shutdownErr, r.purse.Close(closeCtx)); err != nil {
+	d := &drain.Drain{
+		Announce: func(ctx context.Context) {
+			r.leaving.Store(true)
+			r.view.Leave(ctx)
+		},
+		Age:    r.Settings.Router.EntryMaxAge + leaveSpread,
+		Refuse: func() { r.draining.Store(true) },
+		Finish: []drain.Part{
+			// Runs may go on after their callers have left, and must be billed.
+			{Name: "finish runs", Run: r.gateway.Close},
+			{Name: "close caller connections", Run: server.ShutdownWithContext},
+		},
+		HandOver:     []drain.Part{{Name: "give tokens back", Run: r.purse.Close}},
+		Quit:         r.view.Quit,
+		Limit:        r.Settings.Router.DrainLimit,
+		HandOverTime: closeTimeout,
+	}
+	if err := d.Run(); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	r.Log.Info("drained", "id", r.id)
