--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/alitto/pond/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"rosevalve/internal/protocol/inner"
@@ -16,8 +18,20 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	callTimeout = time.Second
+
+	handlerWorkers = 64
+	handlerQueue   = 1024
 )
 
+// codeNotRun is the JSON-RPC error code of a call that this router has not begun.
+const codeNotRun = -32000
+
+// ErrNotSent reports that a call did not reach the peer's handler.
+var ErrNotSent = errors.New("call not sent")
+
+// ErrClear reports a connection in clear beyond loopback that the settings do not allow.
+var ErrClear = errors.New("connection without TLS to another machine")
+
 // Handler answers one call; params is the JSON of the method's type.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -27,13 +41,42 @@
 	Self func() inner.Member
 	// Handlers answer the methods; they are set before Serve.
 	Handlers map[string]Handler
+	// Credentials secure the connections; without them they are in clear.
+	Credentials *Credentials
+	// AllowClear permits connections in clear beyond loopback.
+	AllowClear bool
+	// IdleTimeout closes a connection on which nothing arrives.
+	IdleTimeout time.Duration
+	// MaxAge is the age at which a connection is replaced.
+	MaxAge time.Duration
+
+	once sync.Once
+	pool pond.Pool
 
-	mu    sync.Mutex // guards conns
-	conns map[string]*jsonrpc2.Conn
+	mu       sync.Mutex // guards the fields below
+	peers    map[string]*peerLink
+	accepted map[net.Conn]bool
 }
 
-// Serve accepts connections until the listener is closed.
+func (l *Links) init() {
+	l.once.Do(func() {
+		if l.IdleTimeout == 0 {
+			l.IdleTimeout = defaultIdle
+		}
+		if l.MaxAge == 0 {
+			l.MaxAge = defaultMaxAge
+		}
+		l.pool = pond.NewPool(handlerWorkers, pond.WithQueueSize(handlerQueue), pond.WithNonBlocking(true))
+		l.peers = make(map[string]*peerLink)
+		l.accepted = make(map[net.Conn]bool)
+	})
+}
+
+// Serve accepts connections until ctx ends or the listener is closed.
 func (l *Links) Serve(ctx context.Context, listener net.Listener) error {
+	l.init()
+	stop := context.AfterFunc(ctx, func() { l.close(listener) })
+	defer stop()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -42,80 +85,117 @@
 			}
 			return fmt.Errorf("accept peer: %w", err)
 		}
-		l.open(ctx, conn)
+		go l.accept(ctx, conn)
 	}
 }
 
-// Call sends the method to the peer and decodes its answer into out.
-func (l *Links) Call(ctx context.Context, addr, method string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	conn, err := l.conn(ctx, addr)
-	if err != nil {
-		return fmt.Errorf("call %s at %s: %w", method, addr, err)
+// close ends the listener and all connections.
+func (l *Links) close(listener net.Listener) {
+	_ = listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.accepted {
+		_ = conn.Close()
 	}
-	if err := conn.Call(ctx, method, in, out); err != nil {
-		l.drop(addr, conn)
-		return fmt.Errorf("call %s at %s: %w", method, addr, err)
+	for _, p := range l.peers {
+		go p.shut()
 	}
-	return nil
 }
 
-// conn returns the connection to the peer, opening it if there is none.
-func (l *Links) conn(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
-	l.mu.Lock()
-	conn, ok := l.conns[addr]
-	l.mu.Unlock()
-	if ok {
-		return conn, nil
-	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+// accept serves one connection of a peer until it ends.
+func (l *Links) accept(ctx context.Context, raw net.Conn) {
+	secured, err := l.secure(raw)
 	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
-	}
-	conn = l.open(context.WithoutCancel(ctx), raw)
-	hello := inner.Hello{ProtocolVersion: inner.ProtocolVersion, Sender: l.Self()}
-	var theirs inner.Hello
-	if err := conn.Call(ctx, inner.MethodHello, hello, &theirs); err != nil {
-		_ = conn.Close()
-		return nil, fmt.Errorf("greet: %w", err)
+		_ = raw.Close()
+		refusedConnections.Add(1)
+		return
 	}
-	if theirs.ProtocolVersion != inner.ProtocolVersion {
+	conn := newConn(secured, l.IdleTimeout)
+	l.track(conn, true)
+	defer l.track(conn, false)
+	if ctx.Err() != nil {
 		_ = conn.Close()
-		return nil, fmt.Errorf("peer speaks protocol version %d, not %d", theirs.ProtocolVersion, inner.ProtocolVersion)
+		return
 	}
-	return l.keep(addr, conn), nil
+	<-l.open(ctx, conn).DisconnectNotify()
 }
 
-// keep stores the connection, unless another call has stored one first.
-func (l *Links) keep(addr string, conn *jsonrpc2.Conn) *jsonrpc2.Conn {
+func (l *Links) track(conn net.Conn, on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if other, ok := l.conns[addr]; ok {
-		_ = conn.Close()
-		return other
+	if on {
+		l.accepted[conn] = true
+		return
+	}
+	delete(l.accepted, conn)
+}
+
+// Call sends the method to the peer and decodes its answer into out.
+//
+// The error is ErrNotSent if the peer has not begun to handle the call.
+func (l *Links) Call(ctx context.Context, addr, method string, in, out any) error {
+	l.init()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p := l.peer(addr)
+	conn, err := p.conn(ctx)
+	if err != nil {
+		return fmt.Errorf("call %s at %s: %w: %w", method, addr, ErrNotSent, err)
+	}
+	began := time.Now()
+	err = conn.rpc.Call(ctx, method, in, out)
+	if err == nil {
+		return nil
 	}
-	if l.conns == nil {
-		l.conns = make(map[string]*jsonrpc2.Conn)
+	var refused *jsonrpc2.Error
+	if errors.As(err, &refused) {
+		return fmt.Errorf("call %s at %s: %w", method, addr, refusal(refused))
 	}
-	l.conns[addr] = conn
-	return conn
+	// A connection on which other answers arrive only has a slow handler behind it.
+	if ctx.Err() == nil || conn.raw.silentSince(began) {
+		p.drop(conn)
+	}
+	return fmt.Errorf("call %s at %s: %w", method, addr, err)
 }
 
-func (l *Links) drop(addr string, conn *jsonrpc2.Conn) {
+// refusal marks the peer's errors that say that the handler has not begun.
+func refusal(err *jsonrpc2.Error) error {
+	if err.Code == codeNotRun || err.Code == jsonrpc2.CodeMethodNotFound {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return err
+}
+
+func (l *Links) peer(addr string) *peerLink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conns[addr] == conn {
-		delete(l.conns, addr)
+	p, ok := l.peers[addr]
+	if !ok {
+		p = &peerLink{links: l, addr: addr}
+		l.peers[addr] = p
 	}
-	_ = conn.Close()
+	return p
 }
 
-func (l *Links) open(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	handler := jsonrpc2.HandlerWithError(l.handle)
-	return jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handler))
+// open speaks the protocol on a connection.
+func (l *Links) open(ctx context.Context, conn *countedConn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+	return jsonrpc2.NewConn(ctx, stream, poolHandler{links: l})
+}
+
+// poolHandler runs calls in the pool, and refuses them while its queue is full.
+type poolHandler struct {
+	links *Links
+}
+
+// Handle answers one request of a peer.
+func (h poolHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	handler := jsonrpc2.HandlerWithError(h.links.handle)
+	err := h.links.pool.Go(func() { handler.Handle(ctx, conn, req) })
+	if err == nil || req.Notif {
+		return
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeNotRun, Message: "too many calls at once"})
 }
 
 func (l *Links) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
--- a/internal/fleet/router/configuration.go
+++ b/internal/fleet/router/configuration.go
@@ -28,7 +28,7 @@
 		OnChange: r.targets.Update,
 		OnError:  func(err error) { r.Log.Warn("refresh configuration", "err", err) },
 	}
-	objects := &object.Client{Addr: r.Settings.Platform.Addr, HTTP: r.table.HTTP}
+	objects := &object.Client{Addr: r.Settings.Platform.Addr, HTTP: r.platform}
 	r.catalogue.Archive = objects.Put
 	desk := &order.Desk{Holder: r.id, Commit: r.table.Commit, Get: r.table.Get}
 	r.executor = &operator.Executor{
--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"math/rand/v2"
+
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/fleet/entry"
@@ -12,13 +14,24 @@
 // connectFleet builds the links to other routers and the view of them.
 func (r *Router) connectFleet() {
 	cfg := r.Settings
-	r.links = &peer.Links{}
-	r.view = &membership.View{Seeds: cfg.Fleet.Seeds, Interval: cfg.Fleet.HeartbeatInterval, Call: r.links.Call}
+	r.links = &peer.Links{AllowClear: cfg.Fleet.Clear == "anywhere"}
+	if cfg.Fleet.Secured() {
+		r.links.Credentials = &peer.Credentials{CertFile: cfg.Fleet.TLSCert, KeyFile: cfg.Fleet.TLSKey, CAFile: cfg.Fleet.TLSCA}
+	}
+	r.view = &membership.View{
+		Seeds:        cfg.Fleet.Seeds,
+		Interval:     cfg.Fleet.HeartbeatInterval,
+		SuspectAfter: cfg.Fleet.SuspectAfter,
+		Call:         r.links.Call,
+	}
 	r.links.Self = r.view.Self
 	r.links.Handlers = map[string]peer.Handler{
 		inner.MethodHeartbeat:     r.view.HandleHeartbeat,
 		inner.MethodProbe:         r.view.HandleProbe,
 		inner.MethodConfiguration: r.catalogue.HandlePeer,
+		inner.MethodTableCommit:   r.table.HandleCommit,
+		inner.MethodTableGet:      r.table.HandleGet,
+		inner.MethodTableScan:     r.table.HandleScan,
 	}
 	r.view.Join(inner.Member{
 		ID:            r.id,
@@ -46,6 +59,26 @@
 	return out
 }
 
+// relays lists routers that may reach the table, those of other failure domains
+// first, from a random place on, so that not all ask the same ones.
+func (r *Router) relays() []string {
+	members := r.view.Members()
+	own := r.view.Self()
+	var near, far []string
+	begin := rand.IntN(len(members))
+	for i := range members {
+		m := members[(begin+i)%len(members)]
+		switch {
+		case m.State != inner.Alive || m.ID == own.ID:
+		case m.FailureDomain == own.FailureDomain:
+			near = append(near, m.InnerAddr)
+		default:
+			far = append(far, m.InnerAddr)
+		}
+	}
+	return append(far, near...)
+}
+
 // entriesFor answers a caller in its own order. A caller may name itself and its region.
 func (r *Router) entriesFor(ctx *fasthttp.RequestCtx) entry.Answer {
 	caller := string(ctx.QueryArgs().Peek("caller"))
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -17,6 +17,7 @@
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
+	"rosevalve/internal/fleet/relay"
 	"rosevalve/internal/fleet/settings"
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/request/gateway"
@@ -42,7 +43,8 @@
 	id        string
 	leaving   atomic.Bool // callers are sent elsewhere
 	draining  atomic.Bool // new requests are refused
-	table     *table.Client
+	platform  *fasthttp.Client
+	table     *relay.Table
 	catalogue *catalogue.Catalogue
 	ledger    *ledger.Ledger
 	purse     *allotment.Purse
@@ -102,10 +104,17 @@
 
 // connectPlatform builds the clients of the platform's services.
 func (r *Router) connectPlatform() {
-	r.table = &table.Client{Addr: r.Settings.Platform.Addr, HTTP: &fasthttp.Client{
-		MaxConnsPerHost:           platformConns,
-		MaxIdemponentCallAttempts: 1,
-	}}
+	r.platform = &fasthttp.Client{MaxConnsPerHost: platformConns, MaxIdemponentCallAttempts: 1}
+	client := &table.Client{Addr: r.Settings.Platform.Addr, HTTP: r.platform}
+	r.table = &relay.Table{
+		DirectCommit: client.Commit,
+		DirectGet:    client.Get,
+		DirectScan:   client.Scan,
+		Call: func(ctx context.Context, addr, method string, in, out any) error {
+			return r.links.Call(ctx, addr, method, in, out)
+		},
+		Peers: func() []string { return r.relays() },
+	}
 }
 
 // drain stops the router gracefully.
--- a/internal/fleet/settings/load.go
+++ b/internal/fleet/settings/load.go
@@ -51,6 +51,11 @@
 			problems = append(problems, err)
 		}
 	}
+	if len(problems) == 0 {
+		if err := f.settings.Check(); err != nil {
+			problems = append(problems, err)
+		}
+	}
 	if len(problems) > 0 {
 		return Settings{}, fmt.Errorf("settings of %q: %w", f.file, errors.Join(problems...))
 	}
--- a/internal/platform/table/client.go
+++ b/internal/platform/table/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -49,6 +51,9 @@
 // ErrUnknownOutcome if the answer was lost.
 func (c *Client) Commit(ctx context.Context, commit Commit) (uint64, error) {
 	status, body, err := c.post(ctx, "/table/commit", commit)
+	if notConnected(err) {
+		return 0, fmt.Errorf("commit: %w: %w: %w", ErrUnavailable, ErrUnreachable, err)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("commit: %w: %w", ErrUnknownOutcome, err)
 	}
@@ -93,7 +98,7 @@
 func (c *Client) rows(ctx context.Context, path string, in any) ([]Row, error) {
 	status, body, err := c.post(ctx, path, in)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w: %w", ErrUnavailable, ErrUnreachable, err)
 	}
 	if status != fasthttp.StatusOK {
 		return nil, fmt.Errorf("answered %d: %w", status, ErrUnavailable)
@@ -125,6 +130,13 @@
 	return resp.StatusCode(), body, nil
 }
 
+// notConnected reports whether the call failed before a connection stood, so that
+// nothing can have been applied.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &op) && op.Op == "dial"
+}
+
 func (c *Client) deadline(ctx context.Context) time.Time {
 	timeout := c.Timeout
 	if timeout == 0 {
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -40,6 +40,10 @@
 // ErrUnavailable reports that the table refused the operation and did not apply it.
 var ErrUnavailable = errors.New("table unavailable")
 
+// ErrUnreachable reports that this router did not get through to the table, and that
+// nothing was applied; another router may get through.
+var ErrUnreachable = errors.New("table not reached")
+
 // ErrUnknownOutcome reports that a commit may or may not have taken effect.
 var ErrUnknownOutcome = errors.New("commit outcome unknown")
 
--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -36,6 +36,7 @@
 type caller struct {
 	load  *Load
 	seeds []string
+	name  string // by which the entries are ordered
 
 	mu      sync.Mutex // guards the fields below
 	entries []entry.Entry
@@ -285,7 +286,7 @@
 }
 
 func (c *caller) ask(seed string) (entry.Answer, error) {
-	_, body, err := fasthttp.GetTimeout(nil, "http://"+seed+"/v1/entries", dialTimeout)
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+seed+"/v1/entries?caller="+c.name, dialTimeout)
 	if err != nil {
 		return entry.Answer{}, fmt.Errorf("ask for entries: %w", err)
 	}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -128,7 +129,7 @@
 	l.measures = newMeasures()
 	l.callers = make([]*caller, max(l.Callers, 1))
 	for i := range l.callers {
-		l.callers[i] = &caller{load: l, seeds: l.Routers}
+		l.callers[i] = &caller{load: l, seeds: l.Routers, name: strconv.Itoa(i)}
 	}
 }
 
