--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -118,7 +118,7 @@
 		v.newer = inner.Version.Newer
 	}
 	if v.elapsed == nil {
-		v.elapsed = func(d time.Duration) time.Duration { return min(d, 2*v.Interval) }
+		v.elapsed = func(d time.Duration) time.Duration { return min(d, v.Interval) }
 	}
 	if v.indirect == nil {
 		v.indirect = v.probeThroughOthers
@@ -166,14 +166,14 @@
 }
 
 // advance moves the awake time on and removes what has been silent. A pause of this
-// process is not silence of the others, so it counts as at most two intervals.
+// process is not silence of the others, so it counts as at most one interval.
 func (v *View) advance(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	passed := now.Sub(v.lastBeat)
 	v.lastBeat = now
 	counted := v.elapsed(passed)
-	if counted < passed {
+	if passed > 2*v.Interval {
 		v.counts.Pauses++
 	}
 	v.awake += counted
--- /dev/null
+++ b/internal/fleet/router/budget_tables.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"context"
+	"fmt"
+
+	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/workspace/operator"
+)
+
+// connectBudgetCommands gives the operators' commands access to holdings and usage.
+func (r *Router) connectBudgetCommands() {
+	r.executor.Holdings = r.holdingTable
+	r.executor.Release = r.releaseHolding
+	r.executor.Usage = r.usageTable
+}
+
+// holdingTable lists all holdings, or those that the last sweep has left in doubt.
+func (r *Router) holdingTable(ctx context.Context, inDoubt bool) (operator.Table, error) {
+	t := operator.Table{Columns: []operator.Column{
+		{Name: "holding"},
+		{Name: "holder"},
+		{Name: "witness"},
+		{Name: "drawn", Unit: operator.UnitTokens},
+		{Name: "billed", Unit: operator.UnitTokens},
+		{Name: "open", Unit: operator.UnitNumber},
+		{Name: "doubt"},
+	}}
+	causes := make(map[ledger.HoldingID]string)
+	for _, d := range r.reclaimer.Doubts() {
+		causes[d.Holding()] = d.Cause().String()
+	}
+	err := r.ledger.Holdings(ctx, "", func(h ledger.HoldingRow) error {
+		cause, doubted := causes[h.ID()]
+		if inDoubt && !doubted {
+			return nil
+		}
+		t.Rows = append(t.Rows, []operator.Cell{
+			operator.Text(h.ID().String()),
+			operator.Text(h.Holder),
+			operator.Text(h.Term.Witness),
+			operator.Number(h.Drawn),
+			operator.Number(h.Billed),
+			operator.Number(int64(len(h.Open))),
+			operator.Text(cause),
+		})
+		return nil
+	})
+	return t, err
+}
+
+// releaseHolding returns a holding in doubt to its budget; a second release changes nothing.
+func (r *Router) releaseHolding(ctx context.Context, name, _ string) error {
+	id, ok := ledger.ParseHoldingID(name)
+	if !ok {
+		return fmt.Errorf("%q is not a holding; its id has the form workspace/budget/name", name)
+	}
+	row, found, err := r.ledger.Holding(ctx, id)
+	if err != nil {
+		return fmt.Errorf("release holding: %w", err)
+	}
+	if !found {
+		return nil
+	}
+	if !r.reclaimer.Suspected(row.Holder) {
+		return fmt.Errorf("router %q of holding %q is alive", row.Holder, name)
+	}
+	_, err = r.ledger.ReleaseHolding(ctx, id)
+	return err
+}
+
+// usageTable sums the bills by workspace, budget and day.
+func (r *Router) usageTable(ctx context.Context, workspace string) (operator.Table, error) {
+	t := operator.Table{Columns: []operator.Column{
+		{Name: "workspace"},
+		{Name: "budget"},
+		{Name: "day"},
+		{Name: "requests", Unit: operator.UnitNumber},
+		{Name: "prompt_tokens", Unit: operator.UnitTokens},
+		{Name: "completion_tokens", Unit: operator.UnitTokens},
+	}}
+	usage, err := r.ledger.Usage(ctx, workspace)
+	if err != nil {
+		return operator.Table{}, fmt.Errorf("read usage: %w", err)
+	}
+	for _, u := range usage {
+		t.Rows = append(t.Rows, []operator.Cell{
+			operator.Text(u.Budget.Workspace),
+			operator.Text(u.Budget.Name),
+			operator.Text(u.Day),
+			operator.Number(u.Requests),
+			operator.Number(u.PromptTokens),
+			operator.Number(u.CompletionTokens),
+		})
+	}
+	return t, nil
+}
--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -28,6 +28,9 @@
 	r.links.Handlers = map[string]peer.Handler{
 		inner.MethodHeartbeat:     r.view.HandleHeartbeat,
 		inner.MethodProbe:         r.view.HandleProbe,
+		inner.MethodWitnessAppend: r.handleAppend,
+		inner.MethodWitnessSeal:   r.handleSeal,
+		inner.MethodRecall:        r.handleRecall,
 		inner.MethodConfiguration: r.catalogue.HandlePeer,
 		inner.MethodTableCommit:   r.table.HandleCommit,
 		inner.MethodTableGet:      r.table.HandleGet,
--- a/internal/target/runner/engine.go
+++ b/internal/target/runner/engine.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
@@ -116,7 +117,12 @@
 	return nil
 }
 
+// ErrNoRun reports that the target does not know the run.
+var ErrNoRun = errors.New("run does not exist at the target")
+
 // Cancel stops a run at an engine and returns what it used.
+//
+// Errors are ErrNoRun and those of the connection.
 func (c *Client) Cancel(addr, runID string) (chat.Usage, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -132,6 +138,9 @@
 	if err != nil {
 		return chat.Usage{}, fmt.Errorf("cancel run: %w", err)
 	}
+	if resp.StatusCode() == fasthttp.StatusNotFound {
+		return chat.Usage{}, fmt.Errorf("cancel run %q: %w", runID, ErrNoRun)
+	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return chat.Usage{}, fmt.Errorf("cancel run: status %d", resp.StatusCode())
 	}
