--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -25,7 +25,7 @@
 	defer v.mu.Unlock()
 	v.hear(ack.Sender)
 	v.mergeAll(ack.Events)
-	v.mergeAll(ack.Missing)
+	v.mergeStored(ack.Missing)
 	v.turnPage(out.Page, ack.Missing)
 	return nil
 }
@@ -95,6 +95,18 @@
 	}
 }
 
+// mergeStored takes over statements that a page brought. Most of the fleet has them,
+// so they are not sent on as fresh ones. The caller holds mu.
+func (v *View) mergeStored(members []inner.Member) {
+	for _, m := range members {
+		_, fresh := v.pending[m.InnerAddr]
+		v.merge(m)
+		if !fresh {
+			delete(v.pending, m.InnerAddr)
+		}
+	}
+}
+
 // page describes the next part of the view. The caller holds mu.
 func (v *View) page() *inner.Page {
 	p := &inner.Page{After: v.cursor}
--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
+	"rosevalve/internal/platform/vmlist"
 	"rosevalve/internal/protocol/inner"
 )
 
@@ -23,6 +25,12 @@
 		Interval:     cfg.Fleet.HeartbeatInterval,
 		SuspectAfter: cfg.Fleet.SuspectAfter,
 		Call:         r.links.Call,
+		Contacts:     r.listedRouters,
+	}
+	client := &vmlist.Client{Addr: cfg.Platform.Addr, HTTP: r.platform}
+	r.vms = &vmlist.Watcher{
+		List:    client.List,
+		OnError: func(err error) { r.Log.Warn("read VM list", "err", err) },
 	}
 	r.links.Self = r.view.Self
 	r.links.Handlers = map[string]peer.Handler{
@@ -46,18 +54,37 @@
 	r.directory = &entry.Directory{Routers: r.entries, MaxAge: cfg.Router.EntryMaxAge}
 }
 
-// entries lists the routers that take new callers.
+// listedRouters returns the inner addresses that routers on the listed VMs would have.
+func (r *Router) listedRouters() []string {
+	own, err := netip.ParseAddrPort(r.Settings.Router.InnerListen)
+	if err != nil {
+		return nil
+	}
+	return r.vms.Addrs(own.Port())
+}
+
+// entries lists the routers that take new callers. Those on a VM that the lagging list
+// calls leaving are left out while there are others.
 func (r *Router) entries() []entry.Entry {
-	var out []entry.Entry
+	var out, listed []entry.Entry
 	for _, m := range r.view.Members() {
-		if m.State == inner.Alive {
-			out = append(out, entry.Entry{
-				URL:           "http://" + m.CallerAddr,
-				FailureDomain: m.FailureDomain,
-				Region:        m.Region,
-				Busy:          m.Busy,
-			})
+		if m.State != inner.Alive {
+			continue
 		}
+		e := entry.Entry{
+			URL:           "http://" + m.CallerAddr,
+			FailureDomain: m.FailureDomain,
+			Region:        m.Region,
+			Busy:          m.Busy,
+		}
+		if r.vms.Leaving(m.InnerAddr) || r.vms.Leaving(m.CallerAddr) {
+			listed = append(listed, e)
+			continue
+		}
+		out = append(out, e)
+	}
+	if len(out) == 0 {
+		return listed
 	}
 	return out
 }
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -22,6 +22,7 @@
 	"rosevalve/internal/fleet/relay"
 	"rosevalve/internal/fleet/settings"
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/platform/vmlist"
 	"rosevalve/internal/request/gateway"
 	"rosevalve/internal/request/register"
 	"rosevalve/internal/target/pool"
@@ -56,6 +57,7 @@
 	register  *register.Register
 	homes     *register.Homes
 	view      *membership.View
+	vms       *vmlist.Watcher
 	links     *peer.Links
 	directory *entry.Directory
 	gateway   *gateway.Gateway
@@ -77,12 +79,13 @@
 	server := r.server()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 6)
+	failed := make(chan error, 8)
 	start := func(f func() error) {
 		go func() { failed <- f() }()
 	}
 	start(func() error { return r.catalogue.Run(background) })
 	start(func() error { return r.view.Run(background) })
+	start(func() error { return r.vms.Run(background) })
 	start(func() error { return r.purse.Run(background) })
 	start(func() error { return r.reclaimer.Run(background) })
 	start(func() error { return r.links.Serve(background, innerListener) })
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -11,6 +11,7 @@
 
 	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/budget/witness"
+	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/pool"
@@ -30,7 +31,9 @@
 	Witness  []witness.State   `json:"witness"`
 	Targets  []pool.State      `json:"targets"`
 	Members  []inner.Member    `json:"members"`
-	Runs     []RunState        `json:"runs"`
+	// Membership counts suspicions, their refutations, removals and pauses of this process.
+	Membership membership.Counts `json:"membership"`
+	Runs       []RunState        `json:"runs"`
 }
 
 // RunState describes one run for the dump.
@@ -92,14 +95,15 @@
 
 func (r *Router) state() State {
 	s := State{
-		ID:       r.id,
-		Version:  r.catalogue.Current().Version(),
-		Ready:    r.catalogue.Ready(),
-		Draining: r.draining.Load(),
-		Books:    r.purse.State(),
-		Witness:  r.books.State(),
-		Targets:  r.targets.State(),
-		Members:  r.view.Members(),
+		ID:         r.id,
+		Version:    r.catalogue.Current().Version(),
+		Ready:      r.catalogue.Ready(),
+		Draining:   r.draining.Load(),
+		Books:      r.purse.State(),
+		Witness:    r.books.State(),
+		Targets:    r.targets.State(),
+		Members:    r.view.Members(),
+		Membership: r.view.Counts(),
 	}
 	for _, run := range r.register.Runs() {
 		s.Runs = append(s.Runs, RunState{
