--- a/internal/fleet/router/request_tables.go
+++ b/internal/fleet/router/request_tables.go
@@ -22,7 +22,7 @@
 	r.executor.Requests = r.requestTable
 	r.executor.Cancel = r.cancelRequest
 	r.executor.Explain = r.explainRequest
-	vms := &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: r.table.HTTP}
+	vms := &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: r.platform}
 	r.executor.VMs = func(ctx context.Context) (operator.Table, error) { return vmTable(ctx, vms) }
 }
 
--- a/internal/fleet/router/requests.go
+++ b/internal/fleet/router/requests.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/admission"
 	"rosevalve/internal/request/claim"
@@ -37,7 +34,7 @@
 			Call:    client.Call,
 		},
 		Claims:   &claim.Registry{Commit: r.table.Commit, Get: r.table.Get},
-		Entries:  func(ctx *fasthttp.RequestCtx) entry.Answer { return r.directory.Answer(ctx.RemoteAddr().String()) },
+		Entries:  r.entriesFor,
 		Leaving:  r.leaving.Load,
 		Draining: r.draining.Load,
 		Limits:   admission.Limits{MaxTokens: cfg.MaxTokens, DefaultTokens: cfg.DefaultTokens},
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -9,18 +9,20 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/budget/reclaim"
 	"rosevalve/internal/budget/witness"
+	"rosevalve/internal/fleet/drain"
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
+	"rosevalve/internal/fleet/relay"
 	"rosevalve/internal/fleet/settings"
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/platform/vmlist"
 	"rosevalve/internal/request/gateway"
 	"rosevalve/internal/request/queue"
 	"rosevalve/internal/request/register"
@@ -33,6 +35,7 @@
 const (
 	platformConns = 64
 	closeTimeout  = 5 * time.Second
+	leaveSpread   = 2 * time.Second // until every router that is reached leaves a leaving one out
 )
 
 // Router is one router process.
@@ -45,7 +48,8 @@
 	id        string
 	leaving   atomic.Bool // callers are sent elsewhere
 	draining  atomic.Bool // new requests are refused
-	table     *table.Client
+	platform  *fasthttp.Client
+	table     *relay.Table
 	catalogue *catalogue.Catalogue
 	ledger    *ledger.Ledger
 	purse     *allotment.Purse
@@ -57,6 +61,7 @@
 	register  *register.Register
 	homes     *register.Homes
 	view      *membership.View
+	vms       *vmlist.Watcher
 	links     *peer.Links
 	directory *entry.Directory
 	gateway   *gateway.Gateway
@@ -78,13 +83,14 @@
 	server := r.server()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 6)
+	failed := make(chan error, 8)
 	start := func(f func() error) {
 		go func() { failed <- f() }()
 	}
 	start(func() error { return r.catalogue.Run(background) })
 	start(func() error { return r.view.Run(background) })
 	start(func() error { return r.runTargets(background) })
+	start(func() error { return r.vms.Run(background) })
 	start(func() error { return r.purse.Run(background) })
 	start(func() error { return r.reclaimer.Run(background) })
 	start(func() error { return r.links.Serve(background, innerListener) })
@@ -112,26 +118,40 @@
 
 // connectPlatform builds the clients of the platform's services.
 func (r *Router) connectPlatform() {
-	r.table = &table.Client{Addr: r.Settings.Platform.Addr, HTTP: &fasthttp.Client{
-		MaxConnsPerHost:           platformConns,
-		MaxIdemponentCallAttempts: 1,
-	}}
+	r.platform = &fasthttp.Client{MaxConnsPerHost: platformConns, MaxIdemponentCallAttempts: 1}
+	client := &table.Client{Addr: r.Settings.Platform.Addr, HTTP: r.platform}
+	r.table = &relay.Table{
+		DirectCommit: client.Commit,
+		DirectGet:    client.Get,
+		DirectScan:   client.Scan,
+		Call: func(ctx context.Context, addr, method string, in, out any) error {
+			return r.links.Call(ctx, addr, method, in, out)
+		},
+		Peers: func() []string { return r.relays() },
+	}
 }
 
-// drain leaves the entries, waits for callers to notice and for streams to end, and gives tokens back.
+// drain stops the router gracefully.
 func (r *Router) drain(server *fasthttp.Server) error {
 	r.Log.Info("draining", "id", r.id)
-	r.view.Leave()
-	r.leaving.Store(true)
-	time.Sleep(r.Settings.Router.EntryMaxAge)
-	r.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.Router.DrainLimit)
-	defer cancel()
-	// Runs may go on after their callers have left, and must be billed.
-	shutdownErr := errors.Join(server.ShutdownWithContext(ctx), r.gateway.Close(ctx))
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancelClose()
-	if err := errors.Join(shutdownErr, r.purse.Close(closeCtx)); err != nil {
+	d := &drain.Drain{
+		Announce: func(ctx context.Context) {
+			r.leaving.Store(true)
+			r.view.Leave(ctx)
+		},
+		Age:    r.Settings.Router.EntryMaxAge + leaveSpread,
+		Refuse: func() { r.draining.Store(true) },
+		Finish: []drain.Part{
+			// Runs may go on after their callers have left, and must be billed.
+			{Name: "finish runs", Run: r.gateway.Close},
+			{Name: "close caller connections", Run: server.ShutdownWithContext},
+		},
+		HandOver:     []drain.Part{{Name: "give tokens back", Run: r.purse.Close}},
+		Quit:         r.view.Quit,
+		Limit:        r.Settings.Router.DrainLimit,
+		HandOverTime: closeTimeout,
+	}
+	if err := d.Run(); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	r.Log.Info("drained", "id", r.id)
