--- a/internal/workspace/catalogue/catalogue.go
+++ b/internal/workspace/catalogue/catalogue.go
@@ -14,8 +14,9 @@
 
 const (
 	defaultPollInterval   = time.Second
-	maxPollInterval       = 8 * time.Second // with its timeout within the 13 s of the largest fleet
-	fleetPollsPerSecond   = 140
+	maxPollInterval       = 5500 * time.Millisecond
+	failedPollInterval    = 3 * time.Second // at most, behind a poll that failed
+	fleetPollsPerSecond   = 200
 	defaultGossipInterval = time.Second
 	refreshTimeout        = 15 * time.Second // many calls, each with the table client's timeout
 )
@@ -52,6 +53,7 @@
 	offset  func() uint64                   // where the rotation through the peers begins
 	segment uint64                          // changes in an archived segment; tests make it small
 	loaded  atomic.Bool                     // a snapshot was read from the table or a peer
+	fresh   atomic.Bool                     // a version was installed that no peer has been told of
 	behind  atomic.Bool                     // a peer's changes did not reach back to this router's version
 	outage  atomic.Bool                     // the newest poll of the table failed
 	heard   atomic.Uint64                   // the highest version that a peer has named
@@ -97,7 +99,9 @@
 	for {
 		err := c.Refresh(ctx)
 		c.outage.Store(err != nil)
+		polls.Add(1)
 		if err != nil {
+			failedPolls.Add(1)
 			c.report(err)
 			c.wakePeers()
 		}
@@ -107,6 +111,9 @@
 		case <-time.After(wait):
 		}
 		wait = c.pollInterval()
+		if err != nil {
+			wait = min(wait, failedPollInterval)
+		}
 	}
 }
 
@@ -144,10 +151,12 @@
 		return
 	}
 	c.current.Store(next)
+	installs.Add(1)
 	if c.OnChange != nil {
 		c.OnChange(next)
 	}
 	c.loaded.Store(true)
+	c.fresh.Store(true)
 	c.wakePeers() // each router tells a few others at once
 	if next.problem != nil {
 		c.report(fmt.Errorf("old value stays in force: %w", next.problem))
