--- a/internal/request/gateway/world_test.go
+++ b/internal/request/gateway/world_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,7 +8,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -19,7 +17,6 @@
 	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/platform/table"
-	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/admission"
 	"rosevalve/internal/request/claim"
@@ -41,98 +38,6 @@
 	testProgress  = time.Second
 )
 
-// pipeListener hands one end of each pipe to a server.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, io.EOF
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (l *pipeListener) dial() (net.Conn, error) {
-	client, server := net.Pipe()
-	select {
-	case l.conns <- server:
-		return client, nil
-	case <-l.closed:
-		return nil, errors.New("refused")
-	}
-}
-
-// connFault breaks one connection at a point; byte counts of 0 stand for never.
-type connFault struct {
-	Refuse     bool
-	CutWrite   int
-	CutRead    int
-	SilentRead int
-}
-
-// faultyConn is a connection that breaks as its fault tells.
-type faultyConn struct {
-	net.Conn
-	fault         connFault
-	read, written int
-}
-
-func (c *faultyConn) Write(b []byte) (int, error) {
-	left := c.fault.CutWrite - 1 - c.written
-	if c.fault.CutWrite > 0 && len(b) > left {
-		n, _ := c.Conn.Write(b[:left])
-		c.written += n
-		_ = c.Close()
-		return n, errors.New("connection reset")
-	}
-	n, err := c.Conn.Write(b)
-	c.written += n
-	return n, err
-}
-
-func (c *faultyConn) Read(b []byte) (int, error) {
-	limit := max(c.fault.CutRead, c.fault.SilentRead) - 1
-	if limit >= 0 {
-		if c.read >= limit && c.fault.CutRead > 0 {
-			_ = c.Close()
-			return 0, io.EOF
-		}
-		if c.read >= limit {
-			return c.discard()
-		}
-		b = b[:min(len(b), limit-c.read)]
-	}
-	n, err := c.Conn.Read(b)
-	c.read += n
-	return n, err
-}
-
-// discard loses all that arrives until the read's deadline.
-func (c *faultyConn) discard() (int, error) {
-	var b [512]byte
-	for {
-		if _, err := c.Conn.Read(b[:]); err != nil {
-			return 0, err
-		}
-	}
-}
-
 // world is a fleet of routers with its table and targets, in virtual time.
 type world struct {
 	store     *platform.Store
@@ -413,184 +318,3 @@
 		_ = c.Close()
 	}
 }
-
-func (w *world) commit(_ context.Context, c table.Commit) (uint64, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	switch {
-	case w.outage:
-		return 0, errTableDown
-	case w.lost > 0:
-		w.lost--
-		_, _ = w.store.Commit(c)
-		return 0, table.ErrUnknownOutcome
-	case w.delayed > 0:
-		w.delayed--
-		time.AfterFunc(3*time.Second, func() { _, _ = w.store.Commit(c) })
-		return 0, table.ErrUnknownOutcome
-	}
-	return w.store.Commit(c)
-}
-
-func (w *world) get(_ context.Context, keys ...string) ([]table.Row, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.outage {
-		return nil, errTableDown
-	}
-	return w.store.Get(keys), nil
-}
-
-func (w *world) scan(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.outage {
-		return nil, errTableDown
-	}
-	return w.store.Scan(prefix, after, limit), nil
-}
-
-// cut reports whether the node's table operations fail. Those of a dead node
-// succeed without effect once the world has ended, so that its loops end.
-func (n *node) cut() (down, ended bool) {
-	n.world.mu.Lock()
-	defer n.world.mu.Unlock()
-	return n.dead, n.world.ended
-}
-
-func (n *node) commit(ctx context.Context, c table.Commit) (uint64, error) {
-	if down, _ := n.cut(); down {
-		return 0, errTableDown
-	}
-	return n.world.commit(ctx, c)
-}
-
-func (n *node) get(ctx context.Context, keys ...string) ([]table.Row, error) {
-	if down, ended := n.cut(); down {
-		if ended {
-			return nil, nil
-		}
-		return nil, errTableDown
-	}
-	return n.world.get(ctx, keys...)
-}
-
-func (n *node) scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
-	if down, _ := n.cut(); down {
-		return nil, errTableDown
-	}
-	return n.world.scan(ctx, prefix, after, limit)
-}
-
-// reply is what a caller has received.
-type reply struct {
-	status int
-	id     string
-	body   []byte
-	header func(string) string
-	err    error
-}
-
-// refusal is an error in an answer.
-type refusal struct {
-	Error struct {
-		Code        string `json:"code"`
-		Run         string `json:"run"`
-		Param       string `json:"param"`
-		RetryAfterS int64  `json:"retry_after_s"`
-	} `json:"error"`
-}
-
-// send sends a request to the router as a caller would.
-func (n *node) send(path, body string, headers ...string) reply {
-	req := fasthttp.AcquireRequest()
-	resp := &fasthttp.Response{}
-	req.Header.SetMethod("POST")
-	req.SetRequestURI("http://" + n.addr + path)
-	req.Header.Set("Authorization", "Bearer secret")
-	for i := 0; i < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
-	}
-	req.SetConnectionClose()
-	req.SetBodyString(body)
-	client := &fasthttp.HostClient{Addr: n.addr, Dial: n.world.dial, MaxIdemponentCallAttempts: 1}
-	err := client.Do(req, resp)
-	return reply{
-		status: resp.StatusCode(),
-		id:     string(resp.Header.Peek(HeaderRequestID)),
-		body:   bytes.Clone(resp.Body()),
-		header: func(name string) string { return string(resp.Header.Peek(name)) },
-		err:    err,
-	}
-}
-
-func (r reply) refusal() refusal {
-	var out refusal
-	_ = json.Unmarshal(r.body, &out)
-	return out
-}
-
-// completionBody is a request whose prompt is its key.
-func completionBody(key string) string {
-	return fmt.Sprintf(`{"model":"m","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, testTokens, key)
-}
-
-// wantText is the answer that the engines give to completionBody.
-func wantText(key string) string {
-	content, _ := json.Marshal(key)
-	text := ""
-	for i := range int64(testTokens) {
-		text += engine.Token(engine.Seed(content), i)
-	}
-	return text
-}
-
-func (r reply) text() string {
-	var c chat.Completion
-	if json.Unmarshal(r.body, &c) != nil || len(c.Choices) != 1 {
-		return ""
-	}
-	return c.Choices[0].Message.Content
-}
-
-// engineRuns counts the runs that began at engines for the request id.
-func (w *world) engineRuns(id string) int {
-	sum := 0
-	for _, e := range w.engines {
-		for run, n := range e.CountsNow().Runs {
-			if run == id || len(run) > len(id) && run[:len(id)+1] == id+"." {
-				sum += n
-			}
-		}
-	}
-	return sum
-}
-
-// serviceRuns counts the runs at services by call id and by path.
-func (w *world) serviceRuns() (calls, paths map[string]int) {
-	calls, paths = make(map[string]int), make(map[string]int)
-	for _, s := range w.services {
-		c, p := s.Counts()
-		for id, n := range c {
-			calls[id] += n
-		}
-		for path, n := range p {
-			paths[path] += n
-		}
-	}
-	return calls, paths
-}
-
-// bills returns the settled bills by request key.
-func (w *world) bills(t *testing.T) map[string]ledger.BillRow {
-	t.Helper()
-	out := make(map[string]ledger.BillRow)
-	for _, row := range w.store.Scan("bill/", "", 1000) {
-		var b ledger.BillRow
-		if err := row.Decode(&b); err != nil {
-			t.Fatal(err)
-		}
-		out[b.RequestKey] = b
-	}
-	return out
-}
