Enforce the limits of workspaces

The catalogue stored max_concurrent and max_tokens of a workspace, and max_tokens of a model, and nothing enforced them; rates did not exist. Workspaces now also have requests_per_minute and tokens_per_minute. Each router enforces its share, the limit divided by the routers believed alive, with a token bucket for each workspace; a refusal is 429, rate_limited, not_run, with Retry-After from the bucket, and nothing is reserved. max_tokens of a workspace or a model is a 400 that names the field.

Ruled out: a counter in the table (a commit for each request) and exchange between routers (messages for a hint). The check comes after the look-up of the request's home, so that a repeat is never refused while its run can be read along.

Known: callers on few routers get only those routers' shares; what a request asked for and did not use is not given back to the bucket.

--- a/internal/fleet/router/requests.go
+++ b/internal/fleet/router/requests.go
@@ -10,6 +10,7 @@
 	"rosevalve/internal/request/gateway"
 	"rosevalve/internal/request/register"
 	"rosevalve/internal/target/runner"
+	"rosevalve/internal/workspace/quota"
 )
 
 // relayTimeout is the longest silence of a router that relays a run.
@@ -41,6 +42,7 @@
 		Holder:   r.id,
 		Homes:    r.homes,
 		Attach:   routers.Attach,
+		Quota:    &quota.Quota{Routers: r.routersAlive},
 		MaxRuns:  int(cfg.MaxRuns),
 		Log:      r.Log,
 	}
@@ -53,3 +55,14 @@
 	r.links.Handlers[inner.MethodRunPlace] = r.homes.HandlePlace
 	r.links.Handlers[inner.MethodRunEnd] = r.homes.HandleEnd
 }
+
+// routersAlive returns the number of routers that are believed to be alive, this one included.
+func (r *Router) routersAlive() int {
+	n := 0
+	for _, m := range r.view.Members() {
+		if m.State == inner.Alive {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -32,6 +32,18 @@
 	DefaultTokens int64
 }
 
+// within returns the limits narrowed by those of the workspace and the model.
+func (l Limits) within(s *catalogue.Snapshot, w catalogue.Workspace, model string) Limits {
+	m, _ := s.Model(model)
+	for _, bound := range []int64{w.MaxTokens, m.MaxTokens} {
+		if bound > 0 {
+			l.MaxTokens = min(l.MaxTokens, bound)
+		}
+	}
+	l.DefaultTokens = min(l.DefaultTokens, l.MaxTokens)
+	return l
+}
+
 // Request is a checked completion request.
 type Request struct {
 	workspace catalogue.Workspace
@@ -113,6 +125,7 @@
 	if fail != nil {
 		return nil, fail
 	}
+	limits = limits.within(s, w, in.Model)
 	if fail := check(s, in, limits); fail != nil {
 		return nil, fail
 	}
--- a/internal/request/gateway/completion.go
+++ b/internal/request/gateway/completion.go
@@ -54,7 +54,7 @@
 	run := in.run
 	defer run.Cancel()
 	found := g.lookUp(in, "")
-	reservation, fail := g.reserve(run, budget, req.WorstCase())
+	reservation, fail := g.admit(in, req.Workspace(), budget, req.ExpectedTokens(), req.WorstCase())
 	var lost *inner.Run
 	if owner := <-found; owner != nil {
 		if reservation != nil {
@@ -125,6 +125,7 @@
 		usage = usageEvent(run, c.Model, used)
 	}
 	count(outcomeWhole, answer.Ran)
+	g.uncount(in)
 	run.Log().Finish(usage, nil)
 	run.Log().Compact(compact)
 	g.Register.Retire(run)
@@ -134,6 +135,7 @@
 func (g *Gateway) refuse(in *intake, fail *answer.Error) {
 	count(fail.Code, fail.Run)
 	g.forget(in)
+	g.uncount(in)
 	in.run.Log().Finish(nil, fail)
 }
 
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"rosevalve/internal/request/register"
 	"rosevalve/internal/target/runner"
 	"rosevalve/internal/workspace/catalogue"
+	"rosevalve/internal/workspace/quota"
 )
 
 // Header names between caller and router.
@@ -85,6 +86,8 @@
 	Attach func(ctx context.Context, addr string, f runner.Forward, sink func(runner.Event) error) error
 	// MaxRuns bounds the requests that run at the same time.
 	MaxRuns int
+	// Quota enforces the workspaces' limits; nil stands for none.
+	Quota *quota.Quota
 	// Unclaimed lets calls run without a claim; only tests set it.
 	Unclaimed bool
 	// Log receives one record for each request.
@@ -141,6 +144,26 @@
 	writeJSON(ctx, out)
 }
 
+// admit counts the request against its workspace's limits and reserves its tokens.
+func (g *Gateway) admit(in *intake, w catalogue.Workspace, budget string, asked, worstCase int64) (*allotment.Reservation, *answer.Error) {
+	if g.Quota != nil {
+		if fail := g.Quota.Take(w, asked); fail != nil {
+			return nil, fail
+		}
+		in.counted = true
+	}
+	return g.reserve(in.run, budget, worstCase)
+}
+
+// uncount ends what admit has counted, before the caller can know that the request has ended.
+func (g *Gateway) uncount(in *intake) {
+	if !in.counted {
+		return
+	}
+	in.counted = false
+	g.Quota.Done(in.run.Key().Workspace)
+}
+
 // reserve takes the tokens from the first of the workspace's budgets that has them.
 func (g *Gateway) reserve(run *register.Run, budget string, tokens int64) (*allotment.Reservation, *answer.Error) {
 	ctx, cancel := context.WithTimeout(run.Context(), g.reserveTimeout())
--- a/internal/request/gateway/intake.go
+++ b/internal/request/gateway/intake.go
@@ -26,6 +26,7 @@
 	given   bool // the caller has sent the key
 	relayed bool // another router asks on behalf of its caller
 	request relayRequest
+	counted bool // as one of the workspace's requests in flight
 }
 
 // begin registers the request's run, unless the router is draining.
@@ -76,6 +77,7 @@
 	g.running.Add(1)
 	_, ok := g.workers.TrySubmit(func() {
 		defer g.running.Done()
+		defer g.uncount(in)
 		defer g.endPanicked(in)
 		f()
 	})
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -30,11 +30,12 @@
 
 // serviceRequest is one checked call of a plain service.
 type serviceRequest struct {
-	service catalogue.Service
-	ticket  queue.Ticket
-	call    runner.Call
-	budget  string
-	key     string // claim key, if the route is not idempotent
+	workspace catalogue.Workspace
+	service   catalogue.Service
+	ticket    queue.Ticket
+	call      runner.Call
+	budget    string
+	key       string // claim key, if the route is not idempotent
 }
 
 // service answers a call of a plain service; rest is the service's name and path.
@@ -73,9 +74,10 @@
 
 func newServiceRequest(ctx *fasthttp.RequestCtx, workspace catalogue.Workspace, service catalogue.Service, path string) serviceRequest {
 	return serviceRequest{
-		service: service,
-		ticket:  serviceTicket(workspace, service),
-		budget:  string(ctx.Request.Header.Peek(HeaderBudget)),
+		workspace: workspace,
+		service:   service,
+		ticket:    serviceTicket(workspace, service),
+		budget:    string(ctx.Request.Header.Peek(HeaderBudget)),
 		call: runner.Call{
 			Method:      string(ctx.Method()),
 			Path:        path,
@@ -97,7 +99,8 @@
 	run := in.run
 	defer run.Cancel()
 	found := g.lookUp(in, "")
-	reservation, fail := g.reserve(run, req.budget, req.service.TokensPerCall)
+	tokens := req.service.TokensPerCall
+	reservation, fail := g.admit(in, req.workspace, req.budget, tokens, tokens)
 	if owner := <-found; owner != nil {
 		if answered, _ := g.follow(in, owner); answered {
 			if reservation != nil {
@@ -257,6 +260,7 @@
 		run.Log().Finish(nil, &answer.Error{Status: fasthttp.StatusInternalServerError, Code: "internal", Message: "the outcome could not be encoded", Run: answer.Ran})
 		return
 	}
+	g.uncount(in)
 	run.Log().Append(b)
 	if !run.Log().Finish(nil, nil) {
 		// The deadline has ended the log; a repeated call reads the stored outcome.
--- a/internal/workspace/catalogue/items.go
+++ b/internal/workspace/catalogue/items.go
@@ -17,6 +17,10 @@
 	MaxConcurrent int64 `json:"max_concurrent,omitempty"`
 	// MaxTokens bounds the completion tokens of one request; 0 sets no bound.
 	MaxTokens int64 `json:"max_tokens,omitempty"`
+	// RequestsPerMinute bounds its new requests on all routers together; 0 sets no bound.
+	RequestsPerMinute int64 `json:"requests_per_minute,omitempty"`
+	// TokensPerMinute bounds the tokens that its new requests ask for; 0 sets no bound.
+	TokensPerMinute int64 `json:"tokens_per_minute,omitempty"`
 	// KeyHashes are the hashes of the keys that its callers may use, the newest first.
 	KeyHashes []string `json:"key_hashes"`
 	// OldKeyUntil is when the keys behind the newest stop to be valid.
--- a/internal/workspace/operator/build.go
+++ b/internal/workspace/operator/build.go
@@ -61,12 +61,14 @@
 	b.set.number("weight", 1, maxWeight, &w.Weight)
 	b.set.number("max_concurrent", 0, maxLimit, &w.MaxConcurrent)
 	b.set.number("max_tokens", 0, maxLimit, &w.MaxTokens)
+	b.set.number("requests_per_minute", 0, maxLimit, &w.RequestsPerMinute)
+	b.set.number("tokens_per_minute", 0, maxLimit, &w.TokensPerMinute)
 	hashes, err := b.keys(exists, w.KeyHashes)
 	if err != nil {
 		return w, err
 	}
 	w.KeyHashes = hashes
-	return w, b.set.finish("weight, max_concurrent, max_tokens, key")
+	return w, b.set.finish("weight, max_concurrent, max_tokens, requests_per_minute, tokens_per_minute, key")
 }
 
 func (b *builder) operator() (catalogue.Operator, error) {
--- a/internal/workspace/operator/execute_test.go
+++ b/internal/workspace/operator/execute_test.go
@@ -115,6 +115,9 @@
 func TestChanges(t *testing.T) {
 	t.Run("set keeps the other settings", func(t *testing.T) {
 		f := configured(t)
+		assertDone(t, f, `set workspace "care" requests_per_minute 600, tokens_per_minute = 90000`)
+		assertRows(t, f, `show workspaces where requests_per_minute = 600 and tokens_per_minute = 90000`, "care")
+		assertRefused(t, f, `set workspace "care" requests_per_minute -1`, "requests_per_minute")
 		assertDone(t, f, `set workspace "care" weight 7`, `set service "stock" route "POST /reserve" idempotent = false`)
 		w, _ := f.Catalogue.Current().Workspace("care")
 		assert.Equal(t, w.Weight, int64(7))
--- a/internal/workspace/operator/help.go
+++ b/internal/workspace/operator/help.go
@@ -24,6 +24,7 @@
 	}},
 	{"create", "makes a workspace, budget, model, service, target or operator", []string{
 		`create workspace "gorenjska" key "KEY" [weight 2] [max_concurrent N] [max_tokens N]`,
+		`create workspace "gorenjska" key "KEY" [requests_per_minute N] [tokens_per_minute N]`,
 		`create budget "flitch-2026" workspace "gorenjska" tokens 5000000`,
 		`create service "stock" [tokens_per_call 1] [idempotent "GET /lookup, POST /search"]`,
 		`create target "10.0.0.9:8000" models "demo" [failure_domain "fd-1"] [capacity N] [checks_fencing true]`,
--- a/internal/workspace/operator/tables.go
+++ b/internal/workspace/operator/tables.go
@@ -11,11 +11,13 @@
 func workspaceTable(now *catalogue.Snapshot) Table {
 	t := Table{Columns: []Column{
 		{"name", UnitText}, {"weight", UnitNumber}, {"max_concurrent", UnitNumber}, {"max_tokens", UnitTokens},
+		{"requests_per_minute", UnitNumber}, {"tokens_per_minute", UnitTokens},
 		{"keys", UnitNumber}, {"old_key_until", UnitTime},
 	}}
 	for _, w := range now.Workspaces() {
 		t.Rows = append(t.Rows, []Cell{
 			Text(w.Name), Number(w.Weight), Number(w.MaxConcurrent), Number(w.MaxTokens),
+			Number(w.RequestsPerMinute), Number(w.TokensPerMinute),
 			Number(int64(len(w.KeyHashes))), Time(w.OldKeyUntil),
 		})
 	}
