--- a/internal/budget/allotment/pack.go
+++ b/internal/budget/allotment/pack.go
@@ -21,8 +21,8 @@
 // add takes as many bills of the book as there is room for; false means that the pack is full.
 func (k *pack) add(b *book) bool {
 	room := table.MaxPuts - k.rows - 1
-	if room <= 0 {
-		return false
+	if len(k.books) > 0 && room < max(b.pending(), 1) {
+		return false // a book whose bills are split costs a commit of its own for the rest
 	}
 	h, _ := b.holdings()
 	bills := b.batch(h, room)
@@ -42,7 +42,7 @@
 func (p *Purse) settleTogether(ctx context.Context) error {
 	k := &pack{}
 	for _, b := range p.books() {
-		if !b.pending() || !b.lane.tryLock() {
+		if b.pending() == 0 || !b.lane.tryLock() {
 			continue
 		}
 		if k.add(b) {
@@ -58,10 +58,11 @@
 	return p.commit(ctx, k)
 }
 
-func (b *book) pending() bool {
+// pending returns the number of bills that wait for the table.
+func (b *book) pending() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.current.bills) > 0
+	return len(b.current.bills)
 }
 
 // commit settles the pack and frees its lanes.
