Repeat the hand-over of a stopping router until its limit

scripts/rolling.sh with the table taken away for 4 s: the router that stopped then tried once to give its tokens back, failed at once and exited with 1, with bills that might not be settled. The hand-over is now repeated while the limit lasts.

--- a/internal/fleet/drain/drain_test.go
+++ b/internal/fleet/drain/drain_test.go
@@ -179,3 +179,21 @@
 	endless := []visit{{Learn: 9 * time.Second, Read: time.Hour}}
 	assert.ErrorContains(t, play(t, endless, nil), "finish")
 }
+
+func TestHandOverOutlastsAnOutage(t *testing.T) {
+	const outage = 30 * time.Second
+	handOver := func(limit time.Duration) error {
+		return play(t, nil, func(d *Drain) {
+			d.Limit = limit
+			back := time.Now().Add(outage)
+			d.HandOver = []Part{{Name: "hand over", Run: func(context.Context) error {
+				if time.Now().Before(back) {
+					return fmt.Errorf("table unavailable")
+				}
+				return nil
+			}}}
+		})
+	}
+	assert.NilError(t, handOver(limit))
+	assert.ErrorContains(t, handOver(10*time.Second), "hand over")
+}
--- a/scripts/rolling.sh
+++ b/scripts/rolling.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Replaces every router of a fleet, one after the other, while callers send
 # requests, and audits that none was lost, cut off or billed twice.
+#   FAULT=freeze   freezes the last router for 5 s meanwhile
+#   FAULT=table    takes the table away for 4 s meanwhile
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -13,6 +15,7 @@
 RATE=${RATE:-60}
 DURATION=${DURATION:-60s}
 DRAIN_SECONDS=30
+FAULT=${FAULT:-none}
 
 finish() {
   if [ -n "${LOAD:-}" ]; then
@@ -66,6 +69,22 @@
   wait_ready "127.0.0.1:$((BASE + 1 + i))"
 }
 
+# bring_fault brings about the fault that was asked for.
+bring_fault() {
+  case "$FAULT" in
+  freeze)
+    kill -STOP "$(pid_of "router-$((ROSEVALVE_ROUTERS - 1))")"
+    sleep 5
+    kill -CONT "$(pid_of "router-$((ROSEVALVE_ROUTERS - 1))")"
+    ;;
+  table)
+    curl -fsS -o /dev/null -d '{"down":true}' "http://$PLATFORM/fault"
+    sleep 4
+    curl -fsS -o /dev/null -d '{}' "http://$PLATFORM/fault"
+    ;;
+  esac
+}
+
 trap finish EXIT
 scripts/fleet.sh up >/dev/null
 routers=
@@ -79,6 +98,10 @@
   --rate "$RATE" --duration "$DURATION" --calls 0.1 >"$RUN/load.json" 2>"$RUN/load.log" &
 LOAD=$!
 sleep 2
+(
+  sleep 7
+  bring_fault
+) &
 for i in $(seq 0 $((ROSEVALVE_ROUTERS - 1))); do
   replace_router "$i"
 done
