--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -14,6 +14,7 @@
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/queue"
 	"rosevalve/internal/target/pool"
 	"rosevalve/internal/workspace/catalogue"
 )
@@ -32,6 +33,7 @@
 	Books    []allotment.State `json:"books"`
 	Witness  []witness.State   `json:"witness"`
 	Targets  []pool.State      `json:"targets"`
+	Queues   []queue.State     `json:"queues"`
 	Members  []inner.Member    `json:"members"`
 	// Membership counts suspicions, their refutations, removals and pauses of this process.
 	Membership membership.Counts `json:"membership"`
@@ -105,6 +107,7 @@
 		Books:      r.purse.State(),
 		Witness:    r.books.State(),
 		Targets:    r.targets.State(),
+		Queues:     r.queues.State(),
 		Members:    r.view.Members(),
 		Membership: r.view.Counts(),
 	}
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/queue"
 	"rosevalve/internal/target/pool"
 	"rosevalve/internal/target/runner"
 )
@@ -22,10 +23,8 @@
 
 // Dispatcher runs requests at targets.
 type Dispatcher struct {
-	// Engine picks an engine with the model that is not in the set.
-	Engine func(model string, exclude map[string]bool) (*pool.Target, error)
-	// Service picks a target of the plain service that is not in the set.
-	Service func(name string, exclude map[string]bool) (*pool.Target, error)
+	// Acquire waits for a place at a target, or refuses with when to come back.
+	Acquire func(ctx context.Context, t queue.Ticket) (*pool.Place, *answer.Error)
 	// Stream sends a completion request.
 	Stream func(ctx context.Context, addr, runID string, body []byte, sink func(runner.Event) error) error
 	// Resume asks for the rest of a run.
@@ -45,6 +44,8 @@
 type Completion struct {
 	// Model is the model's name.
 	Model string
+	// Ticket asks for the places of the attempts.
+	Ticket queue.Ticket
 	// RunID is the id of the first attempt; each later attempt adds its number.
 	RunID string
 	// Body is sent to the engine.
@@ -84,20 +85,24 @@
 		}
 	}
 	exclude := make(map[string]bool)
+	var last error
 	for n := range maxAttempts {
-		if ctx.Err() != nil || n > 0 && !d.Retries.Withdraw() {
+		if ctx.Err() != nil || n > 0 && !d.Retries.allows(last) {
 			break
 		}
-		target, err := d.Engine(c.Model, exclude)
-		if err != nil {
+		place, refusal := d.acquire(ctx, c.Ticket, exclude)
+		if refusal != nil {
+			s.refusal = refusal
 			break
 		}
-		exclude[target.Addr()] = true
-		if !s.announce(target.Addr(), attemptID(c.RunID, n)) {
+		exclude[place.Addr()] = true
+		if !s.announce(place.Addr(), attemptID(c.RunID, n)) {
+			place.Release()
 			break
 		}
-		a := s.begin(target.Addr(), attemptID(c.RunID, n))
-		err = d.run(ctx, s, a, target.Go)
+		a := s.begin(place.Addr(), attemptID(c.RunID, n))
+		a.place = place
+		err := d.run(ctx, s, a, place.Go)
 		if err == nil {
 			return s.whole(a)
 		}
@@ -105,6 +110,7 @@
 			return d.abandon(ctx, s, a)
 		}
 		s.failed(a, d.Cancel)
+		last = err
 	}
 	return s.refused(ctx)
 }
@@ -123,6 +129,7 @@
 		defer close(a.done)
 		a.err = errors.New("attempt panicked")
 		a.err = d.stream(ctx, s, a)
+		a.report(ctx)
 	})
 	if !ok {
 		a.err = &runner.Error{Run: answer.NotRun, Err: fmt.Errorf("target %s has no free worker", a.target)}
@@ -139,15 +146,24 @@
 
 // stream sends the request and resumes the stream where it is cut.
 func (d *Dispatcher) stream(ctx context.Context, s *session, a *attempt) error {
-	sink := func(ev runner.Event) error { return s.take(a, ev) }
+	sink := func(ev runner.Event) error {
+		a.observe(ev)
+		return s.take(a, ev)
+	}
 	var err error
 	if a.earlier {
 		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
 	} else {
 		err = d.Stream(ctx, a.target, a.runID, s.Body, sink)
 	}
+	if err != nil && ctx.Err() == nil && runner.State(err) == answer.Unknown {
+		// The answer may have been lost on the way; the engine knows of the run if it has begun.
+		a.begun = true
+		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
+	}
 	for n := 0; n < maxResumes && resumable(ctx, a.check(err)); n++ {
 		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
+		a.begun = true
 	}
 	return a.check(err)
 }
@@ -156,11 +172,13 @@
 // run cannot be resumed and was cancelled as far as possible.
 func (d *Dispatcher) takeOver(ctx context.Context, s *session) (Outcome, bool) {
 	if !s.announce(s.Earlier.Target, s.Earlier.RunID) {
+		// The earlier run may go on, and is not this router's to bill.
+		s.state = answer.Unknown
 		return Outcome{}, false
 	}
 	a := s.begin(s.Earlier.Target, s.Earlier.RunID)
 	// What the caller has is the beginning of this very run.
-	a.earlier = true
+	a.earlier, a.begun = true, true
 	a.position = len(s.prior)
 	if n := len(s.Delivered); n > 0 {
 		a.answerID = runner.NewEvent(s.Delivered[n-1]).AnswerID()
@@ -175,7 +193,7 @@
 	if ctx.Err() != nil {
 		return d.abandon(ctx, s, a), true
 	}
-	_, _ = d.Cancel(a.target, a.runID)
+	s.failed(a, d.Cancel)
 	return Outcome{}, false
 }
 
--- a/internal/request/dispatch/session.go
+++ b/internal/request/dispatch/session.go
@@ -12,6 +12,7 @@
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/pool"
 	"rosevalve/internal/target/runner"
 )
 
@@ -30,15 +31,18 @@
 	begun    atomic.Bool
 	state    answer.RunState
 	usage    chat.Usage // of the last attempt that ran
+	refusal  *answer.Error
 }
 
 // attempt is one run at one target.
 type attempt struct {
 	target   string
 	runID    string
-	earlier  bool   // another router began the run
-	answerID []byte // as the run's first event names it
-	position int    // text events of this run that the caller has
+	place    *pool.Place // nil for a run that another router began
+	earlier  bool        // another router began the run
+	answerID []byte      // as the run's first event names it
+	begun    bool        // the run may have begun before the last request for it
+	position int         // text events of this run that the caller has
 	finished bool
 	usage    *chat.Usage
 	done     chan struct{} // closed when the attempt has ended; err is valid then
@@ -198,6 +202,20 @@
 	return err
 }
 
+// state tells whether the run has run. A request for the rest of a run that does
+// not reach the engine says nothing about the run itself.
+func (a *attempt) state() answer.RunState {
+	state := runner.State(a.err)
+	switch {
+	case a.position > 0:
+		return answer.Ran
+	case a.begun:
+		return max(state, answer.Unknown)
+	default:
+		return state
+	}
+}
+
 // seen returns the tokens that have arrived from the run, at most limit.
 func (a *attempt) seen(limit int64) int64 { return min(int64(a.position), limit) }
 
@@ -210,7 +228,7 @@
 
 // failed notes a failed attempt, stopping it if it may have run.
 func (s *session) failed(a *attempt, cancel func(addr, runID string) (chat.Usage, error)) {
-	state := runner.State(a.err)
+	state := a.state()
 	if state == answer.NotRun {
 		return
 	}
@@ -237,12 +255,15 @@
 
 // refused is the outcome when no attempt is left.
 func (s *session) refused(ctx context.Context) Outcome {
-	out := Outcome{ran: s.state != answer.NotRun, usage: s.usage, failure: noTarget(s.state)}
-	if out.ran {
+	out := Outcome{ran: s.usage != chat.Usage{}, usage: s.usage, failure: noTarget(s.state)}
+	if s.state != answer.NotRun {
 		out.failure.Status = fasthttp.StatusBadGateway
 		out.failure.Code = "target_failed"
 		out.failure.Message = "the target failed while it ran the request"
 	}
+	if s.refusal != nil && !out.ran {
+		out.failure = s.refusal
+	}
 	if ctx.Err() != nil {
 		out.failure = givenUp(ctx, s.state)
 	}
