Refuse requests as not run while no configuration is read

scripts/rolling.sh with the table away for 4 s: 1 of 2720 requests was refused as invalid. The likely cause is that a router which starts in an outage is in the entries before it has a configuration, where every key and model seems not to exist. It answers 503, not_run and Retry-After until then.

--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -19,7 +19,10 @@
 	"rosevalve/internal/workspace/catalogue"
 )
 
-const idleTimeout = 2 * time.Minute
+const (
+	idleTimeout   = 2 * time.Minute
+	startingRetry = time.Second
+)
 
 var requestsServed = expvar.NewInt("requests")
 
@@ -74,6 +77,11 @@
 		r.serveOperator(ctx)
 	default:
 		requestsServed.Add(1)
+		if !r.catalogue.Ready() {
+			// Without a configuration every key and model would seem not to exist.
+			writeError(ctx, answer.Busy(fasthttp.StatusServiceUnavailable, "starting", startingRetry, "router has not read its configuration yet"))
+			return
+		}
 		r.gateway.Handle(ctx)
 	}
 }
@@ -128,6 +136,9 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, after)
 	}
 	ctx.SetContentType("application/json")
+	if after := e.RetryAfterHeader(); after != "" {
+		ctx.Response.Header.Set("Retry-After", after)
+	}
 	ctx.SetBody(e.JSON(""))
 }
 
