--- a/internal/budget/allotment/reserve.go
+++ b/internal/budget/allotment/reserve.go
@@ -19,6 +19,8 @@
 	// A refusal is repeated without asking the table for this long.
 	exhaustedBackoff = 50 * time.Millisecond
 	failedBackoff    = 200 * time.Millisecond
+	// refillPause is the least time between two draws ahead of demand.
+	refillPause = time.Second
 )
 
 // ErrInsufficient reports that no tokens could be had for a reservation.
@@ -108,11 +110,12 @@
 func (p *Purse) Reserve(ctx context.Context, id ledger.BudgetID, n int64) (*Reservation, error) {
 	p.init()
 	b := p.book(id)
-	b.mu.Lock()
-	b.demand.ask(n, time.Now())
-	b.mu.Unlock()
+	if !b.ask(n, time.Now()) {
+		return nil, fmt.Errorf("reserve %d tokens of budget %q, which has ended: %w", n, id, ErrInsufficient)
+	}
 	for range maxReserveTries {
 		if h := b.reserve(n); h != nil {
+			p.refill(b)
 			return &Reservation{purse: p, book: b, holding: h, tokens: n}, nil
 		}
 		if err := p.awaitDraw(ctx, b, n); err != nil {
@@ -122,6 +125,32 @@
 	return nil, fmt.Errorf("reserve %d tokens of budget %q: %w", n, id, ErrInsufficient)
 }
 
+// ask counts a request for n tokens; it reports false if the budget has ended.
+func (b *book) ask(n int64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.demand.ask(n, now)
+	return !b.plan.Ended(now)
+}
+
+// refill draws ahead of demand once half of what the horizon asks for is gone, so
+// that an outage of the table finds the holding filled.
+func (p *Purse) refill(b *book) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.flight != nil || b.available == 0 || now.Before(b.retryAt) || now.Before(b.refillAt) {
+		return
+	}
+	d := Demand{Rate: b.demand.rate, Available: b.available, Eager: b.plan.Spread == ledger.Eager}
+	if target := p.Size(d); 2*b.current.free() >= target {
+		return
+	}
+	b.refillAt = now.Add(refillPause)
+	b.flight = &flight{done: make(chan struct{})}
+	go p.fly(b, b.flight)
+}
+
 // awaitDraw waits for a draw that counts n tokens more.
 func (p *Purse) awaitDraw(ctx context.Context, b *book, n int64) error {
 	b.mu.Lock()
@@ -161,8 +190,11 @@
 	close(f.done)
 }
 
-// fail remembers a failed draw for a moment. The caller holds mu.
+// fail remembers a failed draw for a moment, unless it was ahead of demand. The caller holds mu.
 func (b *book) fail(err error, want Demand) {
+	if want.Least == 0 && errors.Is(err, ErrInsufficient) {
+		return
+	}
 	b.lastFail = err
 	b.failedLeast = 0
 	b.retryAt = time.Now().Add(failedBackoff)
@@ -178,7 +210,7 @@
 	var err error
 	for range maxDrawTries {
 		err = p.drawOnce(ctx, b, want)
-		if errors.Is(err, ledger.ErrExhausted) && p.Recall != nil && !recalled {
+		if errors.Is(err, ledger.ErrExhausted) && p.Recall != nil && !recalled && want.Least > 0 {
 			recalled = true
 			drawFailures.Add("recalled", 1)
 			if p.Recall(ctx, b.id) > 0 {
@@ -210,8 +242,12 @@
 	h, _ := b.holdings()
 	id, opened, term := p.terms(b, h)
 	draws.Add(1)
-	row, err := p.Ledger.Draw(ctx, id, opened, term, func(available int64) int64 {
-		want.Available = available
+	row, err := p.Ledger.Draw(ctx, id, opened, term, func(row ledger.BudgetRow) int64 {
+		p.seen(b, row)
+		if row.Plan.Ended(time.Now()) {
+			return 0
+		}
+		want.Available, want.Eager = row.Available(), row.Plan.Spread == ledger.Eager
 		return p.Size(want)
 	})
 	if errors.Is(err, ledger.ErrHoldingClosed) {
@@ -226,6 +262,32 @@
 	return nil
 }
 
+// seen notes what is known of the budget, and warns when its use passes a level.
+func (p *Purse) seen(b *book, row ledger.BudgetRow) {
+	b.mu.Lock()
+	b.available = row.Available()
+	b.plan = row.Plan
+	before := b.warned
+	b.warned = level(row.Committed())
+	after := b.warned
+	b.mu.Unlock()
+	if after > before && p.OnLevel != nil {
+		budgetWarnings.Add(1)
+		p.OnLevel(b.id, after)
+	}
+}
+
+// level returns the highest warning level that the share has reached, in percent.
+func level(percent int64) int64 {
+	reached := int64(0)
+	for _, l := range warningLevels {
+		if percent >= l {
+			reached = l
+		}
+	}
+	return reached
+}
+
 // terms returns the holding's id, whether it is open, and the term to open it with.
 func (p *Purse) terms(b *book, h *holding) (ledger.HoldingID, bool, ledger.Term) {
 	b.mu.Lock()
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -85,8 +85,9 @@
 		}
 	}
 	exclude := make(map[string]bool)
+	var last error
 	for n := range maxAttempts {
-		if ctx.Err() != nil || n > 0 && !d.Retries.Withdraw() {
+		if ctx.Err() != nil || n > 0 && !d.Retries.allows(last) {
 			break
 		}
 		place, refusal := d.acquire(ctx, c.Ticket, exclude)
@@ -109,6 +110,7 @@
 			return d.abandon(ctx, s, a)
 		}
 		s.failed(a, d.Cancel)
+		last = err
 	}
 	return s.refused(ctx)
 }
@@ -154,8 +156,14 @@
 	} else {
 		err = d.Stream(ctx, a.target, a.runID, s.Body, sink)
 	}
+	if err != nil && ctx.Err() == nil && runner.State(err) == answer.Unknown {
+		// The answer may have been lost on the way; the engine knows of the run if it has begun.
+		a.begun = true
+		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
+	}
 	for n := 0; n < maxResumes && resumable(ctx, a.check(err)); n++ {
 		err = d.Resume(ctx, a.target, a.runID, int64(a.position), sink)
+		a.begun = true
 	}
 	return a.check(err)
 }
@@ -164,11 +172,13 @@
 // run cannot be resumed and was cancelled as far as possible.
 func (d *Dispatcher) takeOver(ctx context.Context, s *session) (Outcome, bool) {
 	if !s.announce(s.Earlier.Target, s.Earlier.RunID) {
+		// The earlier run may go on, and is not this router's to bill.
+		s.state = answer.Unknown
 		return Outcome{}, false
 	}
 	a := s.begin(s.Earlier.Target, s.Earlier.RunID)
 	// What the caller has is the beginning of this very run.
-	a.earlier = true
+	a.earlier, a.begun = true, true
 	a.position = len(s.prior)
 	if n := len(s.Delivered); n > 0 {
 		a.answerID = runner.NewEvent(s.Delivered[n-1]).AnswerID()
@@ -183,7 +193,7 @@
 	if ctx.Err() != nil {
 		return d.abandon(ctx, s, a), true
 	}
-	_, _ = d.Cancel(a.target, a.runID)
+	s.failed(a, d.Cancel)
 	return Outcome{}, false
 }
 
