Refuse a key that another router has for a different request

The home of a key knew where its run was, but not what was requested. A router that got the key with another body asked the owner, whose refusal looked like a lost owner, took the key over at the home and ran the second request; its caller got 200 where it must get 422. The home's record now holds the hash of what was requested. A record without a hash, from a router of an earlier version, is taken as before.

TestKeyReusedAtAnotherRouter fails without the check, while the first request runs and when it has finished, with 200 for 422.

--- a/internal/protocol/inner/runs.go
+++ b/internal/protocol/inner/runs.go
@@ -13,6 +13,8 @@
 	Key       string `json:"key"`
 	// RunID names the run at its router.
 	RunID string `json:"run_id"`
+	// BodyHash identifies the request; 0 stands for an unknown one.
+	BodyHash uint64 `json:"body_hash,omitempty"`
 	// CallerAddr is where the router that runs it serves callers.
 	CallerAddr string `json:"caller_addr"`
 	// Target is the engine of the newest attempt, if there is one.
--- a/internal/request/gateway/fleet_test.go
+++ b/internal/request/gateway/fleet_test.go
@@ -281,3 +281,37 @@
 		assert.Assert(t, slices.ContainsFunc(replies, func(r reply) bool { return r.text() == wantText("a") }))
 	})
 }
+
+// reuseAtAnotherRouter sends a key with one body to a router and, after a pause, with another body to a second.
+func reuseAtAnotherRouter(t *testing.T, pause time.Duration, prepare func(*world)) (first, second reply) {
+	t.Helper()
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		prepare(w)
+		var wait sync.WaitGroup
+		wait.Go(func() { first = w.nodes[0].send("/v1/chat/completions", completionBody("a"), HeaderKey, "k") })
+		time.Sleep(pause)
+		second = w.nodes[1].send("/v1/chat/completions", completionBody("b"), HeaderKey, "k")
+		wait.Wait()
+	})
+	return first, second
+}
+
+func TestKeyReusedAtAnotherRouter(t *testing.T) {
+	const running, finished = 2*testInterval + testInterval/2, time.Second
+	for name, pause := range map[string]time.Duration{"while it runs": running, "when it has finished": finished} {
+		t.Run(name, func(t *testing.T) {
+			first, second := reuseAtAnotherRouter(t, pause, func(*world) {})
+			assert.Equal(t, first.text(), wantText("a"), "%s", first.body)
+			assert.Equal(t, second.status, fasthttp.StatusUnprocessableEntity, "%s", second.body)
+			assert.Equal(t, second.refusal().Error.Run, "not_run")
+		})
+	}
+	t.Run("is not noticed without homes", func(t *testing.T) {
+		_, second := reuseAtAnotherRouter(t, running, func(w *world) {
+			for _, n := range w.nodes {
+				n.gateway.Homes = nil
+			}
+		})
+		assert.Equal(t, second.text(), wantText("b"), "%s", second.body)
+	})
+}
--- a/internal/request/gateway/intake.go
+++ b/internal/request/gateway/intake.go
@@ -58,7 +58,7 @@
 		in.run, in.first, err = g.Register.Begin(id, rand.Text(), bodyHash, timeout)
 	}
 	if err != nil {
-		return nil, answer.Invalid(fasthttp.StatusUnprocessableEntity, HeaderKey, "%v", err)
+		return nil, keyReused(err)
 	}
 	if in.first && given {
 		in.request = newRelayRequest(ctx)
@@ -70,6 +70,11 @@
 	return in, nil
 }
 
+// keyReused is the answer to a request whose key came with a different one before.
+func keyReused(err error) *answer.Error {
+	return answer.Invalid(fasthttp.StatusUnprocessableEntity, HeaderKey, "%v", err)
+}
+
 // start runs f on a worker, or refuses the run if there is none.
 func (g *Gateway) start(in *intake, f func()) {
 	g.init()
--- a/internal/request/gateway/owner.go
+++ b/internal/request/gateway/owner.go
@@ -10,6 +10,7 @@
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/dispatch"
+	"rosevalve/internal/request/register"
 	"rosevalve/internal/target/runner"
 )
 
@@ -43,6 +44,7 @@
 		Workspace:  in.run.Key().Workspace,
 		Key:        in.run.Key().Request,
 		RunID:      in.run.ID(),
+		BodyHash:   in.run.BodyHash(),
 		CallerAddr: g.Homes.Self().CallerAddr,
 	}
 }
@@ -69,7 +71,7 @@
 }
 
 // follow reads the run from the router that has it, and from the one that has
-// replaced that, and so on. It reports false if the run is now this router's,
+// replaced that, and so on; a run of another request is refused. It reports false if the run is now this router's,
 // with the lost run that it replaces.
 func (g *Gateway) follow(in *intake, owner *inner.Run) (bool, *inner.Run) {
 	var lost *inner.Run
@@ -80,6 +82,10 @@
 			// Another run of the key need not begin with what this caller has.
 			break
 		}
+		if owner.BodyHash != 0 && owner.BodyHash != in.run.BodyHash() {
+			g.refuse(in, keyReused(register.ErrKeyReused))
+			return true, nil
+		}
 		if g.attach(in, owner.CallerAddr) {
 			return true, nil
 		}
--- a/internal/request/register/register.go
+++ b/internal/request/register/register.go
@@ -45,6 +45,9 @@
 // Key returns the workspace and the idempotency key.
 func (r *Run) Key() Key { return r.key }
 
+// BodyHash identifies what was requested.
+func (r *Run) BodyHash() uint64 { return r.bodyHash }
+
 // Began returns when the run was registered.
 func (r *Run) Began() time.Time { return r.began }
 
