--- a/internal/request/gateway/faults_test.go
+++ b/internal/request/gateway/faults_test.go
@@ -232,6 +232,43 @@
 	})
 }
 
+// besideCrossing sends requests while one engine names other runs, and returns
+// how many got no whole answer and how many attempts reached that engine.
+func besideCrossing(t *testing.T, requests int, prepare func(*Gateway)) (failed, attempts int) {
+	t.Helper()
+	const interval = 50 * time.Millisecond
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		prepare(n.gateway)
+		crossing := w.engines["10.0.1.1:80"]
+		crossing.SetFault(engine.Fault{Crossed: true})
+		var wait sync.WaitGroup
+		var lost atomic.Int64
+		for i := range requests {
+			key := fmt.Sprint("a", i)
+			wait.Go(func() {
+				if r := n.send("/v1/chat/completions", completionBody(key)); r.text() != wantText(key) {
+					lost.Add(1)
+				}
+			})
+			time.Sleep(interval)
+		}
+		wait.Wait()
+		failed, attempts = int(lost.Load()), len(crossing.CountsNow().Runs)
+		crossing.SetFault(engine.Fault{})
+	})
+	return failed, attempts
+}
+
+func TestCrossingEngineIsLeft(t *testing.T) {
+	const requests = 80 // in four seconds
+	failed, attempts := besideCrossing(t, requests, func(*Gateway) {})
+	assert.Equal(t, failed, 0)
+	assert.Assert(t, attempts > 0 && attempts < requests/8, "%d", attempts)
+	failed, _ = besideCrossing(t, requests, func(g *Gateway) { g.Dispatcher.Retries.Reserve = 0.5 })
+	assert.Assert(t, failed > 0, "the oracle did not notice")
+}
+
 // slowOnSilent counts the requests that wait for a connection that has gone
 // silent, of those that begin at an interval.
 func slowOnSilent(t *testing.T, interval time.Duration, keep bool) int {
