--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	idleTimeout = 2 * time.Minute
+	idleTimeout   = 2 * time.Minute
+	startingRetry = time.Second
 	// writeBuffer is kept by each open stream, and holds several events.
 	writeBuffer = 1024
 )
@@ -81,6 +82,11 @@
 		r.serveOperator(ctx)
 	default:
 		requestsServed.Add(1)
+		if !r.catalogue.Ready() {
+			// Without a configuration every key and model would seem not to exist.
+			writeError(ctx, answer.Busy(fasthttp.StatusServiceUnavailable, "starting", startingRetry, "router has not read its configuration yet"))
+			return
+		}
 		r.gateway.Handle(ctx)
 	}
 }
@@ -135,6 +141,9 @@
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, after)
 	}
 	ctx.SetContentType("application/json")
+	if after := e.RetryAfterHeader(); after != "" {
+		ctx.Response.Header.Set("Retry-After", after)
+	}
 	ctx.SetBody(e.JSON(""))
 }
 
