--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -22,6 +22,8 @@
 const (
 	idleTimeout   = 2 * time.Minute
 	startingRetry = time.Second
+	// writeBuffer is kept by each open stream, and holds several events.
+	writeBuffer = 1024
 )
 
 var requestsServed = expvar.NewInt("requests")
@@ -60,6 +62,9 @@
 		CloseOnShutdown:              true,
 		NoDefaultServerHeader:        true,
 		DisablePreParseMultipartForm: true,
+		WriteBufferSize:              writeBuffer,
+		// A stream's connection keeps no read buffer while it is answered.
+		ReduceMemoryUsage: true,
 	}
 }
 
