Carry the configuration's version in heartbeats

A router that the rounds of questions missed learnt of a change at its next poll or rotation. Heartbeats and their answers now carry the version (15 bytes); a router that hears of a higher one asks the sender.

Cause: when a router had just named a higher version, the round of six questions behind an install asked only that router, and was lost. The named router is now asked first, only if it is still ahead, and the round follows.

--- a/internal/fleet/membership/bench_test.go
+++ b/internal/fleet/membership/bench_test.go
@@ -23,6 +23,7 @@
 func observe(b *testing.B, n int) {
 	const window = 20 * time.Second
 	net := newNetwork(7)
+	net.adjust = func(v *View) { v.ConfigVersion = func() uint64 { return 123_456 } }
 	defer net.killAll()
 	for i := range n {
 		net.start(addrOf(i), fmt.Sprint("life-", i), 10, addrOf(0), addrOf(1), addrOf(2))
--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -21,6 +21,7 @@
 	if ack.Sender.InnerAddr != addr {
 		return fmt.Errorf("router at %s says that its address is %s", addr, ack.Sender.InnerAddr)
 	}
+	v.hearConfig(ack.Sender, ack.Config)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.hear(ack.Sender)
@@ -36,9 +37,11 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("decode heartbeat: %w", err)
 	}
+	v.hearConfig(in.Sender, in.Config)
+	config := v.configVersion()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	ack := inner.HeartbeatAck{Events: v.events()}
+	ack := inner.HeartbeatAck{Events: v.events(), Config: config}
 	if s, ok := v.members[in.Sender.InnerAddr]; ok && v.doubts(s, in.Sender) {
 		ack.Events = append(ack.Events, v.doubt(s))
 	}
@@ -71,15 +74,29 @@
 }
 
 func (v *View) heartbeat() inner.Heartbeat {
+	config := v.configVersion()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := inner.Heartbeat{Sender: v.self, Events: v.events()}
+	out := inner.Heartbeat{Sender: v.self, Events: v.events(), Config: config}
 	if v.paging || v.beats%pageEvery == 0 {
 		out.Page = v.page()
 	}
 	return out
 }
 
+func (v *View) configVersion() uint64 {
+	if v.ConfigVersion == nil {
+		return 0
+	}
+	return v.ConfigVersion()
+}
+
+func (v *View) hearConfig(sender inner.Member, version uint64) {
+	if v.OnConfigVersion != nil && version > 0 {
+		v.OnConfigVersion(sender.InnerAddr, version)
+	}
+}
+
 // hear takes over what a router says of itself. The caller holds mu.
 func (v *View) hear(sender inner.Member) {
 	v.merge(sender)
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -40,6 +40,10 @@
 	ForgetAfter time.Duration
 	// Call sends an inner message to an address.
 	Call func(ctx context.Context, addr, method string, in, out any) error
+	// ConfigVersion returns the version of this router's configuration, which heartbeats carry.
+	ConfigVersion func() uint64
+	// OnConfigVersion is told of the version that a heartbeat or its answer carried; it must not block.
+	OnConfigVersion func(innerAddr string, version uint64)
 	// OnReplaced runs once if another router answers at this router's address.
 	OnReplaced func()
 
--- a/internal/fleet/membership/network_test.go
+++ b/internal/fleet/membership/network_test.go
@@ -20,6 +20,8 @@
 	loss   float64 // share of messages
 	repeat float64 // share of messages that arrive twice
 	adjust func(v *View)
+	// config answers questions for configuration, by inner address.
+	config map[string]func(ctx context.Context, params json.RawMessage) (any, error)
 
 	mu    sync.Mutex // guards the fields below
 	rng   *rand.Rand
@@ -217,6 +219,8 @@
 		return nd.view.HandleHeartbeat(ctx, body)
 	case inner.MethodProbe:
 		return nd.view.HandleProbe(ctx, body)
+	case inner.MethodConfiguration:
+		return nd.net.config[nd.view.Self().InnerAddr](ctx, body)
 	default:
 		return inner.Hello{Sender: nd.view.Self()}, nil
 	}
--- a/internal/fleet/router/fleet.go
+++ b/internal/fleet/router/fleet.go
@@ -26,6 +26,10 @@
 		SuspectAfter: cfg.Fleet.SuspectAfter,
 		Call:         r.links.Call,
 		Contacts:     r.listedRouters,
+		ConfigVersion: func() uint64 {
+			return r.catalogue.Current().Version()
+		},
+		OnConfigVersion: r.catalogue.HeardFrom,
 	}
 	client := &vmlist.Client{Addr: cfg.Platform.Addr, HTTP: r.platform}
 	r.vms = &vmlist.Watcher{
--- a/internal/protocol/inner/membership.go
+++ b/internal/protocol/inner/membership.go
@@ -8,6 +8,8 @@
 	Events []Member `json:"events,omitempty"`
 	// Page is a part of the sender's view that the receiver compares with its own.
 	Page *Page `json:"page,omitempty"`
+	// Config is the version of the sender's configuration.
+	Config uint64 `json:"config,omitempty"`
 }
 
 // HeartbeatAck answers a heartbeat.
@@ -16,6 +18,8 @@
 	Events []Member `json:"events,omitempty"`
 	// Missing are statements that the heartbeat's page lacks, bounded in number.
 	Missing []Member `json:"missing,omitempty"`
+	// Config is the version of the answering router's configuration.
+	Config uint64 `json:"config,omitempty"`
 }
 
 // Page lists the versions that the sender knows in a range of inner addresses.
--- a/internal/workspace/catalogue/peers.go
+++ b/internal/workspace/catalogue/peers.go
@@ -33,6 +33,15 @@
 	c.wakePeers()
 }
 
+// HeardFrom tells that the router at the inner address has the version; that router is asked first.
+func (c *Catalogue) HeardFrom(innerAddr string, version uint64) {
+	if version <= c.Current().Version() {
+		return
+	}
+	c.teller.Store(&innerAddr)
+	c.Heard(version)
+}
+
 func (c *Catalogue) wakePeers() {
 	wake := c.wake.Load()
 	if wake == nil {
@@ -68,18 +77,13 @@
 func (c *Catalogue) askPeers(ctx context.Context, began time.Time) {
 	base := c.Current()
 	in := inner.ConfigurationRequest{From: c.Addr, Version: base.version, Whole: c.outage.Load() || c.behind.Load()}
-	count := gossipFanOut
-	if c.fresh.Swap(false) {
-		count = spreadFanOut
-	}
 	if !c.Ready() {
 		if !c.outage.Load() && time.Since(began) < joinAfter {
 			return // the table goes before peers, which may be behind
 		}
 		in.Confirm, in.Whole = true, true
-		count = joinPeers
 	}
-	best := c.askHighest(ctx, c.nextPeers(count), in)
+	best := c.askHighest(ctx, c.nextPeers(base.version), in)
 	if best.Version > base.version || (best.Ready && !c.Ready()) {
 		c.behind.Store(!c.take(base, best))
 	}
@@ -88,15 +92,25 @@
 			c.report(err)
 		}
 	}
+	if c.fresh.Load() {
+		c.wakePeers() // the round behind the install is still to come
+	}
 }
 
-// nextPeers returns the router that named a higher version, or the next ones of the rotation, so that each is asked in a bounded number of rounds.
-func (c *Catalogue) nextPeers(count int) []string {
+// nextPeers returns the router that named a version higher than this one, or the next ones of the rotation, so that each is asked in a bounded number of rounds.
+func (c *Catalogue) nextPeers(version uint64) []string {
 	peers := slices.Clone(c.Peers())
 	slices.Sort(peers)
-	if teller := c.teller.Swap(nil); teller != nil && slices.Contains(peers, *teller) {
+	if teller := c.teller.Swap(nil); teller != nil && c.heard.Load() > version && slices.Contains(peers, *teller) {
 		return []string{*teller}
 	}
+	count := gossipFanOut
+	switch {
+	case !c.Ready():
+		count = joinPeers
+	case c.fresh.Swap(false):
+		count = spreadFanOut
+	}
 	if len(peers) <= count {
 		return peers
 	}
@@ -161,10 +175,7 @@
 
 // Answer returns what this router has beyond the version asked for.
 func (c *Catalogue) Answer(ctx context.Context, in inner.ConfigurationRequest) inner.ConfigurationResponse {
-	if in.Version > c.Current().Version() {
-		c.teller.Store(&in.From)
-		c.Heard(in.Version)
-	}
+	c.HeardFrom(in.From, in.Version)
 	confirmed := false
 	if in.Confirm {
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
