--- a/internal/budget/reclaim/broken_test.go
+++ b/internal/budget/reclaim/broken_test.go
@@ -20,27 +20,27 @@
 	ops    []int
 	steps  []step // a case that shows the break, in place of a search
 }{
-	{name: "bills inserted without condition", broken: broken{dropConditions: "bill/"}, ops: []int{0, 10, 17, opCount, opCount + 1}},
+	{name: "bills inserted without condition", broken: broken{dropConditions: "bill/"}, ops: []int{opWait, opSettle, opSlowTable, opCount, opCount + 1}},
 	{name: "draws without condition on the budget", broken: broken{dropConditions: "budget/"}},
 	{name: "commits without condition on the holding", broken: broken{dropConditions: "holding/"}},
 	{name: "requests sent without acknowledgement", broken: broken{skipAppend: true}},
 	{name: "books read without being sealed", broken: broken{skipSeal: true}},
 	{name: "holdings returned by timeout", broken: broken{skipEvidence: true}},
-	{name: "unknown outcomes taken for refusals", broken: broken{denyUnknown: true}, ops: []int{0, 7, 10, 15, opCount, opCount + 1}},
+	{name: "unknown outcomes taken for refusals", broken: broken{denyUnknown: true}, ops: []int{opWait, opLoseAnswers, opSettle, opReturnFree, opCount, opCount + 1}},
 	{
 		name:   "unknown runs taken for not run",
 		broken: broken{trustUnknown: true, granted: 200, oneBudget: true},
-		ops:    []int{0, 5, 12, 12, 17, opCount, opCount + 1},
+		ops:    []int{opWait, opFreeze, opSuspect, opSuspect, opSlowTable, opCount, opCount + 1},
 		steps: []step{
-			{op: 17, a: 0, c: 2},            // router 0 needs 100 ms for each message
+			{op: opSlowTable, a: 0, c: 2},   // router 0 needs 100 ms for each message
 			{op: opCount, a: 0, b: 6, c: 9}, // and announces a request for the whole budget,
-			{op: 0, b: 2},
-			{op: 5, a: 0}, // but freezes before it sends it
-			{op: 12, a: 1, b: 0},
+			{op: opWait, b: 2},
+			{op: opFreeze, a: 0}, // but freezes before it sends it
+			{op: opSuspect, a: 1, b: 0},
 			{op: opCount, a: 1, b: 10, c: 9}, // the tokens are spent by router 1
-			{op: 0, b: 2},
-			{op: 5, a: 0}, // router 0 wakes
-			{op: 0, b: 5},
+			{op: opWait, b: 2},
+			{op: opFreeze, a: 0}, // router 0 wakes
+			{op: opWait, b: 5},
 		},
 	},
 }
--- a/internal/budget/reclaim/machine_test.go
+++ b/internal/budget/reclaim/machine_test.go
@@ -34,11 +34,32 @@
 	a, b, c int
 }
 
+// The events of a case. Numbers from opCount on are requests.
 const (
-	opCount    = 18
-	opRequests = 6 // of the numbers from opCount on, which are requests
+	opWait         = iota // time passes
+	opTable               // the table goes down or comes back
+	opCutTable            // a router is cut off from the table, or joined
+	opCutPeers            // two routers are cut off from each other, or joined
+	opKill                // a router dies and another takes its address
+	opFreeze              // a router stops or goes on
+	opTopUp               // a budget gets tokens
+	opLoseAnswers         // answers of commits are lost
+	opDelayCommits        // commits take effect later
+	opLandCommit          // a delayed commit takes effect
+	opSettle              // all routers settle
+	opSettleMore          // the same, to make it twice as likely
+	opSuspect             // a router takes another for dead and sweeps
+	opSuspectMore         // the same, to make it twice as likely
+	opLoseAcks            // acknowledgements are lost
+	opReturnFree          // a router returns free tokens
+	opNoWitness           // a router finds no witness, or finds one again
+	opSlowTable           // the table is slow for a router
+	opCount
 )
 
+// opRequests is how many numbers stand for requests.
+const opRequests = 6
+
 // script draws cases of the given events, or of all.
 func script(ops ...int) *rapid.Generator[[]step] {
 	if len(ops) == 0 {
@@ -110,40 +131,40 @@
 		worst := int64(20 * (s.c + 1))
 		used := worst * int64(s.b+1) / shares
 		go n.serve(w.budgetOf(s.c), fmt.Sprint("key-", s.b%keyCount), worst, used, time.Duration(s.c)*300*time.Millisecond, s.c == 3)
-	case 0:
+	case opWait:
 		time.Sleep(time.Duration(1+s.b) * 100 * time.Millisecond)
-	case 1:
+	case opTable:
 		w.set(func() { w.tableDown = !w.tableDown })
-	case 2:
+	case opCutTable:
 		w.set(func() { n.tableCut = !n.tableCut })
-	case 3:
+	case opCutPeers:
 		w.set(func() { w.cuts[pair(s.a, other.slot)] = !w.cuts[pair(s.a, other.slot)] })
-	case 4:
+	case opKill:
 		w.kill(n)
-	case 5:
+	case opFreeze:
 		w.toggleFreeze(n)
-	case 6:
+	case opTopUp:
 		w.topUp(budgets[s.b%2], int64(50*(s.c+1)))
-	case 7:
+	case opLoseAnswers:
 		w.set(func() { n.lose = 1 + s.c%3 })
-	case 8:
+	case opDelayCommits:
 		w.set(func() { n.delay = 1 + s.c%8 })
-	case 9:
+	case opLandCommit:
 		w.land(s.c)
-	case 10, 11:
+	case opSettle, opSettleMore:
 		for _, n := range w.nodes {
 			go func() { _ = n.purse.Settle(context.Background()) }()
 		}
-	case 12, 13:
+	case opSuspect, opSuspectMore:
 		w.set(func() { n.suspected[other.id] = true })
 		go func() { _ = n.reclaimer.Sweep(context.Background()) }()
-	case 14:
+	case opLoseAcks:
 		w.set(func() { n.loseAcks = 1 + s.c%3 })
-	case 17:
+	case opSlowTable:
 		w.set(func() { n.slow = time.Duration(s.c) * 50 * time.Millisecond })
-	case 15:
+	case opReturnFree:
 		go func() { _, _ = n.purse.ReturnFree(context.Background(), budgets[s.c%2]) }()
-	case 16:
+	case opNoWitness:
 		w.set(func() { n.alone = !n.alone })
 	}
 }
