--- a/internal/fleet/router/operator.go
+++ b/internal/fleet/router/operator.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/workspace/catalogue"
 	"rosevalve/internal/workspace/operator"
@@ -48,7 +49,7 @@
 		return
 	}
 	r.Log.Info("command executed", "operator", who.Name, "command", operator.Redact(req.Command), "version", result.Version)
-	writeJSON(ctx, result)
+	httpjson.Write(ctx, fasthttp.StatusOK, result)
 }
 
 // authenticateOperator returns the operator with the key; the settings' key belongs to the first one.
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"encoding/json"
 	"expvar"
 	"time"
 
@@ -12,6 +11,7 @@
 	"rosevalve/internal/budget/allotment"
 	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/fleet/membership"
+	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/queue"
@@ -77,7 +77,7 @@
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(ctx)
 	case "/debug/state":
-		writeJSON(ctx, r.state())
+		httpjson.Write(ctx, fasthttp.StatusOK, r.state())
 	case "/v1/operator":
 		r.serveOperator(ctx)
 	default:
@@ -146,13 +146,3 @@
 	}
 	ctx.SetBody(e.JSON(""))
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error("internal error", fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
--- /dev/null
+++ b/internal/protocol/httpjson/httpjson.go
@@ -0,0 +1,22 @@
+package httpjson
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ContentType is the media type of the answers.
+const ContentType = "application/json"
+
+// Write answers with the status and the JSON encoding of v.
+func Write(ctx *fasthttp.RequestCtx, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error("internal error", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(ContentType)
+	ctx.SetBody(b)
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/request/admission"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/claim"
@@ -122,7 +122,7 @@
 	case path == chat.PathModels && ctx.IsGet():
 		g.models(ctx)
 	case path == pathEntries && ctx.IsGet():
-		writeJSON(ctx, g.Entries(ctx))
+		httpjson.Write(ctx, fasthttp.StatusOK, g.Entries(ctx))
 	case strings.HasPrefix(path, pathServices):
 		g.service(ctx, strings.TrimPrefix(path, pathServices))
 	default:
@@ -141,7 +141,7 @@
 	for _, m := range snapshot.Models() {
 		out.Data = append(out.Data, chat.Model{ID: m, Object: "model", OwnedBy: "rosevalve"})
 	}
-	writeJSON(ctx, out)
+	httpjson.Write(ctx, fasthttp.StatusOK, out)
 }
 
 // admit counts the request against its workspace's limits and reserves its tokens.
@@ -220,13 +220,3 @@
 	ctx.SetBody(fail.JSON(requestID))
 	g.Log.Info("request refused", "request_id", requestID, "status", fail.Status, "code", fail.Code, "run", fail.Run)
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error("internal error", fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType(jsonType)
-	ctx.SetBody(b)
-}
--- a/internal/request/gateway/whole.go
+++ b/internal/request/gateway/whole.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/register"
 )
@@ -31,7 +32,7 @@
 		g.Log.Error("assemble answer", "request_id", run.ID(), "err", err)
 		return
 	}
-	writeJSON(ctx, completion)
+	httpjson.Write(ctx, fasthttp.StatusOK, completion)
 }
 
 // assemble joins the events of a stream to one answer.
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/protocol/httpjson"
 )
 
 // cachedDivisor is how much less a cached prompt costs.
@@ -67,5 +69,5 @@
 			s.reported = s.current
 		}
 	}
-	reply(ctx, fasthttp.StatusOK, s.reported)
+	httpjson.Write(ctx, fasthttp.StatusOK, s.reported)
 }
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/protocol/httpjson"
 )
 
 const maxCacheEvents = 1000
@@ -90,5 +92,5 @@
 		ctx.Error("parameter \"after\" is not a number", fasthttp.StatusBadRequest)
 		return
 	}
-	reply(ctx, fasthttp.StatusOK, s.cache.after(after, s.Batch.EventLag))
+	httpjson.Write(ctx, fasthttp.StatusOK, s.cache.after(after, s.Batch.EventLag))
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/standin/fault"
 )
 
@@ -158,7 +159,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.counts.CacheHits, s.counts.CacheMisses = s.cache.counts()
-		reply(ctx, fasthttp.StatusOK, s.counts)
+		httpjson.Write(ctx, fasthttp.StatusOK, s.counts)
 	case path == "/fault":
 		s.setFault(ctx)
 	case len(path) > len(chat.PathRuns) && path[:len(chat.PathRuns)] == chat.PathRuns:
@@ -194,7 +195,7 @@
 	}
 	if ctx.IsDelete() {
 		s.stop(r)
-		reply(ctx, fasthttp.StatusOK, r.usage())
+		httpjson.Write(ctx, fasthttp.StatusOK, r.usage())
 		return
 	}
 	offset, err := strconv.ParseInt(string(ctx.Request.Header.Peek(chat.HeaderOffset)), 10, 64)
@@ -373,21 +374,10 @@
 	for _, m := range s.Models {
 		out.Data = append(out.Data, chat.Model{ID: m, Object: "model"})
 	}
-	reply(ctx, fasthttp.StatusOK, out)
+	httpjson.Write(ctx, fasthttp.StatusOK, out)
 }
 
 func decline(ctx *fasthttp.RequestCtx, status int, text string) {
 	ctx.Error(text, status)
 	ctx.Response.Header.Set(chat.HeaderDeclined, "1")
 }
-
-func reply(ctx *fasthttp.RequestCtx, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -12,6 +12,7 @@
 
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/platform/vmlist"
+	"rosevalve/internal/protocol/httpjson"
 )
 
 const (
@@ -126,7 +127,7 @@
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		s.count(func(c *Counts) { c.Conflicts++ })
-		encode(ctx, fasthttp.StatusConflict, table.RowsResponse{Rows: conflict.Rows})
+		httpjson.Write(ctx, fasthttp.StatusConflict, table.RowsResponse{Rows: conflict.Rows})
 		return
 	}
 	s.count(func(c *Counts) { c.Commits++ })
@@ -135,7 +136,7 @@
 		ctx.Error("answer lost", fasthttp.StatusGatewayTimeout)
 		return
 	}
-	encode(ctx, fasthttp.StatusOK, table.CommitResponse{Version: version})
+	httpjson.Write(ctx, fasthttp.StatusOK, table.CommitResponse{Version: version})
 }
 
 func (s *Server) get(ctx *fasthttp.RequestCtx) {
@@ -143,7 +144,7 @@
 	if !s.allowRead(ctx) || !decode(ctx, &in) {
 		return
 	}
-	encode(ctx, fasthttp.StatusOK, table.RowsResponse{Rows: s.store.Get(in.Keys)})
+	httpjson.Write(ctx, fasthttp.StatusOK, table.RowsResponse{Rows: s.store.Get(in.Keys)})
 }
 
 func (s *Server) scan(ctx *fasthttp.RequestCtx) {
@@ -155,7 +156,7 @@
 	if limit <= 0 || limit > maxScanRows {
 		limit = maxScanRows
 	}
-	encode(ctx, fasthttp.StatusOK, table.RowsResponse{Rows: s.store.Scan(in.Prefix, in.After, limit)})
+	httpjson.Write(ctx, fasthttp.StatusOK, table.RowsResponse{Rows: s.store.Scan(in.Prefix, in.After, limit)})
 }
 
 func (s *Server) allowRead(ctx *fasthttp.RequestCtx) bool {
@@ -173,7 +174,7 @@
 	if ctx.IsGet() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		encode(ctx, fasthttp.StatusOK, vmlist.Response{VMs: s.shown})
+		httpjson.Write(ctx, fasthttp.StatusOK, vmlist.Response{VMs: s.shown})
 		return
 	}
 	var in vmlist.Response
@@ -232,7 +233,7 @@
 func (s *Server) writeCounts(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	encode(ctx, fasthttp.StatusOK, s.counts)
+	httpjson.Write(ctx, fasthttp.StatusOK, s.counts)
 }
 
 // limiter allows rate operations in each second of the clock.
@@ -263,14 +264,3 @@
 	}
 	return true
 }
-
-func encode(ctx *fasthttp.RequestCtx, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/standin/fault"
 )
 
@@ -106,7 +107,7 @@
 	if f.Crossed {
 		ctx.Response.Header.Set(HeaderCall, call+"-other")
 	}
-	reply(ctx, Answer{Path: path, Call: call, Runs: runs})
+	httpjson.Write(ctx, fasthttp.StatusOK, Answer{Path: path, Call: call, Runs: runs})
 }
 
 func (s *Server) setFault(ctx *fasthttp.RequestCtx) {
@@ -144,7 +145,7 @@
 func (s *Server) replyCounts(ctx *fasthttp.RequestCtx, counts map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(ctx, counts)
+	httpjson.Write(ctx, fasthttp.StatusOK, counts)
 }
 
 func (s *Server) count(call, path string) int {
@@ -154,13 +155,3 @@
 	s.runs[call]++
 	return s.runs[call]
 }
-
-func reply(ctx *fasthttp.RequestCtx, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
