--- a/internal/protocol/inner/runs.go
+++ b/internal/protocol/inner/runs.go
@@ -2,9 +2,9 @@
 
 // Methods about the runs of idempotency keys.
 const (
-	MethodRunBegin = "run.begin"
-	MethodRunPlace = "run.place"
-	MethodRunEnd   = "run.end"
+	MethodRunBegin = "run_begin"
+	MethodRunPlace = "run_place"
+	MethodRunEnd   = "run_end"
 )
 
 // Run tells which router runs the request of a key, and where.
