Let calls settle before their bills are counted in TestWorkspaceRate

Seen once as "1 tokens are reserved" and once in 3,600 as one bill in place of two. Cause: a service call is answered before its reservation becomes a bill, and the check could run between the two. Ruled out: the refused request, which reserves nothing. The checks now wait for the bubble to be idle and compare the same numbers as before.

--- a/internal/request/gateway/quota_test.go
+++ b/internal/request/gateway/quota_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -51,6 +52,8 @@
 	case time.Since(began) != 0:
 		return fmt.Errorf("refused after %v", time.Since(began))
 	}
+	// A call is answered before its reservation becomes a bill.
+	synctest.Wait()
 	if err := n.purse.Settle(context.Background()); err != nil {
 		return err
 	}
@@ -67,6 +70,7 @@
 	if third := n.send(path, completionBody("b")); third.status != 200 {
 		return fmt.Errorf("back after %d s: %d %s", after, third.status, third.body)
 	}
+	synctest.Wait()
 	return n.purse.Settle(context.Background())
 }
 
