Ask the table once in two seconds for a workspace's budgets, also while it is down

Found by reading: a request that names no budget lists its workspace's budgets, and a failed read did not count as one, so that in an outage each request asked the table again and waited for it before the known list was used. The load generator names its budget, which hid this. Before: 11 reads for 10 requests in TestBudgetsInOutage, now 1, and the table is still asked again after the outage.

--- a/internal/budget/allotment/budgets.go
+++ b/internal/budget/allotment/budgets.go
@@ -9,7 +9,7 @@
 	"rosevalve/internal/budget/ledger"
 )
 
-// listAge is how long a workspace's list of budgets is used before it is read again.
+// listAge is how long a workspace's list of budgets is used before the table is asked again.
 const listAge = 2 * time.Second
 
 // budgetLists caches which budgets a workspace has.
@@ -19,8 +19,8 @@
 }
 
 type budgetList struct {
-	ids  []ledger.BudgetID
-	read time.Time
+	ids   []ledger.BudgetID
+	asked time.Time // when the table was last asked, whether or not it answered
 }
 
 // Budgets returns the workspace's budgets, at most a few seconds old while the
@@ -29,14 +29,15 @@
 	p.lists.mu.Lock()
 	list, known := p.lists.lists[workspace]
 	p.lists.mu.Unlock()
-	if known && time.Since(list.read) < listAge {
+	if known && time.Since(list.asked) < listAge {
 		return list.ids, nil
 	}
 	ids, err := p.Ledger.Budgets(ctx, workspace)
-	if err != nil {
-		if known {
-			return list.ids, nil
-		}
+	switch {
+	case err == nil:
+	case known:
+		ids = list.ids
+	default:
 		return nil, fmt.Errorf("find budgets: %w", err)
 	}
 	p.lists.mu.Lock()
@@ -44,6 +45,6 @@
 	if p.lists.lists == nil {
 		p.lists.lists = make(map[string]budgetList)
 	}
-	p.lists.lists[workspace] = budgetList{ids: ids, read: time.Now()}
+	p.lists.lists[workspace] = budgetList{ids: ids, asked: time.Now()}
 	return ids, nil
 }
--- /dev/null
+++ b/internal/budget/allotment/budgets_test.go
@@ -0,0 +1,48 @@
+package allotment
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/budget/ledger"
+	"rosevalve/internal/platform/table"
+)
+
+// assertListed asks for the budgets n times and asserts that the known one is listed.
+func assertListed(t *testing.T, p *Purse, n int) {
+	t.Helper()
+	for range n {
+		ids, err := p.Budgets(t.Context(), "gorenjska")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, ids, []ledger.BudgetID{{Workspace: "gorenjska", Name: "flitch"}})
+	}
+}
+
+func TestBudgetsInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := false
+		reads := 0
+		p := &Purse{Ledger: &ledger.Ledger{
+			Scan: func(context.Context, string, string, int) ([]table.Row, error) {
+				reads++
+				if down {
+					return nil, table.ErrUnavailable
+				}
+				return []table.Row{{Key: "budget/gorenjska/flitch", Version: 1, Value: []byte("{}")}}, nil
+			},
+		}}
+		assertListed(t, p, 1)
+		down = true
+		time.Sleep(listAge)
+		assertListed(t, p, 10)
+		assert.Equal(t, reads, 2, "the table is asked again by each request")
+		down = false
+		time.Sleep(listAge)
+		assertListed(t, p, 1)
+		assert.Equal(t, reads, 3, "the table is not asked again after the outage")
+	})
+}
