Send errors and read JSON bodies in one place

The gateway, the operator endpoint and the answer to unreadable requests each wrote an error by hand, one of them with Retry-After twice; all call answer.Error.Send. The stand-ins share httpjson.Read.

--- a/internal/fleet/router/operator.go
+++ b/internal/fleet/router/operator.go
@@ -28,16 +28,16 @@
 func (r *Router) serveOperator(ctx *fasthttp.RequestCtx) {
 	who, ok := r.authenticateOperator(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
 	if !ok {
-		writeError(ctx, answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "operator key is not valid"))
+		answer.Invalid(fasthttp.StatusUnauthorized, "Authorization", "operator key is not valid").Send(ctx, "")
 		return
 	}
 	var req operator.Request
 	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
-		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a command: %v", err))
+		answer.Invalid(fasthttp.StatusBadRequest, "body", "body is not a command: %v", err).Send(ctx, "")
 		return
 	}
 	if req.CommandID == "" || len(req.CommandID) > maxCommandIDChars || strings.ContainsAny(req.CommandID, "/ \t\n") {
-		writeError(ctx, answer.Invalid(fasthttp.StatusBadRequest, "command_id", "field \"command_id\" is missing, too long, or has a slash or a space"))
+		answer.Invalid(fasthttp.StatusBadRequest, "command_id", "field \"command_id\" is missing, too long, or has a slash or a space").Send(ctx, "")
 		return
 	}
 	opCtx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
@@ -45,7 +45,7 @@
 	result, err := r.executor.Execute(opCtx, who, req)
 	if err != nil {
 		r.Log.Info("command refused", "operator", who.Name, "command", operator.Redact(req.Command), "err", err)
-		writeError(ctx, commandError(err))
+		commandError(err).Send(ctx, "")
 		return
 	}
 	r.Log.Info("command executed", "operator", who.Name, "command", operator.Redact(req.Command), "version", result.Version)
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -84,7 +84,7 @@
 		requestsServed.Add(1)
 		if !r.catalogue.Ready() {
 			// Without a configuration every key and model would seem not to exist.
-			writeError(ctx, answer.Busy(fasthttp.StatusServiceUnavailable, "starting", startingRetry, "router has not read its configuration yet"))
+			answer.Busy(fasthttp.StatusServiceUnavailable, "starting", startingRetry, "router has not read its configuration yet").Send(ctx, "")
 			return
 		}
 		r.gateway.Handle(ctx)
@@ -97,9 +97,7 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(answer.Invalid(status, "body", "request could not be read: %v", err).JSON(""))
+	answer.Invalid(status, "body", "request could not be read: %v", err).Send(ctx, "")
 }
 
 func (r *Router) serveReady(ctx *fasthttp.RequestCtx) {
@@ -134,15 +132,3 @@
 	}
 	return s
 }
-
-func writeError(ctx *fasthttp.RequestCtx, e *answer.Error) {
-	ctx.SetStatusCode(e.Status)
-	if after := e.RetryAfterHeader(); after != "" {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, after)
-	}
-	ctx.SetContentType("application/json")
-	if after := e.RetryAfterHeader(); after != "" {
-		ctx.Response.Header.Set("Retry-After", after)
-	}
-	ctx.SetBody(e.JSON(""))
-}
--- a/internal/protocol/httpjson/httpjson.go
+++ b/internal/protocol/httpjson/httpjson.go
@@ -20,3 +20,13 @@
 	ctx.SetContentType(ContentType)
 	ctx.SetBody(b)
 }
+
+// Read decodes the body of the request into v, or answers that it is wrong and
+// returns false.
+func Read(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -43,8 +43,6 @@
 	pathServices = "/v1/services/"
 	pathEntries  = "/v1/entries"
 
-	jsonType = "application/json"
-
 	defaultAbandonGrace   = 10 * time.Second
 	defaultReserveTimeout = time.Second
 	defaultMaxRuns        = 16384
@@ -212,11 +210,6 @@
 
 // fail sends the final answer to a request that failed.
 func (g *Gateway) fail(ctx *fasthttp.RequestCtx, requestID string, fail *answer.Error) {
-	ctx.SetStatusCode(fail.Status)
-	ctx.SetContentType(jsonType)
-	if after := fail.RetryAfterHeader(); after != "" {
-		ctx.Response.Header.Set("Retry-After", after)
-	}
-	ctx.SetBody(fail.JSON(requestID))
+	fail.Send(ctx, requestID)
 	g.Log.Info("request refused", "request_id", requestID, "status", fail.Status, "code", fail.Code, "run", fail.Run)
 }
--- a/internal/request/gateway/owner.go
+++ b/internal/request/gateway/owner.go
@@ -71,8 +71,8 @@
 }
 
 // follow reads the run from the router that has it, and from the one that has
-// replaced that, and so on; a run of another request is refused. It reports false if the run is now this router's,
-// with the lost run that it replaces.
+// replaced that, and so on; a run of another request is refused. It reports false
+// if the run is now this router's, with the lost run that it replaces.
 func (g *Gateway) follow(in *intake, owner *inner.Run) (bool, *inner.Run) {
 	var lost *inner.Run
 	in.run.SetFollowing(true)
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/httpjson"
 )
 
 // Fault describes how the engine misbehaves until it is set again.
@@ -175,11 +176,9 @@
 
 func (s *Server) setFault(ctx *fasthttp.RequestCtx) {
 	var f Fault
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
+	if httpjson.Read(ctx, &f) {
+		s.SetFault(f)
 	}
-	s.SetFault(f)
 }
 
 // SetFault makes the engine misbehave as f tells.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -116,7 +115,7 @@
 		return
 	}
 	var c table.Commit
-	if !decode(ctx, &c) {
+	if !httpjson.Read(ctx, &c) {
 		return
 	}
 	if len(c.Puts) > table.MaxPuts {
@@ -141,7 +140,7 @@
 
 func (s *Server) get(ctx *fasthttp.RequestCtx) {
 	var in table.GetRequest
-	if !s.allowRead(ctx) || !decode(ctx, &in) {
+	if !s.allowRead(ctx) || !httpjson.Read(ctx, &in) {
 		return
 	}
 	httpjson.Write(ctx, fasthttp.StatusOK, table.RowsResponse{Rows: s.store.Get(in.Keys)})
@@ -149,7 +148,7 @@
 
 func (s *Server) scan(ctx *fasthttp.RequestCtx) {
 	var in table.ScanRequest
-	if !s.allowRead(ctx) || !decode(ctx, &in) {
+	if !s.allowRead(ctx) || !httpjson.Read(ctx, &in) {
 		return
 	}
 	limit := in.Limit
@@ -178,7 +177,7 @@
 		return
 	}
 	var in vmlist.Response
-	if !decode(ctx, &in) {
+	if !httpjson.Read(ctx, &in) {
 		return
 	}
 	s.mu.Lock()
@@ -210,7 +209,7 @@
 
 func (s *Server) setFault(ctx *fasthttp.RequestCtx) {
 	var f Fault
-	if !decode(ctx, &f) {
+	if !httpjson.Read(ctx, &f) {
 		return
 	}
 	s.mu.Lock()
@@ -256,11 +255,3 @@
 	l.used++
 	return l.used <= l.rate
 }
-
-func decode(ctx *fasthttp.RequestCtx, v any) bool {
-	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return false
-	}
-	return true
-}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
@@ -112,11 +111,9 @@
 
 func (s *Server) setFault(ctx *fasthttp.RequestCtx) {
 	var f Fault
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
+	if httpjson.Read(ctx, &f) {
+		s.SetFault(f)
 	}
-	s.SetFault(f)
 }
 
 // SetFault makes the service misbehave as f tells.
