--- a/internal/budget/allotment/bench_test.go
+++ b/internal/budget/allotment/bench_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/standin/platform"
@@ -26,7 +27,7 @@
 	for i := range budgets {
 		assert.NilError(tb, l.Create(context.Background(), id(i), 1<<50, fmt.Sprint(i)))
 	}
-	return &allotment.Purse{Ledger: l, Size: allotment.SizeFixed(size)}
+	return &allotment.Purse{Ledger: l, Size: demand.SizeFixed(size)}
 }
 
 func id(i int) ledger.BudgetID { return ledger.BudgetID{Workspace: "w", Name: fmt.Sprint("b", i)} }
--- a/internal/budget/allotment/book.go
+++ b/internal/budget/allotment/book.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/protocol/inner"
 )
@@ -18,7 +19,7 @@
 	mu       sync.Mutex // guards the fields below
 	current  *holding
 	former   []*holding // closed by other routers, with requests or bills left
-	demand   demand
+	demand   demand.Meter
 	flight   *flight
 	retryAt  time.Time // earliest time of the next draw after a failed one
 	refillAt time.Time // earliest time of the next draw ahead of demand
--- a/internal/budget/allotment/budgets_test.go
+++ b/internal/budget/allotment/budgets_test.go
@@ -32,7 +32,7 @@
 				if down {
 					return nil, table.ErrUnavailable
 				}
-				return []table.Row{{Key: "budget/gorenjska/flitch", Version: 1, Value: []byte("{}")}}, nil
+				return []table.Row{{Place: table.Place{Key: "budget/gorenjska/flitch"}, Version: 1, Value: []byte("{}")}}, nil
 			},
 		}}
 		assertListed(t, p, 1)
--- a/internal/budget/allotment/policy_test.go
+++ b/internal/budget/allotment/policy_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/platform/table"
@@ -38,14 +39,14 @@
 // policy is a way to size draws.
 type policy struct {
 	name   string
-	size   func(allotment.Demand) int64
+	size   func(demand.Need) int64
 	recall bool
 }
 
 var policies = []policy{
-	{name: "fixed", size: allotment.SizeFixed(fixedDraw)},
-	{name: "demand", size: allotment.SizeByDemand(time.Minute)},
-	{name: "demand and peers", size: allotment.SizeByDemand(time.Minute), recall: true},
+	{name: "fixed", size: demand.SizeFixed(fixedDraw)},
+	{name: "demand", size: demand.SizeByDemand(time.Minute)},
+	{name: "demand and peers", size: demand.SizeByDemand(time.Minute), recall: true},
 }
 
 // trial is one run of a small fleet in virtual time, beside a ledger that knows all.
--- a/internal/budget/allotment/purse.go
+++ b/internal/budget/allotment/purse.go
@@ -10,6 +10,7 @@
 
 	"github.com/alitto/pond/v2"
 
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/inner"
@@ -33,7 +34,7 @@
 	// Ledger applies draws and settlements to the table.
 	Ledger *ledger.Ledger
 	// Size decides how many tokens a draw takes.
-	Size func(d Demand) int64
+	Size func(d demand.Need) int64
 	// SettleInterval is the time between settlements of pending bills.
 	SettleInterval time.Duration
 	// DrawTimeout bounds one operation on the table.
@@ -136,7 +137,7 @@
 		p.seed = maphash.MakeSeed()
 		p.pool = pond.NewPool(settleWorkers)
 		if p.Size == nil {
-			p.Size = SizeByDemand(defaultHorizon)
+			p.Size = demand.SizeByDemand(demand.DefaultHorizon)
 		}
 		setDefault(&p.SettleInterval, defaultSettleInterval)
 		setDefault(&p.DrawTimeout, defaultDrawTimeout)
--- a/internal/budget/allotment/reserve.go
+++ b/internal/budget/allotment/reserve.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/protocol/inner"
 )
@@ -129,7 +130,7 @@
 func (b *book) ask(n int64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.demand.ask(n, now)
+	b.demand.Ask(n, now)
 	return !b.plan.Ended(now)
 }
 
@@ -142,7 +143,7 @@
 	if b.flight != nil || b.available == 0 || now.Before(b.retryAt) || now.Before(b.refillAt) {
 		return
 	}
-	d := Demand{Rate: b.demand.rate, Available: b.available, Eager: b.plan.Spread == ledger.Eager}
+	d := demand.Need{Rate: b.demand.Rate(now), Available: b.available, Eager: b.plan.Spread == ledger.Eager}
 	if target := p.Size(d); 2*b.current.free() >= target {
 		return
 	}
@@ -158,7 +159,7 @@
 		defer b.mu.Unlock()
 		return b.lastFail
 	}
-	b.demand.wait(n)
+	b.demand.Wait(n)
 	f := b.flight
 	if f == nil {
 		f = &flight{done: make(chan struct{})}
@@ -191,7 +192,7 @@
 }
 
 // fail remembers a failed draw for a moment, unless it was ahead of demand. The caller holds mu.
-func (b *book) fail(err error, want Demand) {
+func (b *book) fail(err error, want demand.Need) {
 	if want.Least == 0 && errors.Is(err, ErrInsufficient) {
 		return
 	}
@@ -205,7 +206,7 @@
 }
 
 // draw takes tokens from the table, and asks peers to return theirs before it gives up.
-func (p *Purse) draw(ctx context.Context, b *book, want Demand) error {
+func (p *Purse) draw(ctx context.Context, b *book, want demand.Need) error {
 	recalled := false
 	var err error
 	for range maxDrawTries {
@@ -227,14 +228,14 @@
 	return err
 }
 
-func (b *book) nextDemand() Demand {
+func (b *book) nextDemand() demand.Need {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.demand.next(b.current.free())
+	return b.demand.Next(b.current.free())
 }
 
 // drawOnce makes one draw into the book's current holding.
-func (p *Purse) drawOnce(ctx context.Context, b *book, want Demand) error {
+func (p *Purse) drawOnce(ctx context.Context, b *book, want demand.Need) error {
 	if err := b.lane.lock(ctx); err != nil {
 		return err
 	}
--- a/internal/budget/allotment/settle.go
+++ b/internal/budget/allotment/settle.go
@@ -71,7 +71,7 @@
 func (b *book) surplus(h *holding, idle time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return h.uncertain || (h.opened && time.Since(b.demand.at) > idle)
+	return h.uncertain || (h.opened && time.Since(b.demand.At()) > idle)
 }
 
 // settle writes the holding's pending bills, a batch at a time. The caller holds the lane.
--- a/internal/budget/allotment/slope_test.go
+++ b/internal/budget/allotment/slope_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/platform/table"
@@ -82,7 +83,7 @@
 	books := &witness.Books{Self: func() string { return "witness" }}
 	w.purse = &allotment.Purse{
 		Ledger:         &ledger.Ledger{Holder: "r", Commit: w.commit, Get: w.get},
-		Size:           allotment.SizeByDemand(w.pace.horizon),
+		Size:           demand.SizeByDemand(w.pace.horizon),
 		SettleInterval: w.pace.settleInterval,
 		IdleAfter:      w.pace.idleAfter,
 		PickWitness:    func([]string) (allotment.Witness, bool) { return allotment.Witness{ID: "witness"}, true },
--- /dev/null
+++ b/internal/budget/demand/demand.go
@@ -0,0 +1,103 @@
+package demand
+
+import (
+	"math"
+	"time"
+)
+
+// DefaultHorizon is the time that a draw is for if nothing else is set.
+const DefaultHorizon = 60 * time.Second
+
+const (
+	// window is the time constant of the moving average of demand.
+	window = 10 * time.Second
+
+	eagerShare  = 4
+	frugalShare = 16
+)
+
+// Need is what is known when the size of a draw is decided, in tokens.
+type Need struct {
+	// Least is what the smallest of the waiting requests lacks, or 0 if none waits.
+	Least int64
+	// Shortfall is what all of the waiting requests lack together.
+	Shortfall int64
+	// Free is what the holding still has.
+	Free int64
+	// Rate is the number of tokens reserved per second.
+	Rate float64
+	// Available is what the budget has left in the table.
+	Available int64
+	// Eager spreads tokens sooner, for fewer waits; it changes nothing else.
+	Eager bool
+}
+
+// SizeByDemand returns a draw size that follows the demand over the horizon, but
+// takes only a share of what the budget has left, so that nothing is stranded.
+func SizeByDemand(horizon time.Duration) func(Need) int64 {
+	return func(d Need) int64 {
+		if d.Available < d.Least {
+			return 0
+		}
+		share := int64(frugalShare)
+		if d.Eager {
+			share = eagerShare
+		}
+		ahead := min(int64(d.Rate*horizon.Seconds()), d.Available/share)
+		return max(min(d.Shortfall, d.Available), ahead-max(d.Free, 0), d.Least)
+	}
+}
+
+// SizeFixed returns a draw size that does not depend on demand.
+func SizeFixed(n int64) func(Need) int64 {
+	return func(d Need) int64 {
+		if d.Least == 0 {
+			return 0
+		}
+		return max(n, d.Least)
+	}
+}
+
+// Meter measures what requests ask for. Its owner's lock guards it.
+type Meter struct {
+	rate  float64 // tokens per second
+	at    time.Time
+	total int64 // wanted by the requests that wait for the next draw
+	least int64 // the smallest of them
+}
+
+// Ask counts a request for n tokens.
+func (m *Meter) Ask(n int64, now time.Time) {
+	m.rate = m.Rate(now) + float64(n)/window.Seconds()
+	m.at = now
+}
+
+// Rate returns the tokens per second that were asked for of late.
+func (m *Meter) Rate(now time.Time) float64 {
+	if m.at.IsZero() {
+		return 0
+	}
+	return m.rate * math.Exp(-now.Sub(m.at).Seconds()/window.Seconds())
+}
+
+// At returns when a request last asked for tokens.
+func (m *Meter) At() time.Time { return m.at }
+
+// Wait counts a request that waits for the next draw.
+func (m *Meter) Wait(n int64) {
+	m.total += n
+	if m.least == 0 || n < m.least {
+		m.least = n
+	}
+}
+
+// Next returns what the next draw is for, given what is free, and starts anew.
+func (m *Meter) Next(free int64) Need {
+	out := Need{Rate: m.rate, Free: free}
+	if m.total > 0 {
+		out.Least = max(m.least-free, 1)
+		out.Shortfall = max(m.total-free, 1)
+	}
+	m.total, m.least = 0, 0
+	return out
+}
--- a/internal/budget/reclaim/world_test.go
+++ b/internal/budget/reclaim/world_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/platform/table"
@@ -125,7 +126,7 @@
 		PickWitness: n.pickWitness,
 		Append:      n.append,
 		Recall:      n.recall,
-		Size:        allotment.SizeByDemand(time.Minute),
+		Size:        demand.SizeByDemand(time.Minute),
 		IdleAfter:   5 * time.Second,
 	}
 	n.reclaimer = &Reclaimer{
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -112,7 +112,7 @@
 
 // try sends one commit and checks that its outcome is the truth.
 func (w *world) try(key string, conflict bool) error {
-	c := table.Commit{Puts: []table.Put{{Key: key, Value: json.RawMessage("1")}}}
+	c := table.Commit{Puts: []table.Put{{Place: table.Place{Key: key}, Value: json.RawMessage("1")}}}
 	if conflict {
 		c.Require("absent", 7)
 	}
@@ -208,7 +208,7 @@
 	w.direct = unreachable
 	w.calls[0] = unreachable
 	ctx := context.Background()
-	_, err := w.router.Commit(ctx, table.Commit{Puts: []table.Put{{Key: "a", Value: json.RawMessage("1")}}})
+	_, err := w.router.Commit(ctx, table.Commit{Puts: []table.Put{{Place: table.Place{Key: "a"}, Value: json.RawMessage("1")}}})
 	assert.NilError(t, err)
 	rows, err := w.router.Get(ctx, "a")
 	assert.NilError(t, err)
--- a/internal/fleet/router/budgets.go
+++ b/internal/fleet/router/budgets.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/budget/witness"
 	"rosevalve/internal/protocol/inner"
@@ -25,7 +26,7 @@
 	r.books = &witness.Books{Self: func() string { return r.id }}
 	r.purse = &allotment.Purse{
 		Ledger:         r.ledger,
-		Size:           allotment.SizeByDemand(cfg.Horizon),
+		Size:           demand.SizeByDemand(cfg.Horizon),
 		SettleInterval: cfg.SettleInterval,
 		IdleAfter:      cfg.IdleAfter,
 		PickWitness:    r.pickWitness,
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -4,26 +4,37 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// Place is where a row is kept. A commit changes rows of one partition only; a
+// store without tables and partitions has just keys.
+type Place struct {
+	Table     string `json:"table,omitempty"`
+	Partition string `json:"partition,omitempty"`
+	Key       string `json:"key"`
+}
+
 // Row is one row of the table with the version of the commit that wrote it.
 type Row struct {
-	Key     string          `json:"key"`
+	Place
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Deleted is set in a list of changes on a row that was removed at Version.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Condition requires that a row still has a version, where 0 means that the row is absent.
 type Condition struct {
-	Key     string `json:"key"`
+	Place
 	Version uint64 `json:"version"`
 }
 
 // Put writes the value of one row, or deletes the row.
 type Put struct {
-	Key    string          `json:"key"`
+	Place
 	Value  json.RawMessage `json:"value,omitempty"`
 	Delete bool            `json:"delete,omitempty"`
 }
@@ -44,6 +55,10 @@
 // nothing was applied; another router may get through.
 var ErrUnreachable = errors.New("table not reached")
 
+// ErrHistoryLost reports that the store no longer has the changes since a version, so
+// that the table must be read as a whole.
+var ErrHistoryLost = errors.New("history of the table no longer kept")
+
 // ErrUnknownOutcome reports that a commit may or may not have taken effect.
 var ErrUnknownOutcome = errors.New("commit outcome unknown")
 
@@ -73,23 +88,36 @@
 
 // Require adds a condition and returns the commit.
 func (c *Commit) Require(key string, version uint64) *Commit {
-	c.Conditions = append(c.Conditions, Condition{Key: key, Version: version})
+	return c.RequireAt(Place{Key: key}, version)
+}
+
+// RequireAt adds a condition on the row at a place and returns the commit.
+func (c *Commit) RequireAt(at Place, version uint64) *Commit {
+	c.Conditions = append(c.Conditions, Condition{Place: at, Version: version})
 	return c
 }
 
 // Set adds a write of the JSON encoding of v.
 func (c *Commit) Set(key string, v any) error {
+	return c.SetAt(Place{Key: key}, v)
+}
+
+// SetAt adds a write of the JSON encoding of v to the row at a place.
+func (c *Commit) SetAt(at Place, v any) error {
 	b, err := json.Marshal(v)
 	if err != nil {
-		return fmt.Errorf("encode row %q: %w", key, err)
+		return fmt.Errorf("encode row %q: %w", at.Key, err)
 	}
-	c.Puts = append(c.Puts, Put{Key: key, Value: b})
+	c.Puts = append(c.Puts, Put{Place: at, Value: b})
 	return nil
 }
 
 // Remove adds the deletion of a row.
-func (c *Commit) Remove(key string) {
-	c.Puts = append(c.Puts, Put{Key: key, Delete: true})
+func (c *Commit) Remove(key string) { c.RemoveAt(Place{Key: key}) }
+
+// RemoveAt adds the deletion of the row at a place.
+func (c *Commit) RemoveAt(at Place) {
+	c.Puts = append(c.Puts, Put{Place: at, Delete: true})
 }
 
 // Decode unmarshals the value of the row into v.
@@ -99,3 +127,29 @@
 	}
 	return nil
 }
+
+// Stamp is what each answer of the store carries besides its rows.
+type Stamp struct {
+	// Version is the store's newest version when it answered.
+	Version uint64
+	// Clock is the store's own steady clock when it answered.
+	Clock time.Duration
+}
+
+// Range names rows of one partition of a table.
+type Range struct {
+	Table     string
+	Partition string
+	// After is the key after which the range begins; empty begins at the first.
+	After string
+	// Limit bounds the rows of one answer; 0 leaves it to the store.
+	Limit int
+}
+
+// Page is a part of a table as of one moment, or the changes since a version.
+type Page struct {
+	Stamp
+	Rows []Row
+	// More tells that the range goes on after the last row.
+	More bool
+}
--- a/internal/request/gateway/world_test.go
+++ b/internal/request/gateway/world_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/inner"
@@ -142,7 +143,7 @@
 	if err := configuration.Refresh(ctx); err != nil {
 		return err
 	}
-	n.purse = &allotment.Purse{Ledger: &ledger.Ledger{Holder: addr, Commit: n.commit, Get: n.get, Scan: n.scan}, Size: allotment.SizeFixed(10_000)}
+	n.purse = &allotment.Purse{Ledger: &ledger.Ledger{Holder: addr, Commit: n.commit, Get: n.get, Scan: n.scan}, Size: demand.SizeFixed(10_000)}
 	client := &runner.Client{FirstByte: testFirstByte, Progress: testProgress, Dial: n.dialTarget}
 	n.client = client
 	routers := &runner.Client{FirstByte: testFirstByte + presenceInterval, Progress: testProgress + presenceInterval, Dial: n.dial}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if !ok {
-			row = table.Row{Key: cond.Key}
+			row = table.Row{Place: cond.Place}
 		}
 		conflicts = append(conflicts, row)
 	}
@@ -55,7 +55,7 @@
 		return
 	}
 	s.dirty = s.dirty || !exists
-	s.rows[p.Key] = table.Row{Key: p.Key, Version: s.version, Value: p.Value}
+	s.rows[p.Key] = table.Row{Place: p.Place, Version: s.version, Value: p.Value}
 }
 
 // Get returns the rows that exist among the keys.
--- /dev/null
+++ b/internal/target/upstream/exchange.go
@@ -0,0 +1,257 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/runner"
+)
+
+const (
+	// writeApart is the size in bytes from which a request is written while its answer
+	// is read, since a target may answer before it has read all of it.
+	writeApart = 4096
+	// maxForeign bounds the answers to other requests that are skipped.
+	maxForeign = 4
+	// maxForeignBody bounds the body of an answer that is skipped.
+	maxForeignBody = 1 << 20
+)
+
+// errForeign reports that nothing but answers to other requests came.
+var errForeign = errors.New("answers belong to other requests")
+
+// Call is one request to send.
+type Call struct {
+	// Attempt is the id that the answer must carry.
+	Attempt string
+	// Request is written to the target.
+	Request *fasthttp.Request
+	// Fresh sends it on a connection of its own.
+	Fresh bool
+	// Identify reads what the header of an answer says about itself.
+	Identify func(h *fasthttp.ResponseHeader) Identity
+}
+
+// Identity is what an answer says about itself.
+type Identity struct {
+	// Attempt is the id of the request that it answers, or empty.
+	Attempt string
+	// NotRun tells that the target did not run the request and never will.
+	NotRun bool
+	// Keep is how long the target keeps the idle connection; 0 if it does not say.
+	Keep time.Duration
+}
+
+// Answer is a target's answer, whose body is still to be read. It must be ended by
+// Keep or Drop.
+type Answer struct {
+	pool    *Pool
+	conn    *conn
+	resp    *fasthttp.Response
+	id      Identity
+	written chan error // ends when the request is written as a whole; nil if it is
+	stop    func() bool
+	body    io.Reader
+	whole   bool // the body was read to its end
+	skipped bool // other answers came before
+}
+
+// Send sends the request and returns when the header of its answer has come, at the
+// latest when ctx ends; the end of ctx also ends the reading of the body.
+//
+// The error is a *runner.Error.
+func (p *Pool) Send(ctx context.Context, c Call) (*Answer, error) {
+	conn, err := p.conn(ctx, c.Fresh)
+	if err != nil {
+		return nil, &runner.Error{Run: answer.NotRun, Err: err}
+	}
+	a := &Answer{pool: p, conn: conn, resp: fasthttp.AcquireResponse()}
+	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if err := a.write(c.Request); err != nil {
+		a.Drop()
+		return nil, err
+	}
+	if err := a.readHead(c); err != nil {
+		if conn.reused && isTimeout(err) || ctx.Err() != nil {
+			p.Distrust()
+		}
+		a.Drop()
+		return nil, &runner.Error{Run: answer.Unknown, Err: errors.Join(err, ctx.Err())}
+	}
+	if a.id.NotRun {
+		err := &runner.Error{Run: answer.NotRun, Status: a.Status(), Err: fmt.Errorf("target answered %d without running the request", a.Status())}
+		a.Keep()
+		return nil, err
+	}
+	return a, nil
+}
+
+// write sends the request; a large one goes on in the background.
+func (a *Answer) write(req *fasthttp.Request) error {
+	body := req.Body()
+	if len(body) > 0 || !req.Header.IsGet() && !req.Header.IsHead() {
+		req.Header.SetContentLength(len(body))
+	}
+	head := req.Header.Header()
+	buffers := net.Buffers{append([]byte(nil), head...), body}
+	if len(head)+len(body) <= writeApart {
+		n, err := buffers.WriteTo(a.conn.Conn)
+		if err == nil {
+			return nil
+		}
+		state := answer.Unknown
+		if n == 0 {
+			state = answer.NotRun
+		}
+		return &runner.Error{Run: state, Err: fmt.Errorf("write request: %w", err)}
+	}
+	a.written = make(chan error, 1)
+	go func() {
+		_, err := buffers.WriteTo(a.conn.Conn)
+		a.written <- err
+	}()
+	return nil
+}
+
+// readHead reads the header of the answer that belongs to the request.
+func (a *Answer) readHead(c Call) error {
+	a.resp.StreamBody = true
+	for range maxForeign {
+		if err := a.resp.ReadLimitBody(a.conn.br, 0); err != nil {
+			return fmt.Errorf("read answer: %w", err)
+		}
+		a.body = a.resp.BodyStream()
+		a.id = c.Identify(&a.resp.Header)
+		if a.id.Attempt == "" || a.id.Attempt == c.Attempt {
+			return nil
+		}
+		a.skipped = true
+		if err := a.skip(); err != nil {
+			return err
+		}
+	}
+	return errForeign
+}
+
+// skip reads the body of an answer that belongs to another request.
+func (a *Answer) skip() error {
+	foreignAnswers.Add(1)
+	if a.resp.Header.ContentLength() < -1 {
+		return fmt.Errorf("%w, one without a length", errForeign)
+	}
+	if a.body == nil {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.body, maxForeignBody)); err != nil {
+		return fmt.Errorf("skip an answer to another request: %w", err)
+	}
+	err := a.resp.CloseBodyStream()
+	a.resp.Reset()
+	a.resp.StreamBody = true
+	return err
+}
+
+// Status returns the HTTP status.
+func (a *Answer) Status() int { return a.resp.StatusCode() }
+
+// Header returns the header; it is valid until the answer has ended.
+func (a *Answer) Header() *fasthttp.ResponseHeader { return &a.resp.Header }
+
+// Reused reports whether the connection had carried an exchange before.
+func (a *Answer) Reused() bool { return a.conn.reused }
+
+// Body reads the whole body, of at most limit bytes.
+func (a *Answer) Body(limit int64) ([]byte, error) {
+	if a.body == nil {
+		a.whole = true
+		return nil, nil
+	}
+	b, err := io.ReadAll(io.LimitReader(a.body, limit+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("read body: %w", err)
+	case int64(len(b)) > limit:
+		return nil, fmt.Errorf("read body: larger than %d bytes", limit)
+	}
+	a.whole = true
+	return b, nil
+}
+
+// Read reads the next part of the body.
+//
+// The error is io.EOF at the end of a complete body.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.body == nil {
+		a.whole = true
+		return 0, io.EOF
+	}
+	n, err := a.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+	}
+	return n, err
+}
+
+// SetReadDeadline bounds the next reads; the zero time lifts the bound.
+func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
+
+// Drop ends the answer and its connection, by which most targets stop working on it.
+func (a *Answer) Drop() {
+	if a.conn == nil {
+		return
+	}
+	a.stop()
+	_ = a.conn.Close()
+	a.release()
+}
+
+// Keep ends the answer and keeps its connection, if both ends agree on where it stands.
+func (a *Answer) Keep() {
+	if a.conn == nil {
+		return
+	}
+	if !a.whole && a.body != nil {
+		// A refusal has at most a short body.
+		if _, err := a.Body(readBuffer); err != nil {
+			a.Drop()
+			return
+		}
+	}
+	if !a.stop() || a.skipped || !a.requestWritten() || a.resp.Header.ConnectionClose() || a.resp.Header.ContentLength() < -1 {
+		_ = a.conn.Close()
+		a.release()
+		return
+	}
+	a.pool.give(a.conn, a.id.Keep)
+	a.release()
+}
+
+// requestWritten reports whether the target has taken the whole request.
+func (a *Answer) requestWritten() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func (a *Answer) release() {
+	a.conn = nil
+	_ = a.resp.CloseBodyStream()
+	fasthttp.ReleaseResponse(a.resp)
+}
+
+// isTimeout reports whether a wait on the connection has passed its bound.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
