--- /dev/null
+++ b/internal/budget/prepaid/cover.go
@@ -0,0 +1,81 @@
+package prepaid
+
+import (
+	"slices"
+	"time"
+)
+
+// entry is one write of the journal: bounds, and when it was sent by this process's
+// clock, which stands still while the process is suspended.
+type entry struct {
+	seq    int64
+	bounds map[string]int64
+	sent   time.Time
+}
+
+// cover is what the journal allows this life to use.
+type cover struct {
+	grace, spread time.Duration
+
+	acked *entry // the last write that surely took effect; nil before the first
+	// unsure are writes that may have taken effect: the one under way, and those whose
+	// answer was lost. Their bounds never fall and they carry the time of the first, so
+	// that the first of them allows the least.
+	unsure []*entry
+}
+
+// allows returns how many tokens of a holding may be used at the time: what the last
+// write allows, or the write that may have replaced it.
+func (c *cover) allows(workspace string, drawn int64, now time.Time) int64 {
+	if c.acked == nil {
+		return 0
+	}
+	out := c.under(c.acked, workspace, drawn, now)
+	if len(c.unsure) > 0 {
+		out = min(out, c.under(c.unsure[0], workspace, drawn, now))
+	}
+	return out
+}
+
+// under returns what one write allows. As long as it is not replaced, what was drawn
+// beyond its bound is released evenly.
+func (c *cover) under(e *entry, workspace string, drawn int64, now time.Time) int64 {
+	bound := min(e.bounds[workspace], drawn)
+	return bound + int64(released(now.Sub(e.sent), c.grace, c.spread)*float64(drawn-bound))
+}
+
+// begin returns the write that follows, and counts it as unsure from now on. It may
+// not allow less than an earlier unsure one.
+func (c *cover) begin(seq int64, bounds map[string]int64, now time.Time) *entry {
+	e := &entry{seq: seq, bounds: bounds, sent: now}
+	if n := len(c.unsure); n > 0 {
+		last := c.unsure[n-1]
+		e.sent = last.sent
+		for workspace, bound := range last.bounds {
+			e.bounds[workspace] = max(e.bounds[workspace], bound)
+		}
+	}
+	c.unsure = append(c.unsure, e)
+	return e
+}
+
+// ack notes that the write surely took effect, and that no unsure one can any more.
+func (c *cover) ack(e *entry) {
+	c.acked = e
+	c.unsure = nil
+}
+
+// drop notes that the write surely never takes effect.
+func (c *cover) drop(e *entry) {
+	c.unsure = slices.DeleteFunc(c.unsure, func(other *entry) bool { return other == e })
+}
+
+// find returns the unsure write with the number.
+func (c *cover) find(seq int64) (*entry, bool) {
+	for _, e := range c.unsure {
+		if e.seq == seq {
+			return e, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/budget/prepaid/draw.go
@@ -0,0 +1,342 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosevalve/internal/budget/demand"
+	"rosevalve/internal/platform/table"
+)
+
+const (
+	maxDrawTries  = 6
+	conflictPause = 10 * time.Millisecond
+)
+
+// errNothingLeft reports that the store has fewer tokens than a draw needs.
+var errNothingLeft = errors.New("store has too few tokens left")
+
+func isExhausted(err error) bool { return errors.Is(err, errNothingLeft) }
+
+// awaitDraw waits for a draw that counts n tokens more.
+func (p *Purse) awaitDraw(ctx context.Context, h *holding, n int64) error {
+	h.mu.Lock()
+	h.asked.Wait(n - h.gifts)
+	f := h.flight
+	if f == nil {
+		f = &flight{done: make(chan struct{})}
+		h.flight = f
+		go p.fly(h, f)
+	}
+	h.mu.Unlock()
+	select {
+	case <-f.done:
+		return f.err
+	case <-ctx.Done():
+		return fmt.Errorf("draw for workspace %q: %w", h.workspace, ctx.Err())
+	}
+}
+
+// refillDue reports whether less than half of what the demand asks for is there. The
+// caller holds h.mu.
+func (p *Purse) refillDue(h *holding, now time.Time) bool {
+	if h.flight != nil || now.Before(h.refillAt) {
+		return false
+	}
+	left := p.Prepaid(h.workspace) - h.allotted
+	return left > 0 && 2*h.free() < p.Size(demand.Need{Rate: h.asked.Rate(now), Available: left})
+}
+
+// refill draws ahead of demand, so that an outage of the store finds the holding filled.
+func (p *Purse) refill(h *holding) {
+	h.mu.Lock()
+	if h.flight != nil {
+		h.mu.Unlock()
+		return
+	}
+	h.refillAt = time.Now().Add(refillPause)
+	f := &flight{done: make(chan struct{})}
+	h.flight = f
+	h.mu.Unlock()
+	p.fly(h, f)
+}
+
+// fly makes one draw for all that wait for it.
+func (p *Purse) fly(h *holding, f *flight) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	h.mu.Lock()
+	need := h.asked.Next(h.free())
+	h.mu.Unlock()
+	tokens, err := p.draw(ctx, h, need)
+	f.err = err
+	h.mu.Lock()
+	h.flight = nil
+	h.mu.Unlock()
+	close(f.done)
+	switch {
+	case err != nil:
+		p.OnEvent(Event{Kind: DrawFailed, Workspace: h.workspace, Tokens: need.Least, Err: err})
+	case tokens > 0:
+		p.OnEvent(Event{Kind: Drawn, Workspace: h.workspace, Tokens: tokens})
+	}
+}
+
+// draw takes tokens from the workspace's total, and closes what an ended life of this
+// VM has left there.
+func (p *Purse) draw(ctx context.Context, h *holding, need demand.Need) (int64, error) {
+	if !p.journal.isOpen() {
+		return 0, fmt.Errorf("draw for workspace %q: journal is not open: %w", h.workspace, table.ErrUnavailable)
+	}
+	var lastErr error
+	for range maxDrawTries {
+		plan := p.planDraw(h, need)
+		if plan.tokens == 0 && plan.closes == "" && plan.seen {
+			return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, errNothingLeft)
+		}
+		c, err := plan.commit(p, h.workspace)
+		if err != nil {
+			return 0, err
+		}
+		stamp, err := p.Commit(ctx, c)
+		p.journal.hear(stamp, time.Now())
+		if err == nil {
+			p.drew(h, plan, stamp)
+			if plan.tokens >= need.Least {
+				return plan.tokens, nil
+			}
+			continue
+		}
+		lastErr = err
+		if err := p.learn(ctx, h, err); err != nil {
+			return 0, err
+		}
+	}
+	return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, lastErr)
+}
+
+// plannedDraw is one commit of a draw.
+type plannedDraw struct {
+	tokens   int64
+	allotted int64 // after the commit
+	row      holdingRow
+	closes   string // the ended life whose holding is closed, if any
+	returned int64  // what comes back by that
+	seen     bool   // the rows were read before
+
+	totalVersion, rowVersion uint64
+}
+
+// planDraw decides what a draw takes.
+func (p *Purse) planDraw(h *holding, need demand.Need) plannedDraw {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := plannedDraw{
+		allotted:     h.allotted,
+		row:          h.row,
+		seen:         h.totalVersion != noVersion,
+		totalVersion: h.totalVersion,
+		rowVersion:   h.rowVersion,
+	}
+	if h.row.Life != "" && h.row.Life != p.Life {
+		d.closes = h.row.Life
+		d.returned = h.row.Tokens - p.journal.usedBy(h.row.Life, h.workspace, h.row.Tokens)
+		d.allotted -= d.returned
+		d.row = holdingRow{}
+	}
+	need.Available = max(0, p.Prepaid(h.workspace)-d.allotted)
+	d.tokens = min(p.Size(need), need.Available)
+	if d.tokens == 0 && need.Least > 0 {
+		// Others may give what the store lacks.
+		d.tokens = need.Available
+	}
+	d.allotted += d.tokens
+	d.row = holdingRow{Life: p.Life, Tokens: d.row.Tokens + d.tokens}
+	return d
+}
+
+func (d plannedDraw) commit(p *Purse, workspace string) (table.Commit, error) {
+	var c table.Commit
+	c.RequireAt(totalPlace(workspace), d.totalVersion)
+	c.RequireAt(p.holdingPlace(workspace), d.rowVersion)
+	if err := c.SetAt(totalPlace(workspace), totalRow{Allotted: d.allotted}); err != nil {
+		return c, fmt.Errorf("draw: %w", err)
+	}
+	if err := c.SetAt(p.holdingPlace(workspace), d.row); err != nil {
+		return c, fmt.Errorf("draw: %w", err)
+	}
+	return c, nil
+}
+
+// drew takes in a draw that took effect.
+func (p *Purse) drew(h *holding, d plannedDraw, stamp table.Stamp) {
+	h.mu.Lock()
+	h.totalVersion, h.rowVersion = stamp.Version, stamp.Version
+	h.allotted = d.allotted
+	h.row = d.row
+	h.drawn = d.row.Tokens
+	h.mu.Unlock()
+	if d.closes != "" {
+		p.journal.closed(d.closes, h.workspace)
+		p.OnEvent(Event{Kind: FormerClosed, Workspace: h.workspace, Tokens: d.returned})
+	}
+}
+
+// learn reads why a draw did not take effect, so that the next one can. It returns an
+// error if there is no use in another try.
+func (p *Purse) learn(ctx context.Context, h *holding, err error) error {
+	var conflict *table.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		if err := p.see(h, conflict.Rows); err != nil {
+			return err
+		}
+		// Others draw from the same total at the same time.
+		sleep(ctx, rand.N(conflictPause))
+		return nil
+	case errors.Is(err, table.ErrUnavailable):
+		return fmt.Errorf("draw for workspace %q: %w", h.workspace, err)
+	default:
+		// The draw may have taken effect, or may later; the rows tell, and the next
+		// draw rules out that it does after that.
+		if readErr := p.lookUp(ctx, h); readErr != nil {
+			return errors.Join(err, readErr)
+		}
+		return nil
+	}
+}
+
+// lookUp reads the rows of the total and of this VM's holding.
+func (p *Purse) lookUp(ctx context.Context, h *holding) error {
+	var rows []table.Row
+	for _, at := range []table.Place{totalPlace(h.workspace), p.holdingPlace(h.workspace)} {
+		page, err := p.Read(ctx, table.Range{Table: at.Table, Partition: at.Partition, From: at.Key, To: table.Behind(at.Key)})
+		if err != nil {
+			return fmt.Errorf("read tokens of workspace %q: %w", h.workspace, err)
+		}
+		p.journal.hear(page.Stamp, time.Now())
+		rows = append(rows, page.Rows...)
+	}
+	return p.see(h, rows)
+}
+
+// see takes in the rows of the total and of this VM's holding; one that is missing
+// does not exist.
+func (p *Purse) see(h *holding, rows []table.Row) error {
+	var total totalRow
+	var row holdingRow
+	totalVersion, rowVersion := uint64(noVersion), uint64(noVersion)
+	for _, r := range rows {
+		var err error
+		switch {
+		case r.Deleted || r.Version == noVersion:
+		case r.Key == keyTotal:
+			totalVersion = r.Version
+			err = r.Decode(&total)
+		default:
+			rowVersion = r.Version
+			err = r.Decode(&row)
+		}
+		if err != nil {
+			return fmt.Errorf("tokens of workspace %q: %w", h.workspace, err)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.totalVersion, h.allotted = totalVersion, total.Allotted
+	h.rowVersion, h.row = rowVersion, row
+	if row.Life == p.Life {
+		h.drawn = row.Tokens
+	}
+	return nil
+}
+
+// closeFormer closes the holdings that ended lives of this VM have left.
+func (p *Purse) closeFormer(ctx context.Context) {
+	for {
+		left := p.journal.unclosed()
+		if len(left) == 0 {
+			return
+		}
+		for _, workspace := range left {
+			if !sleep(ctx, rand.N(retryPause)) {
+				return
+			}
+			p.closeOne(ctx, workspace)
+		}
+	}
+}
+
+// closeOne closes the holding of an ended life, if there is one.
+func (p *Purse) closeOne(ctx context.Context, workspace string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	h := p.holding(workspace)
+	err := p.lookUp(ctx, h)
+	if err == nil && !p.heldByFormer(h) {
+		p.journal.closed("", workspace)
+		return
+	}
+	if err == nil {
+		_, err = p.draw(ctx, h, demand.Need{})
+	}
+	if err != nil && !isExhausted(err) {
+		p.OnEvent(Event{Kind: DrawFailed, Workspace: workspace, Err: err})
+	}
+}
+
+func (p *Purse) heldByFormer(h *holding) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.row.Life != "" && h.row.Life != p.Life
+}
+
+func (j *journal) isOpen() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.open && !j.replaced
+}
+
+// usedBy bounds what an ended life has used of a holding.
+func (j *journal) usedBy(life, workspace string, drawn int64) int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	f, ok := j.former[life]
+	if !ok {
+		return drawn
+	}
+	return min(drawn, f.used(workspace, drawn))
+}
+
+// closed notes that an ended life has no holding of the workspace any more; an empty
+// life stands for all.
+func (j *journal) closed(life, workspace string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for name, f := range j.former {
+		if life != "" && name != life {
+			continue
+		}
+		delete(f.Bounds, workspace)
+		if len(f.Bounds) == 0 {
+			delete(j.former, name)
+		}
+	}
+}
+
+// unclosed lists the workspaces of which ended lives may have holdings.
+func (j *journal) unclosed() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var out []string
+	for _, f := range j.former {
+		for workspace := range f.Bounds {
+			out = append(out, workspace)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/budget/prepaid/journal.go
@@ -0,0 +1,324 @@
+package prepaid
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosevalve/internal/platform/table"
+)
+
+// retryPause is the pause after a write that failed.
+const retryPause = 100 * time.Millisecond
+
+// journal is this life's row of bounds.
+type journal struct {
+	kicked chan struct{}
+
+	mu       sync.Mutex // guards the fields below; taken after a holding's lock
+	cover    cover
+	version  uint64 // of the row
+	seq      int64
+	open     bool
+	replaced bool
+	former   map[string]formerLife
+	// clock is the store's clock as last told, at the time heard.
+	clock time.Duration
+	heard time.Time
+}
+
+// allows returns how many tokens of a holding may be used now.
+func (j *journal) allows(workspace string, drawn int64, now time.Time) int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.open || j.replaced {
+		return 0
+	}
+	return j.cover.allows(workspace, drawn, now)
+}
+
+// covered returns what the last write that took effect allows without waiting.
+func (j *journal) covered(workspace string) int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.cover.acked == nil {
+		return 0
+	}
+	return j.cover.acked.bounds[workspace]
+}
+
+// kick asks for a write of the journal.
+func (j *journal) kick() {
+	select {
+	case j.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// hear takes in the store's clock.
+func (j *journal) hear(s table.Stamp, now time.Time) {
+	if s.Clock == 0 {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.clock, j.heard = s.Clock, now
+}
+
+// storeTime estimates the store's clock; it is never ahead of it. The caller holds mu.
+func (j *journal) storeTime(now time.Time) time.Duration { return j.clock + now.Sub(j.heard) }
+
+// open takes the journal over from the VM's last life. No two lives of a VM run at the
+// same time, so what the last one may have used is settled when this one reads the row.
+func (p *Purse) open(ctx context.Context) error {
+	for {
+		err := p.tryOpen(ctx)
+		if err == nil {
+			p.OnEvent(Event{Kind: JournalOpened})
+			return nil
+		}
+		p.OnEvent(Event{Kind: JournalFailed, Err: err})
+		if !sleep(ctx, retryPause/2+rand.N(retryPause)) {
+			return fmt.Errorf("open journal: %w", ctx.Err())
+		}
+	}
+}
+
+func (p *Purse) tryOpen(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := p.Read(ctx, table.Range{Table: tableJournal, Partition: p.VM, From: keyBook, To: table.Behind(keyBook)})
+	if err != nil {
+		return fmt.Errorf("read journal: %w", err)
+	}
+	var row journalRow
+	version := uint64(noVersion)
+	for _, r := range page.Rows {
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			return fmt.Errorf("decode journal of VM %q: %w", p.VM, err)
+		}
+		version = r.Version
+	}
+	now := time.Now()
+	p.journal.hear(page.Stamp, now)
+	if row.Life == p.Life {
+		// An earlier try whose answer was lost.
+		p.opened(version, row, now)
+		return nil
+	}
+	next := journalRow{Life: p.Life, AtMS: page.Clock.Milliseconds(), Bounds: map[string]int64{}, Former: p.formerLives(row, page.Clock)}
+	var c table.Commit
+	c.RequireAt(p.journalPlace(), version)
+	if err := c.SetAt(p.journalPlace(), next); err != nil {
+		return fmt.Errorf("open journal: %w", err)
+	}
+	stamp, err := p.Commit(ctx, c)
+	if err != nil {
+		return fmt.Errorf("open journal: %w", err)
+	}
+	p.opened(stamp.Version, next, now)
+	return nil
+}
+
+// formerLives returns what is known of the ended lives, the last of which wrote row.
+func (p *Purse) formerLives(row journalRow, clock time.Duration) map[string]formerLife {
+	former := make(map[string]formerLife, len(row.Former)+1)
+	maps.Copy(former, row.Former)
+	if row.Life != "" {
+		unseen := clock - time.Duration(row.AtMS)*time.Millisecond
+		former[row.Life] = formerLife{Bounds: row.Bounds, Released: released(unseen, p.Grace, p.Spread)}
+	}
+	return former
+}
+
+func (p *Purse) opened(version uint64, row journalRow, sent time.Time) {
+	j := &p.journal
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.version = version
+	j.former = maps.Clone(row.Former)
+	if j.former == nil {
+		j.former = make(map[string]formerLife)
+	}
+	j.cover.ack(&entry{bounds: map[string]int64{}, sent: sent})
+	j.open = true
+}
+
+// keepJournal writes the journal when a reservation needs it and when it grows old.
+func (p *Purse) keepJournal(ctx context.Context) error {
+	var wrote time.Time
+	timer := time.NewTimer(refreshAfter)
+	defer timer.Stop()
+	for {
+		due := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.journal.kicked:
+			due = true
+		case <-timer.C:
+		}
+		waiting, holding := p.grantAll()
+		if due || holding && time.Since(wrote) >= refreshAfter {
+			wrote = time.Now()
+			if err := p.writeJournal(ctx); errors.Is(err, errReplaced) {
+				p.OnEvent(Event{Kind: JournalReplaced, Err: err})
+				return nil
+			} else if err != nil {
+				p.OnEvent(Event{Kind: JournalFailed, Err: err})
+				if !sleep(ctx, retryPause) {
+					return nil
+				}
+				p.journal.kick()
+			}
+			waiting, _ = p.grantAll()
+		}
+		pause := refreshAfter
+		if waiting {
+			// What is covered grows while the store is away.
+			pause = tick
+		}
+		timer.Reset(pause)
+	}
+}
+
+// grantAll lets those reservations go on that are covered now. It reports whether
+// some still wait, and whether any tokens are held.
+func (p *Purse) grantAll() (waiting, holding bool) {
+	now := time.Now()
+	for _, h := range p.all() {
+		h.mu.Lock()
+		if len(h.waiting) > 0 {
+			h.grant(p.journal.allows(h.workspace, h.drawn, now))
+		}
+		waiting = waiting || len(h.waiting) > 0
+		holding = holding || h.drawn > 0
+		h.mu.Unlock()
+	}
+	return waiting, holding
+}
+
+// headroom is what is covered ahead of demand. The caller holds mu.
+func (h *holding) headroom(now time.Time) int64 {
+	return int64(h.asked.Rate(now) * headroomTime.Seconds())
+}
+
+// writeJournal writes the bounds once.
+func (p *Purse) writeJournal(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e := p.beginWrite(time.Now())
+	c, err := p.journal.commit(p, e)
+	if err != nil {
+		return err
+	}
+	stamp, err := p.Commit(ctx, c)
+	p.journal.hear(stamp, time.Now())
+	return p.settleWrite(e, stamp, err)
+}
+
+// beginWrite decides the bounds of the next write. What is taken before the write
+// counts as unsure is found by the second look; what is taken after it stays within.
+func (p *Purse) beginWrite(now time.Time) *entry {
+	holdings := p.all()
+	bounds := make(map[string]int64, len(holdings))
+	for _, h := range holdings {
+		h.mu.Lock()
+		if h.drawn > 0 {
+			bounds[h.workspace] = min(h.drawn, h.wanted()+h.headroom(now))
+		}
+		h.mu.Unlock()
+	}
+	e := p.journal.begin(bounds, now)
+	for _, h := range holdings {
+		h.mu.Lock()
+		p.journal.raise(e, h.workspace, min(h.drawn, h.wanted()))
+		h.mu.Unlock()
+	}
+	return e
+}
+
+func (j *journal) begin(bounds map[string]int64, now time.Time) *entry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.seq++
+	return j.cover.begin(j.seq, bounds, now)
+}
+
+// raise makes a write allow at least the tokens.
+func (j *journal) raise(e *entry, workspace string, tokens int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if tokens > e.bounds[workspace] {
+		e.bounds[workspace] = tokens
+	}
+}
+
+// commit makes the commit of a write.
+func (j *journal) commit(p *Purse, e *entry) (table.Commit, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	row := journalRow{Life: p.Life, Seq: e.seq, AtMS: j.storeTime(e.sent).Milliseconds(), Bounds: e.bounds, Former: j.former}
+	var c table.Commit
+	c.RequireAt(p.journalPlace(), j.version)
+	if err := c.SetAt(p.journalPlace(), row); err != nil {
+		return c, fmt.Errorf("write journal: %w", err)
+	}
+	return c, nil
+}
+
+// settleWrite takes in how a write ended; one whose end is not known stays unsure.
+func (p *Purse) settleWrite(e *entry, stamp table.Stamp, err error) error {
+	j := &p.journal
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		j.version = stamp.Version
+		j.cover.ack(e)
+		return nil
+	case errors.As(err, &conflict) && len(conflict.Rows) == 1:
+		return j.resolve(p.Life, conflict.Rows[0])
+	case errors.Is(err, table.ErrUnavailable):
+		j.cover.drop(e)
+		return fmt.Errorf("write journal: %w", err)
+	default:
+		return fmt.Errorf("write journal: %w", err)
+	}
+}
+
+// resolve finds out which of the unsure writes took effect. The caller holds mu.
+func (j *journal) resolve(life string, found table.Row) error {
+	var row journalRow
+	if err := json.Unmarshal(found.Value, &row); err != nil {
+		return fmt.Errorf("decode journal: %w", err)
+	}
+	e, known := j.cover.find(row.Seq)
+	if row.Life != life || !known {
+		j.replaced = true
+		return fmt.Errorf("%w: life %q, write %d", errReplaced, row.Life, row.Seq)
+	}
+	j.version = found.Version
+	j.cover.ack(e)
+	j.kick()
+	return nil
+}
+
+// sleep waits and reports false if ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/budget/prepaid/purse.go
@@ -0,0 +1,209 @@
+package prepaid
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosevalve/internal/budget/demand"
+	"rosevalve/internal/platform/table"
+)
+
+const (
+	shardCount = 16
+
+	// callTimeout bounds one call of the store.
+	callTimeout = 400 * time.Millisecond
+	// tick is the time between looks at reservations that wait, since the cover grows with time.
+	tick = 25 * time.Millisecond
+	// refreshAfter is how old the journal may become while tokens are held.
+	refreshAfter = time.Second
+	// headroomTime is how much demand the journal covers ahead.
+	headroomTime = 700 * time.Millisecond
+
+	defaultGrace  = 700 * time.Millisecond
+	defaultSpread = 8 * time.Second
+)
+
+// ErrExhausted reports that a workspace's total does not cover a request.
+var ErrExhausted = errors.New("prepaid tokens do not cover the request")
+
+// ErrUnavailable reports that tokens could not be had now, though some may be left.
+var ErrUnavailable = errors.New("prepaid tokens could not be reserved now")
+
+// errReplaced reports that another life of this VM writes its journal.
+var errReplaced = errors.New("journal belongs to another life of this VM")
+
+// Purse holds what this life of the VM may spend.
+type Purse struct {
+	// VM names the VM; all its lives share one journal.
+	VM string
+	// Life names this life.
+	Life string
+	// Commit applies a commit to the store, with the errors of table.Client.
+	Commit func(ctx context.Context, c table.Commit) (table.Stamp, error)
+	// Read reads rows of the store.
+	Read func(ctx context.Context, r table.Range) (table.Page, error)
+	// Prepaid returns the workspace's total by the newest configuration.
+	Prepaid func(workspace string) int64
+	// Size decides how many tokens a draw takes.
+	Size func(n demand.Need) int64
+	// Beg asks other routers for tokens and returns what they gave, and whether all answered.
+	Beg func(ctx context.Context, workspace string, tokens int64) (given int64, all bool)
+	// Grace is how long after a write of the journal no more than its bounds are used.
+	Grace time.Duration
+	// Spread is the time over which what lies beyond the bounds is released after that.
+	Spread time.Duration
+	// OnEvent is told of what changes this life's beliefs about tokens; it must not block.
+	OnEvent func(e Event)
+
+	once    sync.Once
+	seed    maphash.Seed
+	shards  [shardCount]shard
+	journal journal
+}
+
+// Event is a change of what a life believes about its tokens.
+type Event struct {
+	// Kind says what has happened.
+	Kind EventKind
+	// Workspace is whose tokens it is about; empty if about all.
+	Workspace string
+	// Tokens is how many.
+	Tokens int64
+	// Err is the cause of a failure.
+	Err error
+}
+
+//go:generate ../../../bin/stringer -type=EventKind -linecomment
+
+// EventKind says what has happened to tokens.
+type EventKind int
+
+// The kinds of events.
+const (
+	// JournalOpened tells that this life may spend.
+	JournalOpened EventKind = iota // journal_opened
+	// JournalFailed tells that the journal could not be written.
+	JournalFailed // journal_failed
+	// JournalReplaced tells that another life has taken the journal over.
+	JournalReplaced // journal_replaced
+	// Drawn tells that tokens were drawn from the store.
+	Drawn // drawn
+	// DrawFailed tells that no tokens could be drawn.
+	DrawFailed // draw_failed
+	// FormerClosed tells that a holding of an ended life was closed; Tokens came back.
+	FormerClosed // former_closed
+	// GiftGiven tells that tokens went to another router.
+	GiftGiven // gift_given
+	// GiftTaken tells that tokens came from other routers.
+	GiftTaken // gift_taken
+	// HoldingReturned tells that a holding was closed at the end of this life.
+	HoldingReturned // holding_returned
+)
+
+// shard holds a part of the holdings.
+type shard struct {
+	mu       sync.Mutex // guards holdings
+	holdings map[string]*holding
+}
+
+func (p *Purse) init() {
+	p.once.Do(func() {
+		if p.Grace == 0 {
+			p.Grace = defaultGrace
+		}
+		if p.Spread == 0 {
+			p.Spread = defaultSpread
+		}
+		if p.Size == nil {
+			p.Size = demand.SizeByDemand(demand.DefaultHorizon)
+		}
+		if p.OnEvent == nil {
+			p.OnEvent = func(Event) {}
+		}
+		if p.Beg == nil {
+			p.Beg = func(context.Context, string, int64) (int64, bool) { return 0, true }
+		}
+		p.seed = maphash.MakeSeed()
+		for i := range p.shards {
+			p.shards[i].holdings = make(map[string]*holding)
+		}
+		p.journal.kicked = make(chan struct{}, 1)
+		p.journal.cover = cover{grace: p.Grace, spread: p.Spread}
+		p.journal.former = make(map[string]formerLife)
+	})
+}
+
+// holding returns the holding of the workspace.
+func (p *Purse) holding(workspace string) *holding {
+	p.init()
+	s := &p.shards[maphash.String(p.seed, workspace)%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.holdings[workspace]
+	if !ok {
+		h = &holding{workspace: workspace}
+		s.holdings[workspace] = h
+	}
+	return h
+}
+
+// all returns the holdings in no order.
+func (p *Purse) all() []*holding {
+	var out []*holding
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		for _, h := range s.holdings {
+			out = append(out, h)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Run opens the journal, keeps it and closes the holdings of ended lives, until ctx ends.
+func (p *Purse) Run(ctx context.Context) error {
+	p.init()
+	if err := p.open(ctx); err != nil {
+		return err
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		p.closeFormer(ctx)
+	}()
+	err := p.keepJournal(ctx)
+	<-closed
+	return err
+}
+
+// State describes one holding for a dump.
+type State struct {
+	Workspace string `json:"workspace"`
+	Drawn     int64  `json:"drawn"`
+	Spent     int64  `json:"spent"`
+	Gifts     int64  `json:"gifts"`
+	Waiting   int    `json:"waiting"`
+	Allowed   int64  `json:"allowed"`
+}
+
+// State dumps the holdings.
+func (p *Purse) State() []State {
+	p.init()
+	now := time.Now()
+	var out []State
+	for _, h := range p.all() {
+		h.mu.Lock()
+		out = append(out, State{
+			Workspace: h.workspace, Drawn: h.drawn, Spent: h.spent, Gifts: h.gifts,
+			Waiting: len(h.waiting), Allowed: p.journal.allows(h.workspace, h.drawn, now),
+		})
+		h.mu.Unlock()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cmd/rosevalve/edge.go
@@ -0,0 +1,53 @@
+package rosevalve
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"rosevalve/internal/fleet/edge"
+	"rosevalve/internal/fleet/settings"
+)
+
+const edgeHelp = `Serves routed requests on the users' platform until it is told to stop.
+
+Settings come from where those of "rosevalve router" come from. SIGTERM or SIGINT
+starts a graceful stop; a second one ends the process at once.
+
+EXAMPLES
+  rosevalve edge --config edge.ini
+  rosevalve edge --config edge.ini --check`
+
+// edgeCommand runs a router for routed requests, or checks its settings.
+func edgeCommand(stdout io.Writer) subcommand {
+	flags := settings.NewFlags("edge")
+	var check bool
+	flags.FlagSet().BoolVar(&check, 0, "check", "check the settings and exit")
+	command := &ff.Command{
+		Name:      "edge",
+		Usage:     "rosevalve edge [FLAGS]",
+		ShortHelp: "run a router for routed requests",
+		LongHelp:  edgeHelp,
+		Flags:     flags.FlagSet(),
+		Exec: func(ctx context.Context, _ []string) error {
+			cfg, err := flags.Settings()
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			if check {
+				fmt.Fprintln(stdout, "settings are valid")
+				return nil
+			}
+			ctx, stop := untilStopped(ctx)
+			defer stop()
+			e := &edge.Edge{Settings: cfg, Log: newLogger(cfg, stdout)}
+			if err := e.Run(ctx); err != nil {
+				return fmt.Errorf("run edge: %w", err)
+			}
+			return nil
+		},
+	}
+	return subcommand{command: command, options: flags.ParseOptions()}
+}
--- a/internal/cmd/rosevalve/main.go
+++ b/internal/cmd/rosevalve/main.go
@@ -31,6 +31,7 @@
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	subcommands := []subcommand{
 		routerCommand(stdout, stderr),
+		edgeCommand(stdout),
 		ctlCommand(os.Stdin, stdout),
 		settingsCommand(stdout),
 		versionCommand(stdout),
--- a/internal/cmd/rosevalve/router.go
+++ b/internal/cmd/rosevalve/router.go
@@ -53,8 +53,19 @@
 }
 
 func runRouter(ctx context.Context, cfg settings.Settings, stderr io.Writer) error {
-	ctx, stop := context.WithCancel(ctx)
+	ctx, stop := untilStopped(ctx)
 	defer stop()
+	r := &router.Router{Settings: cfg, Log: newLogger(cfg, stderr)}
+	if err := r.Run(ctx); err != nil {
+		return fmt.Errorf("run router: %w", err)
+	}
+	return nil
+}
+
+// untilStopped returns a context that ends with the first signal to stop; the second
+// one ends the process.
+func untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -63,11 +74,7 @@
 		<-signals
 		os.Exit(exitFailed)
 	}()
-	r := &router.Router{Settings: cfg, Log: newLogger(cfg, stderr)}
-	if err := r.Run(ctx); err != nil {
-		return fmt.Errorf("run router: %w", err)
-	}
-	return nil
+	return ctx, stop
 }
 
 func newLogger(cfg settings.Settings, w io.Writer) *log.Logger {
--- /dev/null
+++ b/internal/fleet/edge/connect.go
@@ -0,0 +1,282 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/budget/demand"
+	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/fleet/membership"
+	"rosevalve/internal/fleet/peer"
+	"rosevalve/internal/platform/follow"
+	"rosevalve/internal/platform/table"
+	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/request/forward"
+	"rosevalve/internal/request/ingress"
+	"rosevalve/internal/target/placement"
+	"rosevalve/internal/target/roster"
+	"rosevalve/internal/workspace/plan"
+	"rosevalve/platform"
+)
+
+const (
+	storeConns   = 16
+	storeDial    = 300 * time.Millisecond
+	targetDial   = 250 * time.Millisecond
+	targetSilent = time.Second
+	// maxBegged bounds the routers that are asked for tokens for one request.
+	maxBegged = 16
+	begTime   = 150 * time.Millisecond
+)
+
+// connect builds the parts and joins them.
+func (e *Edge) connect() {
+	e.connectStore()
+	e.connectPlan()
+	e.connectTargets()
+	e.connectTokens()
+	e.connectFleet()
+	e.connectRequests()
+}
+
+func (e *Edge) connectStore() {
+	dialer := socket.Dialer{Timeout: storeDial, Silence: time.Second}
+	e.store = &platform.Store{HTTP: &fasthttp.HostClient{
+		Addr:                      e.Settings.Platform.Addr,
+		MaxConns:                  storeConns,
+		NoDefaultUserAgentHeader:  true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration:       10 * time.Second,
+		Dial:                      dialWith(dialer),
+	}}
+}
+
+// follow returns a follower of one of the platform's tables.
+func (e *Edge) follow(name string, onRows func([]table.Row)) *follow.Table {
+	t := &follow.Table{
+		Name:   name,
+		Read:   e.store.Read,
+		Watch:  e.store.Watch,
+		Ask:    e.askRows,
+		OnRows: onRows,
+		OnContact: func(err error) {
+			if err != nil {
+				e.Log.Warn("store lost", "table", name, "err", err)
+				return
+			}
+			e.Log.Info("store regained", "table", name)
+		},
+	}
+	t.Prepare()
+	return t
+}
+
+func (e *Edge) connectPlan() { e.config = e.follow(platform.TableOperator, e.takePlan) }
+
+// takePlan takes over a configuration that is newer than the one in force.
+func (e *Edge) takePlan(rows []table.Row) {
+	for _, r := range rows {
+		if !platform.IsConfig(r) || r.Deleted {
+			continue
+		}
+		cfg, err := platform.Config(r)
+		if err != nil {
+			e.Log.Error("configuration can not be read", "row_version", r.Version, "err", err)
+			continue
+		}
+		if old := e.plan.Load(); old != nil && old.Version() >= cfg.Version {
+			continue
+		}
+		e.plan.Store(plan.New(cfg))
+		e.Log.Info("configuration in force", "plan_version", cfg.Version, "row_version", r.Version, "routes", len(cfg.Routes), "from_peers", e.config.Failing())
+	}
+}
+
+func (e *Edge) connectTargets() {
+	dialer := socket.Dialer{Timeout: targetDial, Silence: targetSilent}
+	e.placement = &placement.Placement{Dial: dialer.Dial}
+	e.targets = e.follow(platform.TableTargets, e.takeTargets)
+	e.keeper = &roster.Keeper{Disturbed: e.targets.Disturbed, OnRoster: e.placement.Update}
+}
+
+// takeTargets takes over what targets have announced.
+func (e *Edge) takeTargets(rows []table.Row) {
+	var changes []roster.Change
+	for _, r := range rows {
+		c := roster.Change{ID: r.Key, Gone: r.Deleted}
+		if !r.Deleted {
+			var err error
+			if c.Instance, err = platform.Target(r); err != nil {
+				e.Log.Warn("announcement names no target", "instance", r.Key, "err", err)
+				c.Gone = true
+			}
+		}
+		e.Log.Info("target announced", "instance", c.ID, "gone", c.Gone, "draining", c.Instance.Draining, "addr", c.Instance.Addr, "row_version", r.Version)
+		changes = append(changes, c)
+	}
+	e.keeper.Update(changes)
+}
+
+func (e *Edge) connectTokens() {
+	e.purse = &prepaid.Purse{
+		VM:      e.Settings.Edge.VM,
+		Life:    e.life,
+		Commit:  e.store.Commit,
+		Read:    e.store.Read,
+		Prepaid: e.prepaid,
+		Size:    demand.SizeByDemand(e.Settings.Edge.Horizon),
+		Beg:     e.beg,
+		OnEvent: e.logTokens,
+	}
+}
+
+// prepaid returns the workspace's total by the newest configuration.
+func (e *Edge) prepaid(workspace string) int64 {
+	p := e.plan.Load()
+	if p == nil {
+		return 0
+	}
+	w, ok := p.Workspace(workspace)
+	if !ok {
+		return 0
+	}
+	return w.Prepaid
+}
+
+func (e *Edge) connectFleet() {
+	cfg := e.Settings
+	e.links = &peer.Links{AllowClear: cfg.Fleet.Clear == "anywhere"}
+	if cfg.Fleet.Secured() {
+		e.links.Credentials = &peer.Credentials{CertFile: cfg.Fleet.TLSCert, KeyFile: cfg.Fleet.TLSKey, CAFile: cfg.Fleet.TLSCA}
+	}
+	e.view = &membership.View{
+		Seeds:           cfg.Fleet.Seeds,
+		Interval:        cfg.Fleet.HeartbeatInterval,
+		SuspectAfter:    cfg.Fleet.SuspectAfter,
+		Call:            e.links.Call,
+		ConfigVersion:   e.config.Newest,
+		OnConfigVersion: e.config.HeardFrom,
+	}
+	e.links.Self = e.view.Self
+	e.links.Handlers = map[string]peer.Handler{
+		inner.MethodHeartbeat: e.view.HandleHeartbeat,
+		inner.MethodProbe:     e.view.HandleProbe,
+		inner.MethodFollow:    e.handleFollow,
+		inner.MethodGive:      e.handleGive,
+	}
+	e.view.Join(inner.Member{
+		ID:            e.life,
+		InnerAddr:     cfg.Router.InnerListen,
+		CallerAddr:    cfg.Router.Listen,
+		FailureDomain: cfg.Router.FailureDomain,
+		Region:        cfg.Router.Region,
+		Busy:          true,
+	})
+}
+
+func (e *Edge) connectRequests() {
+	cfg := e.Settings.Edge
+	e.forwarder = &forward.Forwarder{
+		Plan:      e.plan.Load,
+		Purse:     e.purse,
+		Placement: e.placement,
+		Retries: &forward.Retries{
+			Ratio: cfg.RetryRatio, Slack: cfg.RetrySlack, Window: cfg.RetryWindow, Routers: e.routers,
+		},
+		Encode:     platform.Attempt,
+		Identify:   platform.Identify,
+		Genuine:    platform.Genuine,
+		OnDecision: e.logDecision,
+	}
+	e.ingress = &ingress.Server{
+		Forwarder: e.forwarder,
+		Request:   platform.Request,
+		Relay:     platform.Relay,
+		Refuse:    platform.Refuse,
+		Plan:      e.plan.Load,
+		Leaving:   e.leaving.Load,
+	}
+}
+
+// others lists the inner addresses of routers that live, from a random one on.
+func (e *Edge) others() []string {
+	self := e.Settings.Router.InnerListen
+	var out []string
+	for _, m := range e.view.Members() {
+		if m.InnerAddr != self && (m.State == inner.Alive || m.State == inner.Leaving) {
+			out = append(out, m.InnerAddr)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// routers returns how many routers are believed to live.
+func (e *Edge) routers() int { return len(e.others()) + 1 }
+
+// askRows asks a router, or any if addr is empty, for the rows of a followed table.
+func (e *Edge) askRows(ctx context.Context, addr string, in inner.FollowRequest) (inner.FollowResponse, error) {
+	var out inner.FollowResponse
+	if addr == "" {
+		others := e.others()
+		if len(others) == 0 {
+			others = e.Settings.Fleet.Seeds
+		}
+		if len(others) == 0 {
+			return out, errors.New("no other router is known")
+		}
+		addr = others[rand.IntN(len(others))]
+	}
+	err := e.links.Call(ctx, addr, inner.MethodFollow, in, &out)
+	return out, err
+}
+
+func (e *Edge) handleFollow(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.FollowRequest
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode question for rows: %w", err)
+	}
+	for _, t := range []*follow.Table{e.config, e.targets} {
+		if t.Name == in.Table {
+			return t.Answer(in), nil
+		}
+	}
+	return nil, fmt.Errorf("table %q is not followed", in.Table)
+}
+
+// beg asks other routers for tokens, one after the other until there are enough.
+func (e *Edge) beg(ctx context.Context, workspace string, tokens int64) (int64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, begTime)
+	defer cancel()
+	var given int64
+	all := true
+	others := e.others()
+	for _, addr := range others[:min(maxBegged, len(others))] {
+		if given >= tokens {
+			break
+		}
+		var out inner.GiveResponse
+		if err := e.links.Call(ctx, addr, inner.MethodGive, inner.Give{Workspace: workspace, Tokens: tokens - given}, &out); err != nil {
+			all = false
+			continue
+		}
+		given += out.Tokens
+	}
+	return given, all && len(others) <= maxBegged
+}
+
+func (e *Edge) handleGive(ctx context.Context, params json.RawMessage) (any, error) {
+	var in inner.Give
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode question for tokens: %w", err)
+	}
+	return inner.GiveResponse{Tokens: e.purse.Give(ctx, in.Workspace, in.Tokens)}, nil
+}
--- /dev/null
+++ b/internal/fleet/edge/edge.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/fleet/drain"
+	"rosevalve/internal/fleet/membership"
+	"rosevalve/internal/fleet/peer"
+	"rosevalve/internal/fleet/settings"
+	"rosevalve/internal/platform/follow"
+	"rosevalve/internal/request/forward"
+	"rosevalve/internal/request/ingress"
+	"rosevalve/internal/target/placement"
+	"rosevalve/internal/target/roster"
+	"rosevalve/internal/workspace/plan"
+	"rosevalve/platform"
+)
+
+const (
+	// housekeeping is the time between looks for what has expired.
+	housekeeping = 250 * time.Millisecond
+	// handOverTime is kept at the end of a stop to give tokens back.
+	handOverTime = time.Second
+)
+
+// Edge is one router process.
+type Edge struct {
+	// Settings are the checked options.
+	Settings settings.Settings
+	// Log receives what happens.
+	Log *log.Logger
+
+	life      string
+	leaving   atomic.Bool
+	plan      atomic.Pointer[plan.Plan]
+	store     *platform.Store
+	config    *follow.Table
+	targets   *follow.Table
+	keeper    *roster.Keeper
+	placement *placement.Placement
+	purse     *prepaid.Purse
+	forwarder *forward.Forwarder
+	ingress   *ingress.Server
+	view      *membership.View
+	links     *peer.Links
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (e *Edge) Run(ctx context.Context) error {
+	e.life = e.Settings.Edge.VM + "#" + rand.Text()[:8]
+	e.connect()
+	listeners, err := e.listen()
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, len(listeners)+8)
+	start := func(f func() error) {
+		go func() { failed <- f() }()
+	}
+	side := e.sideServer()
+	start(func() error { return e.links.Serve(background, listeners[e.Settings.Router.InnerListen]) })
+	start(func() error { return e.view.Run(background) })
+	start(func() error { return e.config.Run(background) })
+	start(func() error { return e.targets.Run(background) })
+	start(func() error { return e.purse.Run(background) })
+	start(func() error { return e.keepHouse(background) })
+	for _, addr := range []string{e.Settings.Edge.ReadyListen, e.Settings.Edge.DirectoryListen, e.Settings.Edge.MetricsListen} {
+		start(func() error { return side.Serve(listeners[addr]) })
+	}
+	start(func() error { return e.ingress.Serve(listeners[e.Settings.Router.Listen]) })
+	e.Log.Info("started", "life", e.life, "listen", e.Settings.Router.Listen)
+	for {
+		select {
+		case err := <-failed:
+			if err != nil {
+				return fmt.Errorf("edge stopped: %w", err)
+			}
+		case <-ctx.Done():
+			return e.drain()
+		}
+	}
+}
+
+// listen opens the listeners, by address.
+func (e *Edge) listen() (map[string]net.Listener, error) {
+	out := make(map[string]net.Listener)
+	for _, addr := range []string{
+		e.Settings.Router.InnerListen, e.Settings.Router.Listen,
+		e.Settings.Edge.ReadyListen, e.Settings.Edge.DirectoryListen, e.Settings.Edge.MetricsListen,
+	} {
+		l, err := net.Listen("tcp4", addr)
+		if err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", addr, err)
+		}
+		out[addr] = l
+	}
+	return out, nil
+}
+
+// keepHouse drops what has expired, until ctx ends.
+func (e *Edge) keepHouse(ctx context.Context) error {
+	tick := time.NewTicker(housekeeping)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			e.keeper.Expire(now)
+			e.placement.Prune(now)
+			e.view.SetBusy(!e.ready())
+		}
+	}
+}
+
+// ready reports whether this router may get callers.
+func (e *Edge) ready() bool {
+	return e.plan.Load() != nil && e.targets.Newest() > 0 && !e.leaving.Load()
+}
+
+// drain stops the router gracefully: callers go elsewhere at once, but who still comes
+// is served while it may hold the address.
+func (e *Edge) drain() error {
+	e.Log.Info("draining", "life", e.life)
+	d := &drain.Drain{
+		Announce: func(ctx context.Context) {
+			e.leaving.Store(true)
+			e.view.Leave(ctx)
+		},
+		Age:    keptAddress * e.Settings.Edge.MaxAge,
+		Refuse: func() {},
+		Finish: []drain.Part{{Name: "finish requests", Run: e.ingress.Shutdown}},
+		HandOver: []drain.Part{
+			{Name: "give tokens back", Run: e.purse.Close},
+		},
+		Quit:         e.view.Quit,
+		Limit:        e.Settings.Router.DrainLimit - handOverTime,
+		HandOverTime: handOverTime,
+	}
+	if err := d.Run(); err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	e.Log.Info("drained", "life", e.life)
+	return nil
+}
+
+// keptAddress is how many times the allowed age some callers keep an address.
+const keptAddress = 3
+
+// sideServer answers the calls beside requests.
+func (e *Edge) sideServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               e.handleSide,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		IdleTimeout:           sideIdle,
+		ReduceMemoryUsage:     true,
+	}
+}
--- /dev/null
+++ b/internal/fleet/edge/side.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/protocol/httpjson"
+	"rosevalve/internal/protocol/inner"
+	"rosevalve/platform"
+)
+
+const (
+	sideIdle = 10 * time.Second
+	// maxAddresses bounds the routers that one caller is told.
+	maxAddresses = 64
+)
+
+// State is the dump of the process's state.
+type State struct {
+	Life        string          `json:"life"`
+	PlanVersion uint64          `json:"plan_version"`
+	Ready       bool            `json:"ready"`
+	Leaving     bool            `json:"leaving"`
+	InFlight    int64           `json:"in_flight"`
+	Tokens      []prepaid.State `json:"tokens"`
+	Members     []inner.Member  `json:"members"`
+}
+
+// handleSide answers the calls beside requests.
+func (e *Edge) handleSide(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch platform.CallOf(path) {
+	case platform.CallReady:
+		if !e.ready() {
+			ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
+		}
+		return
+	case platform.CallDirectory:
+		if err := platform.WriteDirectory(&ctx.Response, e.addresses(), e.Settings.Edge.MaxAge); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		}
+		return
+	}
+	switch path {
+	case "/metrics", "/debug/vars":
+		expvarhandler.ExpvarHandler(ctx)
+	case "/debug/state":
+		httpjson.Write(ctx, fasthttp.StatusOK, e.state())
+	default:
+		ctx.Error("not found\n", fasthttp.StatusNotFound)
+	}
+}
+
+// addresses lists the routers that take callers, in random order.
+func (e *Edge) addresses() []string {
+	var ready, busy []string
+	for _, m := range e.view.Members() {
+		switch {
+		case m.State != inner.Alive:
+		case m.Busy:
+			busy = append(busy, m.CallerAddr)
+		default:
+			ready = append(ready, m.CallerAddr)
+		}
+	}
+	if len(ready) == 0 {
+		ready = busy
+	}
+	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	return ready[:min(maxAddresses, len(ready))]
+}
+
+func (e *Edge) state() State {
+	s := State{
+		Life:     e.life,
+		Ready:    e.ready(),
+		Leaving:  e.leaving.Load(),
+		InFlight: e.ingress.InFlight(),
+		Tokens:   e.purse.State(),
+		Members:  e.view.Members(),
+	}
+	if p := e.plan.Load(); p != nil {
+		s.PlanVersion = p.Version()
+	}
+	return s
+}
--- a/internal/fleet/settings/option.go
+++ b/internal/fleet/settings/option.go
@@ -143,6 +143,24 @@
 	}
 }
 
+func numberOption(section, key, fallback, doc string, least, most float64, out *float64) *Option {
+	return &Option{
+		section: section, key: key, fallback: fallback, doc: doc,
+		allowed: fmt.Sprintf("a number from %g to %g, with a fraction or without", least, most),
+		parse: func(text string) error {
+			n, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				return fmt.Errorf("not a number")
+			}
+			if n < least || n > most {
+				return fmt.Errorf("out of range")
+			}
+			*out = n
+			return nil
+		},
+	}
+}
+
 func choiceOption(section, key, fallback, doc string, choices []string, out *string) *Option {
 	return &Option{
 		section: section, key: key, fallback: fallback, doc: doc,
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -5,6 +5,7 @@
 // Settings are a router's checked options, by section.
 type Settings struct {
 	Router        Router
+	Edge          Edge
 	Platform      Platform
 	Fleet         Fleet
 	Budget        Budget
@@ -19,6 +20,7 @@
 func (s *Settings) Options() []*Option {
 	return slices.Concat(
 		s.Router.options(),
+		s.Edge.options(),
 		s.Platform.options(),
 		s.Fleet.options(),
 		s.Budget.options(),
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -126,7 +126,7 @@
 		if !page.More || len(page.Rows) == 0 {
 			break
 		}
-		r.After = page.Rows[len(page.Rows)-1].Key
+		r.From = table.Behind(page.Rows[len(page.Rows)-1].Key)
 	}
 	t.set.merge(rows, version, true, t.OnRows)
 	return nil
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -140,12 +140,17 @@
 type Range struct {
 	Table     string
 	Partition string
-	// After is the key after which the range begins; empty begins at the first.
-	After string
+	// From is the first key of the range; empty begins at the first row.
+	From string
+	// To is the key before which the range ends; empty ends after the last row.
+	To string
 	// Limit bounds the rows of one answer; 0 leaves it to the store.
 	Limit int
 }
 
+// Behind returns the first key that sorts after the key.
+func Behind(key string) string { return key + "\x00" }
+
 // Page is a part of a table as of one moment, or the changes since a version.
 type Page struct {
 	Stamp
--- /dev/null
+++ b/internal/request/ingress/conn.go
@@ -0,0 +1,185 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// lingerTime and lingerBytes bound what is read of a request that was refused
+	// before its end, so that the refusal is not lost in a reset.
+	lingerTime  = time.Second
+	lingerBytes = 8 << 20
+)
+
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// listener wraps the connections that it accepts.
+type listener struct {
+	net.Listener
+	limits func() (header, idle time.Duration)
+}
+
+// Accept returns the next caller's connection.
+func (l listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, limits: l.limits}, nil
+}
+
+// conn is a caller's connection. While a request is served on it, it reads ahead one
+// byte to notice that the caller has left.
+type conn struct {
+	net.Conn
+	limits func() (header, idle time.Duration)
+
+	mu       sync.Mutex // guards the fields below
+	active   bool       // a request is being read or served
+	linger   bool       // read what is left before closing
+	watched  chan struct{}
+	ahead    [1]byte
+	hasAhead bool
+	aheadErr error
+}
+
+// Read reads within the caller's time. It ends a watch.
+func (c *conn) Read(p []byte) (int, error) {
+	c.unwatch()
+	if n, err, ok := c.takeAhead(p); ok {
+		return n, err
+	}
+	header, idle := c.limits()
+	limit := idle
+	if c.isActive() {
+		limit = header
+	}
+	if limit > 0 {
+		if err := c.Conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+// takeAhead returns what the watch has read.
+func (c *conn) takeAhead(p []byte) (int, error, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.hasAhead && len(p) > 0:
+		c.hasAhead = false
+		p[0] = c.ahead[0]
+		return 1, nil, true
+	case c.aheadErr != nil:
+		return 0, c.aheadErr, true
+	default:
+		return 0, nil, false
+	}
+}
+
+func (c *conn) isActive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active
+}
+
+func (c *conn) setActive(active bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = active
+}
+
+// watch calls gone once if the caller leaves before the next Read.
+func (c *conn) watch(gone func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watched != nil || c.hasAhead || c.aheadErr != nil {
+		return
+	}
+	done := make(chan struct{})
+	c.watched = done
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(done)
+		n, err := c.Conn.Read(c.ahead[:])
+		if n == 0 && isTimeout(err) {
+			return
+		}
+		c.mu.Lock()
+		c.hasAhead = n > 0
+		if n == 0 {
+			c.aheadErr = err
+		}
+		c.mu.Unlock()
+		if n == 0 {
+			gone()
+		}
+	}()
+}
+
+// unwatch ends the watch, if there is one.
+func (c *conn) unwatch() {
+	c.mu.Lock()
+	done := c.watched
+	c.watched = nil
+	c.mu.Unlock()
+	if done == nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(past)
+	<-done
+	_ = c.Conn.SetReadDeadline(time.Time{})
+}
+
+// lingerOnClose makes Close read what the caller still sends.
+func (c *conn) lingerOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.linger = true
+}
+
+// Close closes the connection, with what was written to it delivered first.
+func (c *conn) Close() error {
+	c.unwatch()
+	c.mu.Lock()
+	linger := c.linger
+	c.linger = false
+	c.mu.Unlock()
+	if !linger {
+		return c.Conn.Close()
+	}
+	go c.drain()
+	return nil
+}
+
+// drain reads what the caller still sends, for a bounded time, and closes.
+func (c *conn) drain() {
+	defer func() { _ = c.Conn.Close() }()
+	if half, ok := c.Conn.(*net.TCPConn); ok {
+		_ = half.CloseWrite()
+	}
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// onState follows which connections serve a request.
+func onState(c net.Conn, state fasthttp.ConnState) {
+	if caller, ok := c.(*conn); ok {
+		caller.setActive(state == fasthttp.StateActive)
+	}
+}
--- /dev/null
+++ b/internal/request/ingress/ingress.go
@@ -0,0 +1,220 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/forward"
+	"rosevalve/internal/workspace/plan"
+)
+
+const (
+	// defaultHeaderBytes, defaultBodyBytes, defaultHeaderTime and defaultIdleTime hold
+	// until the first routing plan has come.
+	defaultHeaderBytes = 16 << 10
+	defaultBodyBytes   = 4 << 20
+	defaultHeaderTime  = 5 * time.Second
+	defaultIdleTime    = time.Minute
+	// maxHeaderBytes bounds the header whatever the plan says.
+	maxHeaderBytes = 64 << 10
+	writeBuffer    = 2048
+)
+
+// Server serves routed requests over HTTP.
+type Server struct {
+	// Forwarder serves the requests.
+	Forwarder *forward.Forwarder
+	// Request reads what a caller has sent.
+	Request func(in *fasthttp.Request, arrived time.Time) (*forward.Request, error)
+	// Relay writes the status and the header of a target's answer.
+	Relay func(out *fasthttp.Response, status int, from *fasthttp.ResponseHeader)
+	// Refuse writes an answer of the router's own.
+	Refuse func(out *fasthttp.Response, refusal *answer.Error, requestID string)
+	// Plan returns the newest routing plan, or nil if there is none.
+	Plan func() *plan.Plan
+	// Leaving reports whether callers shall send nothing more on their connections.
+	Leaving func() bool
+
+	once     sync.Once
+	http     *fasthttp.Server
+	inFlight atomic.Int64
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		s.http = &fasthttp.Server{
+			Handler:                       s.handle,
+			ErrorHandler:                  s.unreadable,
+			HeaderReceived:                s.limitBody,
+			ConnState:                     onState,
+			ReadBufferSize:                defaultHeaderBytes + writeBuffer,
+			WriteBufferSize:               writeBuffer,
+			MaxRequestBodySize:            defaultBodyBytes,
+			CloseOnShutdown:               true,
+			NoDefaultServerHeader:         true,
+			NoDefaultDate:                 true,
+			NoDefaultContentType:          true,
+			DisablePreParseMultipartForm:  true,
+			DisableHeaderNamesNormalizing: false,
+			ReduceMemoryUsage:             true,
+		}
+	})
+}
+
+// Serve accepts callers until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	s.init()
+	if err := s.http.Serve(listener{Listener: l, limits: s.times}); err != nil {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return nil
+}
+
+// Shutdown closes the listener and the idle connections, and waits for the others until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.init()
+	return s.http.ShutdownWithContext(ctx)
+}
+
+// InFlight returns the number of requests that are being served.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// limits returns what bounds callers now.
+func (s *Server) limits() plan.Limits {
+	out := plan.Limits{
+		HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes,
+		HeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdleTime,
+	}
+	p := s.Plan()
+	if p == nil {
+		return out
+	}
+	l := p.Limits()
+	if l.HeaderBytes > 0 {
+		out.HeaderBytes = l.HeaderBytes
+	}
+	if l.BodyBytes > 0 {
+		out.BodyBytes = l.BodyBytes
+	}
+	if l.HeaderTimeout > 0 {
+		out.HeaderTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		out.IdleTimeout = l.IdleTimeout
+	}
+	return out
+}
+
+func (s *Server) times() (header, idle time.Duration) {
+	l := s.limits()
+	return l.HeaderTimeout, l.IdleTimeout
+}
+
+// limitBody bounds the body of a request whose header has come.
+func (s *Server) limitBody(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: s.limits().BodyBytes}
+}
+
+// unreadable answers what the HTTP library could not read.
+func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	var tooLong *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &tooLong):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(err):
+		status = fasthttp.StatusRequestTimeout
+	}
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.lingerOnClose()
+	}
+	s.Refuse(&ctx.Response, answer.Invalid(status, "request", "request could not be read: %v", err), "")
+}
+
+// handle serves one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.inFlight.Add(1)
+	ended := false
+	defer func() {
+		if !ended {
+			s.inFlight.Add(-1)
+		}
+	}()
+	if s.Leaving() {
+		ctx.SetConnectionClose()
+	}
+	if len(ctx.Request.Header.RawHeaders()) > s.limits().HeaderBytes {
+		s.Refuse(&ctx.Response, answer.Invalid(fasthttp.StatusRequestHeaderFieldsTooLarge, "header", "header is larger than %d bytes", s.limits().HeaderBytes), "")
+		return
+	}
+	r, err := s.Request(&ctx.Request, ctx.Time())
+	if err != nil {
+		s.Refuse(&ctx.Response, answer.Invalid(fasthttp.StatusBadRequest, "request", "%v", err), "")
+		return
+	}
+	callerCtx, leave := context.WithCancel(context.Background())
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.watch(leave)
+	}
+	a, err := s.Forwarder.Serve(callerCtx, r)
+	if err != nil {
+		leave()
+		s.refuse(ctx, r, err)
+		return
+	}
+	s.Relay(&ctx.Response, a.Status, a.Header)
+	if a.Stream == nil {
+		ctx.Response.SetBody(a.Body)
+		a.Close()
+		leave()
+		return
+	}
+	ended = true
+	ctx.Response.ImmediateHeaderFlush = false
+	ctx.SetBodyStream(&body{answer: a, close: func() {
+		leave()
+		s.inFlight.Add(-1)
+	}}, -1)
+}
+
+// refuse answers a request that got no answer from a target.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, r *forward.Request, err error) {
+	var refusal *answer.Error
+	if !errors.As(err, &refusal) {
+		refusal = &answer.Error{Status: fasthttp.StatusInternalServerError, Code: "internal", Message: err.Error(), Run: answer.Unknown}
+	}
+	s.Refuse(&ctx.Response, refusal, r.ID)
+}
+
+// body is the body of a streamed answer.
+type body struct {
+	answer *forward.Answer
+	close  func()
+}
+
+// Read is not used, since the server writes the body by WriteTo.
+func (b *body) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// SupportsBodyWriteTo tells the server that WriteTo may stand for Read.
+func (b *body) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo relays the events as they come.
+func (b *body) WriteTo(w io.Writer) (int64, error) { return b.answer.Stream.WriteTo(w) }
+
+// Close ends the answer, whether it was relayed as a whole or not.
+func (b *body) Close() error {
+	b.answer.Close()
+	b.close()
+	return nil
+}
--- /dev/null
+++ b/internal/target/placement/instance.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"rosevalve/internal/target/balance"
+	"rosevalve/internal/target/health"
+	"rosevalve/internal/target/roster"
+	"rosevalve/internal/target/upstream"
+)
+
+const (
+	// failureWeight is how much one attempt counts in the share of failures.
+	failureWeight = 0.25
+	// failureHalfLife is the time after which half of a bad reputation is forgotten.
+	failureHalfLife = 3 * time.Second
+	// maxCachedParts bounds the prompt parts that are remembered for one instance.
+	maxCachedParts = 2048
+)
+
+// instance is one lifetime of a target with what is known of it.
+type instance struct {
+	roster.Instance
+	pool *upstream.Pool
+	hash uint64
+
+	mu      sync.Mutex // guards the fields below
+	running int        // attempts of this router
+	reading int64      // prompt tokens of attempts that have not begun to answer
+	tokens  int64      // that the running attempts occupy at most
+	failing float64    // share of failures of late, at the time judged
+	judged  time.Time
+	breaker health.Breaker
+	cached  map[uint64]time.Time // prompt parts by when they were last used there
+}
+
+func newInstance(i roster.Instance, p *Placement) *instance {
+	return &instance{
+		Instance: i,
+		pool:     &upstream.Pool{Addr: i.Addr, Dial: p.Dial},
+		hash:     balance.Hash(i.ID),
+		cached:   make(map[uint64]time.Time),
+	}
+}
+
+// view is what the choice needs of an instance.
+type view struct {
+	running int
+	reading int64
+	tokens  int64
+	failing float64
+	open    bool // may get a request
+	missing int64
+}
+
+// look describes the instance for a request.
+func (i *instance) look(d Demand, now time.Time) view {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.breaker.ProbeDue(now) {
+		// The next request is the probe.
+		i.breaker.Probed(now, true)
+	}
+	return view{
+		running: i.running,
+		reading: i.reading,
+		tokens:  i.tokens,
+		failing: i.failingAt(now),
+		open:    i.breaker.Allows(i.running),
+		missing: i.missing(d),
+	}
+}
+
+// missing returns how many of the prompt's shared tokens the instance is not known to
+// hold; a part counts only if all parts before it are held. The caller holds mu.
+func (i *instance) missing(d Demand) int64 {
+	var missing int64
+	held := true
+	for _, part := range d.shared() {
+		if held {
+			_, held = i.cached[part.ID]
+		}
+		if !held {
+			missing += part.Tokens
+		}
+	}
+	return missing
+}
+
+// failingAt returns the share of failures, as it is forgotten over time. The caller holds mu.
+func (i *instance) failingAt(now time.Time) float64 {
+	if i.failing == 0 {
+		return 0
+	}
+	return i.failing * math.Exp2(-float64(now.Sub(i.judged))/float64(failureHalfLife))
+}
+
+// begin counts an attempt.
+func (i *instance) begin(s *Seat, d Demand, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s.reading = d.Input - d.sharedTokens() + i.missing(d)
+	s.tokens = d.Input + d.MaxOutput
+	i.running++
+	i.reading += s.reading
+	i.tokens += s.tokens
+	for _, part := range d.shared() {
+		i.cached[part.ID] = now
+	}
+	if len(i.cached) > maxCachedParts {
+		i.forgetOldest()
+	}
+}
+
+// forgetOldest drops the part that was not used for longest. The caller holds mu.
+func (i *instance) forgetOldest() {
+	var oldest uint64
+	var at time.Time
+	for id, used := range i.cached {
+		if at.IsZero() || used.Before(at) {
+			oldest, at = id, used
+		}
+	}
+	delete(i.cached, oldest)
+}
+
+// answering counts that an attempt has begun to answer.
+func (i *instance) answering(s *Seat) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.reading -= s.reading
+	s.reading = 0
+}
+
+// end counts the end of an attempt and what it shows.
+func (i *instance) end(s *Seat, o Outcome, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.running--
+	i.reading -= s.reading
+	i.tokens -= s.tokens
+	switch o {
+	case Unjudged:
+		return
+	case Served:
+		i.breaker.Succeeded()
+		i.judge(0, now)
+	case Declined:
+		i.judge(0, now)
+	case Failed:
+		i.breaker.Failed(now, false)
+		i.judge(1, now)
+	case Unreachable:
+		i.breaker.Failed(now, true)
+		i.judge(1, now)
+		clear(i.cached)
+	}
+}
+
+// judge takes one attempt into the share of failures. The caller holds mu.
+func (i *instance) judge(failed float64, now time.Time) {
+	i.failing = (1-failureWeight)*i.failingAt(now) + failureWeight*failed
+	i.judged = now
+}
--- /dev/null
+++ b/internal/target/placement/placement.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosevalve/internal/target/balance"
+	"rosevalve/internal/target/roster"
+	"rosevalve/internal/target/upstream"
+)
+
+// ErrNoInstance reports that the service has no instance that may get the request.
+var ErrNoInstance = errors.New("service has no instance for the request")
+
+//go:generate ../../../bin/stringer -type=Outcome -linecomment
+
+// Outcome is what an attempt shows about its instance.
+type Outcome int
+
+// The outcomes of attempts.
+const (
+	// Served attempts were answered well.
+	Served Outcome = iota // served
+	// Declined attempts were refused by an instance that is full or leaves.
+	Declined // declined
+	// Failed attempts were answered badly, too late or not as a whole.
+	Failed // failed
+	// Unreachable attempts got no connection.
+	Unreachable // unreachable
+	// Unjudged attempts show nothing, such as those whose caller left.
+	Unjudged // unjudged
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	// ID names the part's text.
+	ID uint64
+	// Tokens is its length.
+	Tokens int64
+}
+
+// Demand is what a request asks of an instance.
+type Demand struct {
+	// Parts are the prompt's parts; the last is the request's own.
+	Parts []Part
+	// Input is the length of the prompt and MaxOutput bounds the answer, in tokens.
+	Input, MaxOutput int64
+	// CacheTokens is the memory of one instance; 0 if it is not bounded by tokens.
+	CacheTokens int64
+	// Exclude names the instances that the request was sent to before.
+	Exclude []string
+}
+
+// shared returns the parts that other requests may have in common with this one.
+func (d Demand) shared() []Part {
+	if len(d.Parts) == 0 {
+		return nil
+	}
+	return d.Parts[:len(d.Parts)-1]
+}
+
+func (d Demand) sharedTokens() int64 {
+	var n int64
+	for _, part := range d.shared() {
+		n += part.Tokens
+	}
+	return n
+}
+
+// key returns what the request's own order of instances follows: the deepest shared part.
+func (d Demand) key() (uint64, bool) {
+	shared := d.shared()
+	if len(shared) == 0 {
+		return 0, false
+	}
+	return shared[len(shared)-1].ID, true
+}
+
+// Placement holds the instances by service.
+type Placement struct {
+	// Dial opens a connection to an instance.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Rand returns a random number below n; nil stands for the library's.
+	Rand func(n int) int
+
+	mu       sync.RWMutex // guards services
+	services map[string][]*instance
+}
+
+// Seat is one attempt's place at an instance. It must be ended once.
+type Seat struct {
+	instance *instance
+	reading  int64
+	tokens   int64
+	ended    bool
+}
+
+// ID returns the instance's id.
+func (s *Seat) ID() string { return s.instance.ID }
+
+// Addr returns the instance's address.
+func (s *Seat) Addr() string { return s.instance.Addr }
+
+// Pool returns the connections to the instance.
+func (s *Seat) Pool() *upstream.Pool { return s.instance.pool }
+
+// Answering tells that the attempt has begun to answer.
+func (s *Seat) Answering() { s.instance.answering(s) }
+
+// End tells how the attempt has ended; only the first call counts.
+func (s *Seat) End(o Outcome) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.instance.end(s, o, time.Now())
+}
+
+// Update takes over a new roster. What is known of an instance stays with its lifetime.
+func (p *Placement) Update(r *roster.Roster) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[string]*instance)
+	for _, list := range p.services {
+		for _, i := range list {
+			known[i.ID] = i
+		}
+	}
+	p.services = make(map[string][]*instance)
+	for _, i := range r.Instances() {
+		state, ok := known[i.ID]
+		if !ok || !state.SameLife(i) {
+			state = newInstance(i, p)
+		} else {
+			delete(known, i.ID)
+		}
+		p.services[i.Service] = append(p.services[i.Service], state)
+	}
+	for _, gone := range known {
+		gone.pool.Distrust()
+	}
+}
+
+// Prune closes idle connections that are too old.
+func (p *Placement) Prune(now time.Time) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, list := range p.services {
+		for _, i := range list {
+			i.pool.Prune(now)
+		}
+	}
+}
+
+// Choose takes a seat for the request at an instance of the service.
+//
+// The error is ErrNoInstance.
+func (p *Placement) Choose(service string, d Demand) (*Seat, error) {
+	p.mu.RLock()
+	list := p.services[service]
+	p.mu.RUnlock()
+	now := time.Now()
+	i := p.choose(list, d, now)
+	if i == nil {
+		return nil, ErrNoInstance
+	}
+	s := &Seat{instance: i}
+	i.begin(s, d, now)
+	return s, nil
+}
+
+func (p *Placement) intN(n int) int {
+	if p.Rand == nil {
+		return rand.IntN(n)
+	}
+	return p.Rand(n)
+}
+
+// rank returns the place of an instance in the order of a key; higher goes first.
+func rank(key uint64, i *instance) uint64 { return balance.Mix(key, i.hash) }
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -36,6 +36,8 @@
 	Request *fasthttp.Request
 	// Fresh sends it on a connection of its own.
 	Fresh bool
+	// HeadBy is when the head of the answer must have come; zero leaves it to the context.
+	HeadBy time.Time
 	// Identify reads what the header of an answer says about itself.
 	Identify func(h *fasthttp.ResponseHeader) Identity
 }
@@ -123,6 +125,10 @@
 
 // readHead reads the header of the answer that belongs to the request.
 func (a *Answer) readHead(c Call) error {
+	if err := a.conn.SetReadDeadline(c.HeadBy); err != nil {
+		return fmt.Errorf("bound the wait for an answer: %w", err)
+	}
+	defer func() { _ = a.conn.SetReadDeadline(time.Time{}) }()
 	a.resp.StreamBody = true
 	for range maxForeign {
 		if err := a.resp.ReadLimitBody(a.conn.br, 0); err != nil {
