--- a/internal/budget/demand/demand.go
+++ b/internal/budget/demand/demand.go
@@ -12,6 +12,12 @@
 	// window is the time constant of the moving average of demand.
 	window = 10 * time.Second
 
+	// evenShare is the part of an even share that one draw takes; above 1, since later
+	// draws find less.
+	evenShare = 1.5
+	// sizeWeight is how much one request counts in the mean size.
+	sizeWeight = 0.1
+
 	eagerShare  = 4
 	frugalShare = 16
 )
@@ -48,6 +54,19 @@
 	}
 }
 
+// SizeByShare returns a draw size that spreads what a budget has left over the
+// routers, so that each can serve on while the budget's store is away.
+func SizeByShare(routers func() int) func(Need) int64 {
+	return func(n Need) int64 {
+		if n.Available < n.Least {
+			return 0
+		}
+		share := min(1, evenShare/float64(max(1, routers())))
+		ahead := int64(share * float64(n.Available))
+		return min(max(n.Shortfall, ahead-max(n.Free, 0), n.Least), n.Available)
+	}
+}
+
 // SizeFixed returns a draw size that does not depend on demand.
 func SizeFixed(n int64) func(Need) int64 {
 	return func(d Need) int64 {
@@ -61,6 +80,7 @@
 // Meter measures what requests ask for. Its owner's lock guards it.
 type Meter struct {
 	rate  float64 // tokens per second
+	size  float64 // mean size of a request of late
 	at    time.Time
 	total int64 // wanted by the requests that wait for the next draw
 	least int64 // the smallest of them
@@ -69,6 +89,10 @@
 // Ask counts a request for n tokens.
 func (m *Meter) Ask(n int64, now time.Time) {
 	m.rate = m.Rate(now) + float64(n)/window.Seconds()
+	if m.size == 0 {
+		m.size = float64(n)
+	}
+	m.size += (float64(n) - m.size) * sizeWeight
 	m.at = now
 }
 
@@ -80,6 +104,9 @@
 	return m.rate * math.Exp(-now.Sub(m.at).Seconds()/window.Seconds())
 }
 
+// Size returns the mean size of a request of late, in tokens.
+func (m *Meter) Size() int64 { return int64(m.size) }
+
 // At returns when a request last asked for tokens.
 func (m *Meter) At() time.Time { return m.at }
 
--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -33,6 +33,10 @@
 		go p.fly(h, f)
 	}
 	h.mu.Unlock()
+	if p.journal.away(time.Now()) {
+		// The draw goes on, but the request does not wait for it.
+		return fmt.Errorf("draw for workspace %q: store did not answer a moment ago: %w", h.workspace, table.ErrUnavailable)
+	}
 	select {
 	case <-f.done:
 		return f.err
--- a/internal/budget/prepaid/gift.go
+++ b/internal/budget/prepaid/gift.go
@@ -1,32 +1,36 @@
 package prepaid
 
-import (
-	"context"
-	"time"
-)
-
-// giftTime is how long a router that asks for tokens is kept waiting.
-const giftTime = 100 * time.Millisecond
+import "time"
 
 // Give takes up to n tokens of the workspace out of this life's holding for another
 // router. They count as spent from then on, whether or not they arrive.
-func (p *Purse) Give(ctx context.Context, workspace string, n int64) int64 {
-	ctx, cancel := context.WithTimeout(ctx, giftTime)
-	defer cancel()
+func (p *Purse) Give(workspace string, n int64) int64 {
 	h := p.holding(workspace)
 	h.mu.Lock()
-	n = min(n, h.gifts+max(0, h.free()))
+	allowed := p.journal.allows(workspace, h.drawn, time.Now())
+	given := h.give(n, allowed)
+	covers := given < n && h.free() > 0
 	h.mu.Unlock()
-	if n <= 0 {
-		return 0
+	if covers {
+		// What is free but not covered can be given when it is asked for again.
+		p.journal.kick()
+	}
+	if given > 0 {
+		p.OnEvent(Event{Kind: GiftGiven, Workspace: workspace, Tokens: given})
 	}
-	r, err := p.take(ctx, h, n)
-	if r == nil || err != nil {
-		return 0
+	return given
+}
+
+// give takes up to n tokens that are free and covered. The caller holds mu.
+func (h *holding) give(n, allowed int64) int64 {
+	fromGifts := min(n, h.gifts)
+	h.gifts -= fromGifts
+	own := max(0, min(n-fromGifts, h.free(), allowed-h.spent))
+	if len(h.waiting) > 0 {
+		own = 0
 	}
-	r.Bill(n)
-	p.OnEvent(Event{Kind: GiftGiven, Workspace: workspace, Tokens: n})
-	return n
+	h.spent += own
+	return fromGifts + own
 }
 
 // accept takes in a gift.
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -14,8 +14,12 @@
 	"rosevalve/internal/platform/table"
 )
 
-// retryPause is the pause after a write that failed.
-const retryPause = 100 * time.Millisecond
+const (
+	// retryPause is the pause after a write that failed.
+	retryPause = 100 * time.Millisecond
+	// awayTime is how long nobody waits for the store after it did not answer.
+	awayTime = time.Second
+)
 
 // journal is this life's row of bounds.
 type journal struct {
@@ -31,6 +35,8 @@
 	// clock is the store's clock as last told, at the time heard.
 	clock time.Duration
 	heard time.Time
+	// missed is when a call of the store last failed, unless one has succeeded since.
+	missed time.Time
 }
 
 // allows returns how many tokens of a holding may be used now.
@@ -61,14 +67,23 @@
 	}
 }
 
-// hear takes in the store's clock.
+// hear takes in the store's clock, or that the store did not answer.
 func (j *journal) hear(s table.Stamp, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	if s.Clock == 0 {
+		j.missed = now
 		return
 	}
+	j.clock, j.heard = s.Clock, now
+	j.missed = time.Time{}
+}
+
+// away reports whether the store did not answer a moment ago.
+func (j *journal) away(now time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.clock, j.heard = s.Clock, now
+	return !j.missed.IsZero() && now.Sub(j.missed) < awayTime
 }
 
 // storeTime estimates the store's clock; it is never ahead of it. The caller holds mu.
@@ -204,9 +219,10 @@
 	return waiting, holding
 }
 
-// headroom is what is covered ahead of demand. The caller holds mu.
+// headroom is what is covered ahead of demand: some time of it, and at least one
+// request. The caller holds mu.
 func (h *holding) headroom(now time.Time) int64 {
-	return int64(h.asked.Rate(now) * headroomTime.Seconds())
+	return int64(h.asked.Rate(now)*headroomTime.Seconds()) + h.asked.Size()
 }
 
 // writeJournal writes the bounds once.
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -25,7 +25,7 @@
 	headroomTime = 700 * time.Millisecond
 
 	defaultGrace  = 700 * time.Millisecond
-	defaultSpread = 8 * time.Second
+	defaultSpread = 6 * time.Second
 )
 
 // ErrExhausted reports that a workspace's total does not cover a request.
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -4,17 +4,22 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
 	// maxTries bounds the draws and the gifts that one reservation waits for.
 	maxTries = 3
-	// coverTime is how long a reservation waits for the journal.
-	coverTime = time.Second
+	// coverTime is how long a reservation waits for the journal before others are asked.
+	coverTime = 40 * time.Millisecond
 	// refillPause is the least time between two draws ahead of demand.
 	refillPause = time.Second
 )
 
+// errUncovered reports that the journal was not written in time for a reservation.
+var errUncovered = errors.New("journal does not cover the reservation")
+
 // Reservation is the most that one request can use. One goroutine at a time may use it.
 type Reservation struct {
 	purse     *Purse
@@ -30,34 +35,38 @@
 //
 // Errors are ErrExhausted and ErrUnavailable.
 func (p *Purse) Reserve(ctx context.Context, workspace string, n int64) (*Reservation, error) {
-	ctx, cancel := context.WithTimeout(ctx, coverTime)
-	defer cancel()
 	h := p.holding(workspace)
 	h.mu.Lock()
 	h.asked.Ask(n, time.Now())
 	h.mu.Unlock()
-	var drawErr error
+	var lastErr error
 	for range maxTries {
 		r, err := p.take(ctx, h, n)
-		if r != nil || err != nil {
-			return r, err
+		if r != nil {
+			return r, nil
+		}
+		if err == nil {
+			err = p.awaitDraw(ctx, h, n)
+		}
+		if err == nil {
+			continue
 		}
-		if drawErr = p.awaitDraw(ctx, h, n); drawErr == nil {
+		lastErr = err
+		short := h.short(n, err)
+		if short == 0 {
 			continue
 		}
-		if short := h.short(n); short > 0 {
-			given, all := p.Beg(ctx, workspace, short)
-			p.accept(h, given)
-			if given < short {
-				return nil, p.refusal(ctx, workspace, n, drawErr, all)
-			}
+		given, all := p.Beg(ctx, workspace, short)
+		p.accept(h, given)
+		if given < short {
+			return nil, p.refusal(ctx, workspace, n, lastErr, all)
 		}
 	}
-	return nil, p.refusal(ctx, workspace, n, drawErr, false)
+	return nil, p.refusal(ctx, workspace, n, lastErr, false)
 }
 
-// take reserves n tokens that are there, and waits until they are covered. It
-// returns nil if they are not there.
+// take reserves n tokens that are there, and waits a moment until they are covered. It
+// returns nothing if they are not there, and errUncovered if they are not covered.
 func (p *Purse) take(ctx context.Context, h *holding, n int64) (*Reservation, error) {
 	now := time.Now()
 	h.mu.Lock()
@@ -75,18 +84,24 @@
 	if refill {
 		go p.refill(h)
 	}
-	if w == nil {
+	if w == nil || p.awaitCover(ctx, w) || !h.withdraw(r, w) {
 		return r, nil
 	}
+	return nil, errUncovered
+}
+
+// awaitCover waits a moment until a reservation is covered.
+func (p *Purse) awaitCover(ctx context.Context, w *waiter) bool {
+	timer := time.NewTimer(coverTime)
+	defer timer.Stop()
 	select {
 	case <-w.done:
-		return r, nil
+		return true
+	case <-timer.C:
+		return false
 	case <-ctx.Done():
+		return false
 	}
-	if h.withdraw(r, w) {
-		return nil, fmt.Errorf("reserve %d tokens of workspace %q: journal not written: %w", n, h.workspace, ErrUnavailable)
-	}
-	return r, nil
 }
 
 // uncovered reports whether the journal should be written before the next request
@@ -96,10 +111,13 @@
 	return min(h.drawn, h.wanted()+ahead) > p.journal.covered(h.workspace)
 }
 
-// short returns how much is missing of n tokens.
-func (h *holding) short(n int64) int64 {
+// short returns how many of n tokens must come from others after the failure.
+func (h *holding) short(n int64, cause error) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if errors.Is(cause, errUncovered) {
+		return max(0, n-h.gifts)
+	}
 	return max(0, n-h.gifts-max(0, h.free()))
 }
 
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -33,7 +33,7 @@
 	targetSilent = time.Second
 	// maxBegged bounds the routers that are asked for tokens for one request.
 	maxBegged = 16
-	begTime   = 150 * time.Millisecond
+	begTime   = 40 * time.Millisecond
 )
 
 // connect builds the parts and joins them.
@@ -132,7 +132,7 @@
 		Commit:  e.store.Commit,
 		Read:    e.store.Read,
 		Prepaid: e.prepaid,
-		Size:    demand.SizeByDemand(e.Settings.Edge.Horizon),
+		Size:    demand.SizeByShare(e.routers),
 		Beg:     e.beg,
 		OnEvent: e.logTokens,
 	}
@@ -273,10 +273,10 @@
 	return given, all && len(others) <= maxBegged
 }
 
-func (e *Edge) handleGive(ctx context.Context, params json.RawMessage) (any, error) {
+func (e *Edge) handleGive(_ context.Context, params json.RawMessage) (any, error) {
 	var in inner.Give
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("decode question for tokens: %w", err)
 	}
-	return inner.GiveResponse{Tokens: e.purse.Give(ctx, in.Workspace, in.Tokens)}, nil
+	return inner.GiveResponse{Tokens: e.purse.Give(in.Workspace, in.Tokens)}, nil
 }
--- a/internal/fleet/settings/edge.go
+++ b/internal/fleet/settings/edge.go
@@ -20,8 +20,6 @@
 	RetrySlack float64
 	// RetryWindow is the time over which repeats are counted.
 	RetryWindow time.Duration
-	// Horizon is the time of demand that a draw of prepaid tokens is for.
-	Horizon time.Duration
 }
 
 func (s *Edge) options() []*Option {
@@ -34,6 +32,5 @@
 		numberOption("edge", "retry_ratio", "0.2", "repeats that each request of a service earns", 0, 1, &s.RetryRatio),
 		numberOption("edge", "retry_slack", "10", "repeats of a service that all routers may make besides", 0, 1e6, &s.RetrySlack),
 		durationOption("edge", "retry_window", "10s", "time over which repeats are counted", time.Second, time.Hour, &s.RetryWindow),
-		durationOption("edge", "horizon", "20s", "time of demand that a draw of prepaid tokens is for", time.Second, time.Hour, &s.Horizon),
 	}
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -21,7 +21,7 @@
 	// busyRetry is when to come back after a refusal by all instances.
 	busyRetry = 150 * time.Millisecond
 	// tokensRetry is when to come back when tokens could not be reserved.
-	tokensRetry = 400 * time.Millisecond
+	tokensRetry = 2 * time.Second
 	// maxBody bounds the body of an answer that is not a stream.
 	maxBody = 16 << 20
 )
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// stallShare is the part of the longest pause that a stream may stand still.
-	stallShare = 0.7
+	// stallFactor is how many of the longest pauses a stream may stand still.
+	stallFactor = 2.5
 	// eventSpace is the first size of the buffer of a stream.
 	eventSpace = 1024
 	// maxEvent bounds one event.
@@ -106,7 +106,7 @@
 	if !w.route.Resumable || !w.canRepeatElsewhere() || w.route.EventGap == 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(time.Duration(stallShare * float64(w.route.EventGap)))
+	return time.Now().Add(time.Duration(stallFactor * float64(w.route.EventGap)))
 }
 
 // consumed returns how much of the buffer has been relayed.
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -127,7 +127,7 @@
 
 // headShare is the part of the goal that a request waits for an answer before it is
 // sent to another instance.
-const headShare = 0.6
+const headShare = 0.9
 
 // headBy bounds the wait for the head of an answer: a request that may be sent again
 // is not left at a silent instance until its end.
@@ -152,6 +152,11 @@
 		return d
 	}
 	d.Input, d.MaxOutput = w.r.Prompt.InputTokens, w.r.Prompt.MaxOutputTokens
+	d.LikelyOutput = w.r.Prompt.LikelyOutputTokens
+	if d.LikelyOutput == 0 {
+		d.LikelyOutput = d.MaxOutput / 2
+	}
+	d.EventGap = w.route.EventGap
 	d.CacheTokens = w.service.Engine.CacheTokens
 	for _, part := range w.r.Prompt.Parts {
 		d.Parts = append(d.Parts, placement.Part(part))
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -29,11 +29,12 @@
 	instance *instance
 	view     view
 	rank     uint64 // in the order of the request's deepest shared part
+	astray   bool   // in the lane for other requests
 }
 
 // choose returns the instance with the least cost, or nil.
-func (p *Placement) choose(list []*instance, d Demand, now time.Time) *instance {
-	candidates := p.candidates(list, d, now)
+func (p *Placement) choose(s *service, d Demand, now time.Time) *instance {
+	candidates := p.candidates(s, d, now)
 	first, second := leaders(candidates)
 	var best *instance
 	lowest := math.Inf(1)
@@ -55,19 +56,23 @@
 
 // candidates looks at the instances that the request was not sent to, from a random
 // one on, which decides between equals.
-func (p *Placement) candidates(list []*instance, d Demand, now time.Time) []candidate {
-	if len(list) == 0 {
-		return nil
-	}
+func (p *Placement) candidates(s *service, d Demand, now time.Time) []candidate {
+	list := s.instances
 	out := make([]candidate, 0, len(list))
 	key, keyed := d.key()
+	split := 0
+	if d.EventGap > 0 {
+		split = s.lanes.note(d, d.Input, len(list), now)
+	}
 	offset := p.intN(len(list))
 	for n := range list {
-		i := list[(n+offset)%len(list)]
+		at := (n + offset) % len(list)
+		i := list[at]
 		if slices.Contains(d.Exclude, i.ID) {
 			continue
 		}
 		c := candidate{instance: i, view: i.look(d, now)}
+		c.astray = d.EventGap > 0 && d.long() != (at < split)
 		if keyed {
 			c.rank = rank(key, i)
 		}
@@ -82,7 +87,7 @@
 func leaders(candidates []candidate) (first, second int) {
 	first, second = -1, -1
 	for n, c := range candidates {
-		if !c.view.open || c.rank == 0 {
+		if !c.view.open || c.rank == 0 || c.astray {
 			continue
 		}
 		switch {
@@ -103,6 +108,9 @@
 	if d.CacheTokens > 0 && v.tokens+d.Input+d.MaxOutput > d.CacheTokens {
 		cost += fullTokens
 	}
+	if c.astray {
+		cost += wrongLaneTokens
+	}
 	if !v.open {
 		cost += closedTokens
 	}
--- /dev/null
+++ b/internal/target/placement/lanes.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a millisecond.
+	readRate = 30
+	// longShare is the part of the longest pause between events from which on the
+	// reading of a prompt disturbs the streams beside it.
+	longShare = 0.25
+	// outputWeight is how many prompt tokens one token of an answer counts for.
+	outputWeight = 2
+	// laneWindow is the time constant of the measured work.
+	laneWindow = 10 * time.Second
+	// laneSlack is how far the split may be off, in instances, before it is moved.
+	laneSlack = 0.75
+	// wrongLaneTokens is the work that the wrong lane stands for.
+	wrongLaneTokens = 6000
+)
+
+// lanes divide the engines of a service between requests with long prompts, whose
+// reading delays the events of the streams beside them, and the others. The engines
+// stand in one order that all routers agree on; the split follows the measured work.
+type lanes struct {
+	mu          sync.Mutex // guards the fields below
+	long, short float64    // work of late, in prompt tokens
+	at          time.Time
+	split       int // instances of the long lane
+	count       int // instances when the split was made
+}
+
+// long reports whether the request's prompt takes so long to read that it disturbs others.
+func (d Demand) long() bool {
+	return d.EventGap > 0 && float64(d.Input) > longShare*readRate*float64(d.EventGap.Milliseconds())
+}
+
+// note counts the work of a request and returns the number of instances in the long lane.
+func (l *lanes) note(d Demand, read int64, instances int, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fade := math.Exp(-now.Sub(l.at).Seconds() / laneWindow.Seconds())
+	l.at = now
+	l.long *= fade
+	l.short *= fade
+	work := float64(read) + outputWeight*float64(d.LikelyOutput)
+	if d.long() {
+		l.long += work
+	} else {
+		l.short += work
+	}
+	wanted := float64(instances) * l.long / (l.long + l.short)
+	if l.count != instances || math.Abs(wanted-float64(l.split)) > laneSlack {
+		l.split = int(math.Round(wanted))
+		l.count = instances
+	}
+	l.split = max(min(l.split, instances-1), min(1, instances-1))
+	return l.split
+}
+
+// laneOrder sorts instances in the order that all routers agree on.
+func laneOrder(list []*instance) []*instance {
+	out := slices.Clone(list)
+	slices.SortFunc(out, func(a, b *instance) int { return cmp.Compare(a.hash, b.hash) })
+	return out
+}
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -50,6 +50,10 @@
 	Parts []Part
 	// Input is the length of the prompt and MaxOutput bounds the answer, in tokens.
 	Input, MaxOutput int64
+	// LikelyOutput is the estimated length of the answer.
+	LikelyOutput int64
+	// EventGap is the longest pause between the events of the answer that is aimed at.
+	EventGap time.Duration
 	// CacheTokens is the memory of one instance; 0 if it is not bounded by tokens.
 	CacheTokens int64
 	// Exclude names the instances that the request was sent to before.
@@ -89,7 +93,13 @@
 	Rand func(n int) int
 
 	mu       sync.RWMutex // guards services
-	services map[string][]*instance
+	services map[string]*service
+}
+
+// service is a group of instances.
+type service struct {
+	instances []*instance // in the order of their lanes
+	lanes     *lanes
 }
 
 // Seat is one attempt's place at an instance. It must be ended once.
@@ -126,12 +136,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := make(map[string]*instance)
-	for _, list := range p.services {
-		for _, i := range list {
+	for _, s := range p.services {
+		for _, i := range s.instances {
 			known[i.ID] = i
 		}
 	}
-	p.services = make(map[string][]*instance)
+	old := p.services
+	p.services = make(map[string]*service)
 	for _, i := range r.Instances() {
 		state, ok := known[i.ID]
 		if !ok || !state.SameLife(i) {
@@ -139,7 +150,18 @@
 		} else {
 			delete(known, i.ID)
 		}
-		p.services[i.Service] = append(p.services[i.Service], state)
+		s := p.services[i.Service]
+		if s == nil {
+			s = &service{lanes: &lanes{}}
+			if before, ok := old[i.Service]; ok {
+				s.lanes = before.lanes
+			}
+			p.services[i.Service] = s
+		}
+		s.instances = append(s.instances, state)
+	}
+	for _, s := range p.services {
+		s.instances = laneOrder(s.instances)
 	}
 	for _, gone := range known {
 		gone.pool.Distrust()
@@ -150,8 +172,8 @@
 func (p *Placement) Prune(now time.Time) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	for _, list := range p.services {
-		for _, i := range list {
+	for _, s := range p.services {
+		for _, i := range s.instances {
 			i.pool.Prune(now)
 		}
 	}
@@ -162,16 +184,19 @@
 // The error is ErrNoInstance.
 func (p *Placement) Choose(service string, d Demand) (*Seat, error) {
 	p.mu.RLock()
-	list := p.services[service]
+	s := p.services[service]
 	p.mu.RUnlock()
+	if s == nil {
+		return nil, ErrNoInstance
+	}
 	now := time.Now()
-	i := p.choose(list, d, now)
+	i := p.choose(s, d, now)
 	if i == nil {
 		return nil, ErrNoInstance
 	}
-	s := &Seat{instance: i}
-	i.begin(s, d, now)
-	return s, nil
+	seat := &Seat{instance: i}
+	i.begin(seat, d, now)
+	return seat, nil
 }
 
 func (p *Placement) intN(n int) int {
