--- a/internal/cmd/rosevalve/edge.go
+++ b/internal/cmd/rosevalve/edge.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -14,14 +17,16 @@
 const edgeHelp = `Serves routed requests on the users' platform until it is told to stop.
 
 Settings come from where those of "rosevalve router" come from. SIGTERM or SIGINT
-starts a graceful stop; a second one ends the process at once.
+starts a graceful stop; a second one ends the process at once. A changed settings file
+is read again, at the latest after SIGHUP.
 
 EXAMPLES
   rosevalve edge --config edge.ini
   rosevalve edge --config edge.ini --check`
 
-// edgeCommand runs a router for routed requests, or checks its settings.
-func edgeCommand(stdout io.Writer) subcommand {
+// edgeCommand runs a router for routed requests, or checks its settings. The arguments
+// begin with its name; they are read again when the settings change.
+func edgeCommand(args []string, stdout io.Writer) subcommand {
 	flags := settings.NewFlags("edge")
 	var check bool
 	flags.FlagSet().BoolVar(&check, 0, "check", "check the settings and exit")
@@ -42,7 +47,13 @@
 			}
 			ctx, stop := untilStopped(ctx)
 			defer stop()
-			e := &edge.Edge{Settings: cfg, Log: newLogger(cfg, stdout)}
+			e := &edge.Edge{
+				Settings: cfg,
+				Log:      newLogger(cfg, stdout),
+				File:     flags.File(),
+				Reload:   func() (settings.Settings, error) { return settings.Read(args[0], args[1:]) },
+				Hangup:   hangups(),
+			}
 			if err := e.Run(ctx); err != nil {
 				return fmt.Errorf("run edge: %w", err)
 			}
@@ -51,3 +62,10 @@
 	}
 	return subcommand{command: command, options: flags.ParseOptions()}
 }
+
+// hangups returns the signals that tell of changed settings.
+func hangups() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
--- a/internal/cmd/rosevalve/main.go
+++ b/internal/cmd/rosevalve/main.go
@@ -31,7 +31,7 @@
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	subcommands := []subcommand{
 		routerCommand(stdout, stderr),
-		edgeCommand(stdout),
+		edgeCommand(args, stdout),
 		ctlCommand(os.Stdin, stdout),
 		settingsCommand(stdout),
 		versionCommand(stdout),
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -104,7 +104,7 @@
 	dialer := socket.Dialer{Timeout: targetDial, Silence: targetSilent}
 	e.placement = &placement.Placement{Dial: dialer.Dial}
 	e.targets = e.follow(platform.TableTargets, e.takeTargets)
-	e.keeper = &roster.Keeper{Disturbed: e.targets.Disturbed, OnRoster: e.placement.Update}
+	e.keeper = &roster.Keeper{Regained: e.targets.Regained, OnRoster: e.placement.Update}
 }
 
 // takeTargets takes over what targets have announced.
@@ -158,7 +158,7 @@
 		e.links.Credentials = &peer.Credentials{CertFile: cfg.Fleet.TLSCert, KeyFile: cfg.Fleet.TLSKey, CAFile: cfg.Fleet.TLSCA}
 	}
 	e.view = &membership.View{
-		Seeds:           cfg.Fleet.Seeds,
+		Contacts:        func() []string { return e.settings().Fleet.Seeds },
 		Interval:        cfg.Fleet.HeartbeatInterval,
 		SuspectAfter:    cfg.Fleet.SuspectAfter,
 		Call:            e.links.Call,
@@ -183,14 +183,11 @@
 }
 
 func (e *Edge) connectRequests() {
-	cfg := e.Settings.Edge
 	e.forwarder = &forward.Forwarder{
 		Plan:      e.plan.Load,
 		Purse:     e.purse,
 		Placement: e.placement,
-		Retries: &forward.Retries{
-			Ratio: cfg.RetryRatio, Slack: cfg.RetrySlack, Window: cfg.RetryWindow, Routers: e.routers,
-		},
+		Retries:   &forward.Retries{Terms: e.retryTerms, Window: e.Settings.Edge.RetryWindow, Routers: e.routers},
 		Encode:     platform.Attempt,
 		Identify:   platform.Identify,
 		Genuine:    platform.Genuine,
@@ -228,7 +225,7 @@
 	if addr == "" {
 		others := e.others()
 		if len(others) == 0 {
-			others = e.Settings.Fleet.Seeds
+			others = e.settings().Fleet.Seeds
 		}
 		if len(others) == 0 {
 			return out, errors.New("no other router is known")
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -34,12 +35,19 @@
 
 // Edge is one router process.
 type Edge struct {
-	// Settings are the checked options.
+	// Settings are the checked options at the start.
 	Settings settings.Settings
 	// Log receives what happens.
 	Log *log.Logger
+	// File is the settings file that is looked at for changes; empty if there is none.
+	File string
+	// Reload reads the settings again.
+	Reload func() (settings.Settings, error)
+	// Hangup tells that the settings have changed; nil if nothing does.
+	Hangup <-chan os.Signal
 
 	life      string
+	current   atomic.Pointer[settings.Settings]
 	leaving   atomic.Bool
 	plan      atomic.Pointer[plan.Plan]
 	store     *platform.Store
@@ -57,6 +65,7 @@
 // Run serves until ctx ends, then drains and returns.
 func (e *Edge) Run(ctx context.Context) error {
 	e.life = e.Settings.Edge.VM + "#" + rand.Text()[:8]
+	e.current.Store(&e.Settings)
 	e.connect()
 	listeners, err := e.listen()
 	if err != nil {
@@ -75,6 +84,7 @@
 	start(func() error { return e.targets.Run(background) })
 	start(func() error { return e.purse.Run(background) })
 	start(func() error { return e.keepHouse(background) })
+	start(func() error { return e.followSettings(background) })
 	for _, addr := range []string{e.Settings.Edge.ReadyListen, e.Settings.Edge.DirectoryListen, e.Settings.Edge.MetricsListen} {
 		start(func() error { return side.Serve(listeners[addr]) })
 	}
@@ -117,7 +127,6 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-tick.C:
-			e.keeper.Expire(now)
 			e.placement.Prune(now)
 			e.view.SetBusy(!e.ready())
 		}
@@ -138,14 +147,14 @@
 			e.leaving.Store(true)
 			e.view.Leave(ctx)
 		},
-		Age:    keptAddress * e.Settings.Edge.MaxAge,
+		Age:    keptAddress * e.settings().Edge.MaxAge,
 		Refuse: func() {},
 		Finish: []drain.Part{{Name: "finish requests", Run: e.ingress.Shutdown}},
 		HandOver: []drain.Part{
 			{Name: "give tokens back", Run: e.purse.Close},
 		},
 		Quit:         e.view.Quit,
-		Limit:        e.Settings.Router.DrainLimit - handOverTime,
+		Limit:        e.settings().Router.DrainLimit - handOverTime,
 		HandOverTime: handOverTime,
 	}
 	if err := d.Run(); err != nil {
--- a/internal/fleet/edge/side.go
+++ b/internal/fleet/edge/side.go
@@ -40,7 +40,7 @@
 		}
 		return
 	case platform.CallDirectory:
-		if err := platform.WriteDirectory(&ctx.Response, e.addresses(), e.Settings.Edge.MaxAge); err != nil {
+		if err := platform.WriteDirectory(&ctx.Response, e.addresses(), e.settings().Edge.MaxAge); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		}
 		return
--- a/internal/fleet/settings/load.go
+++ b/internal/fleet/settings/load.go
@@ -30,6 +30,18 @@
 	return f
 }
 
+// Read reads the settings from the command line, the environment and the INI file.
+func Read(name string, args []string) (Settings, error) {
+	f := NewFlags(name)
+	if err := ff.Parse(f.set, args, f.ParseOptions()...); err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return f.Settings()
+}
+
+// File returns the INI file that the flags name, or "".
+func (f *Flags) File() string { return f.file }
+
 // FlagSet returns the flag set for a command.
 func (f *Flags) FlagSet() *ff.FlagSet { return f.set }
 
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -55,10 +55,17 @@
 // Failing reports whether the store does not answer this router.
 func (t *Table) Failing() bool { return t.failing.Load() }
 
-// Disturbed reports whether the store was not reached at some time in the last d.
-func (t *Table) Disturbed(d time.Duration) bool {
+// Regained returns when the store was last reached after it had been lost, the present
+// if it is lost now, and false if it never was.
+func (t *Table) Regained() (time.Time, bool) {
+	if t.failing.Load() {
+		return time.Now(), true
+	}
 	regained := t.regained.Load()
-	return t.failing.Load() || regained != nil && time.Since(*regained) < d
+	if regained == nil {
+		return time.Time{}, false
+	}
+	return *regained, true
 }
 
 // Prepare must come before any other method.
@@ -81,9 +88,10 @@
 	loaded := false
 	var pause time.Duration
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := t.step(ctx, loaded)
 		loaded = loaded && !errors.Is(err, table.ErrHistoryLost) || !loaded && err == nil
-		t.note(err)
+		t.note(began, err)
 		if err == nil || errors.Is(err, table.ErrHistoryLost) {
 			pause = 0
 			continue
@@ -138,15 +146,15 @@
 	return t.Read(ctx, r)
 }
 
-// note remembers whether the store answers, and tells of changes.
-func (t *Table) note(err error) {
+// note remembers whether the store answers a call that began at a time, and tells of
+// changes. A call that went well shows that the store was well since its begin.
+func (t *Table) note(began time.Time, err error) {
 	failing := err != nil && !errors.Is(err, table.ErrHistoryLost)
 	if failing == t.failing.Load() {
 		return
 	}
 	if !failing {
-		now := time.Now()
-		t.regained.Store(&now)
+		t.regained.Store(&began)
 		err = nil
 	}
 	t.failing.Store(failing)
--- a/internal/request/forward/retries.go
+++ b/internal/request/forward/retries.go
@@ -16,10 +16,9 @@
 // Retries bounds for each service the sendings beyond the first of each request, so
 // that all routers together stay within the fleet's budget.
 type Retries struct {
-	// Ratio is the number of repeats that each first sending earns.
-	Ratio float64
-	// Slack is the number of repeats that the fleet may make besides.
-	Slack float64
+	// Terms returns the number of repeats that each first sending earns, and the number
+	// that the fleet may make besides.
+	Terms func() (ratio, slack float64)
 	// Window is the time over which both are counted.
 	Window time.Duration
 	// Routers returns how many routers share the slack.
@@ -50,7 +49,8 @@
 	defer t.mu.Unlock()
 	s := t.tally(service)
 	routers := max(1, t.Routers())
-	allowed := margin * (t.Ratio*sum(s.first) + t.Slack/float64(routers))
+	ratio, slack := t.Terms()
+	allowed := margin * (ratio*sum(s.first) + slack/float64(routers))
 	if sum(s.repeated)+1 > allowed {
 		return false
 	}
--- a/internal/target/roster/keeper.go
+++ b/internal/target/roster/keeper.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// lapseGrace is how long an instance is kept whose announcement vanished in an outage
-// of the store; a live one announces itself again within about that time.
+// lapseGrace is how long after an outage of the store an instance is kept whose
+// announcement has vanished; a live one announces itself again within about that time.
 const lapseGrace = 2 * time.Second
 
 // Change is what has become of one announcement.
@@ -23,8 +23,9 @@
 
 // Keeper makes a roster of announcements as they change.
 type Keeper struct {
-	// Disturbed reports whether the store was not reached at some time in the last d.
-	Disturbed func(d time.Duration) bool
+	// Regained returns when the store was last reached after it had been lost, the
+	// present if it is lost now, and false if it never was.
+	Regained func() (time.Time, bool)
 	// OnRoster is told of each new roster, in order. It must not block.
 	OnRoster func(r *Roster)
 
@@ -52,8 +53,10 @@
 	known, ok := k.entries[c.ID]
 	switch {
 	case c.Gone && !ok:
-	case c.Gone && !known.Draining && k.Disturbed(lapseGrace):
-		k.lapsing[c.ID] = time.Now().Add(lapseGrace)
+	case c.Gone && !known.Draining && k.grace() > 0:
+		grace := k.grace()
+		k.lapsing[c.ID] = time.Now().Add(grace)
+		time.AfterFunc(grace, k.expire)
 	case c.Gone:
 		k.drop(c.ID)
 	case ok && c.Instance.Born.Before(known.Born):
@@ -69,10 +72,20 @@
 	delete(k.lapsing, id)
 }
 
-// Expire drops the instances whose grace is over.
-func (k *Keeper) Expire(now time.Time) {
+// grace returns how long an instance that has vanished now is kept.
+func (k *Keeper) grace() time.Duration {
+	regained, ok := k.Regained()
+	if !ok {
+		return 0
+	}
+	return lapseGrace - time.Since(regained)
+}
+
+// expire drops the instances whose grace is over.
+func (k *Keeper) expire() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := time.Now()
 	expired := false
 	for id, until := range k.lapsing {
 		if !now.Before(until) {
