--- a/internal/budget/demand/demand.go
+++ b/internal/budget/demand/demand.go
@@ -15,8 +15,6 @@
 	// evenShare is the part of an even share that one draw takes; above 1, since later
 	// draws find less.
 	evenShare = 1.5
-	// sizeWeight is how much one request counts in the mean size.
-	sizeWeight = 0.1
 
 	eagerShare  = 4
 	frugalShare = 16
@@ -80,7 +78,6 @@
 // Meter measures what requests ask for. Its owner's lock guards it.
 type Meter struct {
 	rate  float64 // tokens per second
-	size  float64 // mean size of a request of late
 	at    time.Time
 	total int64 // wanted by the requests that wait for the next draw
 	least int64 // the smallest of them
@@ -89,10 +86,6 @@
 // Ask counts a request for n tokens.
 func (m *Meter) Ask(n int64, now time.Time) {
 	m.rate = m.Rate(now) + float64(n)/window.Seconds()
-	if m.size == 0 {
-		m.size = float64(n)
-	}
-	m.size += (float64(n) - m.size) * sizeWeight
 	m.at = now
 }
 
@@ -104,9 +97,6 @@
 	return m.rate * math.Exp(-now.Sub(m.at).Seconds()/window.Seconds())
 }
 
-// Size returns the mean size of a request of late, in tokens.
-func (m *Meter) Size() int64 { return int64(m.size) }
-
 // At returns when a request last asked for tokens.
 func (m *Meter) At() time.Time { return m.at }
 
--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -3,26 +3,58 @@
 import (
 	"context"
 	"fmt"
+	"math"
 
+	"github.com/alitto/pond/v2"
 	"github.com/cockroachdb/errors"
 
 	"rosevalve/internal/platform/table"
 )
 
+// closeWorkers bounds the holdings that are closed at the same time.
+const closeWorkers = 8
+
 // errConflict reports that a holding's rows were not as this life last saw them.
 var errConflict = errors.New("rows have changed")
 
+// Seal makes the journal cover nothing ahead of what is used, so that the next life gets
+// back what this one leaves. It comes before Close, while requests may still be served.
+func (p *Purse) Seal() {
+	p.init()
+	p.sealed.Store(true)
+	p.journal.kick()
+}
+
+// Leave gives what is free and covered to other routers. It is for a life that ends
+// while the store is away.
+func (p *Purse) Leave(ctx context.Context) {
+	p.init()
+	for _, h := range p.all() {
+		tokens := p.Give(h.workspace, math.MaxInt64)
+		if tokens <= 0 {
+			continue
+		}
+		taken := p.Offer(ctx, h.workspace, tokens)
+		p.OnEvent(Event{Kind: HoldingLeft, Workspace: h.workspace, Tokens: taken})
+	}
+}
+
 // Close gives back what is free in each holding; no request may hold a reservation
 // any more. It may be repeated after an error.
 func (p *Purse) Close(ctx context.Context) error {
 	p.init()
-	var failed []error
+	// What is not returned in time is the next life's, by this write.
+	p.journal.kick()
+	pool := pond.NewPool(closeWorkers)
+	defer pool.StopAndWait()
+	group := pool.NewGroup()
 	for _, h := range p.all() {
-		if err := p.giveBack(ctx, h); err != nil {
-			failed = append(failed, err)
-		}
+		group.SubmitErr(func() error { return p.giveBack(ctx, h) })
+	}
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("close holdings: %w", err)
 	}
-	return errors.Join(failed...)
+	return nil
 }
 
 // giveBack returns the free tokens of one holding and removes its row.
@@ -78,6 +110,11 @@
 		h.totalVersion, h.rowVersion = stamp.Version, noVersion
 		return nil
 	}
+	if errors.Is(err, table.ErrUnavailable) {
+		h.mu.Lock()
+		h.returning = 0
+		h.mu.Unlock()
+	}
 	if learned := p.learn(ctx, h, err); learned != nil {
 		return fmt.Errorf("return tokens: %w", learned)
 	}
--- a/internal/budget/prepaid/cover.go
+++ b/internal/budget/prepaid/cover.go
@@ -9,18 +9,18 @@
 // clock, which stands still while the process is suspended.
 type entry struct {
 	seq    int64
-	bounds map[string]int64
+	bounds map[string]bound
 	sent   time.Time
 }
 
 // cover is what the journal allows this life to use.
 type cover struct {
-	grace, spread time.Duration
+	grace time.Duration
 
 	acked *entry // the last write that surely took effect; nil before the first
 	// unsure are writes that may have taken effect: the one under way, and those whose
-	// answer was lost. Their bounds never fall and they carry the time of the first, so
-	// that the first of them allows the least.
+	// answer was lost. Their bounds and rates never fall and they carry the time of the
+	// first, so that the first of them allows the least.
 	unsure []*entry
 }
 
@@ -37,22 +37,53 @@
 	return out
 }
 
-// under returns what one write allows. As long as it is not replaced, what was drawn
-// beyond its bound is released evenly.
+// under returns what one write allows: its bound, and more at its rate if it is not
+// replaced within the grace.
 func (c *cover) under(e *entry, workspace string, drawn int64, now time.Time) int64 {
-	bound := min(e.bounds[workspace], drawn)
-	return bound + int64(released(now.Sub(e.sent), c.grace, c.spread)*float64(drawn-bound))
+	return e.bounds[workspace].after(drawn, now.Sub(e.sent)-c.grace)
+}
+
+// until returns how long it takes until so many tokens of a holding may be used, if
+// nothing is written; it is negative if that never comes.
+func (c *cover) until(workspace string, tokens int64, now time.Time) time.Duration {
+	if c.acked == nil {
+		return -1
+	}
+	wait := c.acked.wait(workspace, tokens, now, c.grace)
+	if len(c.unsure) > 0 && wait >= 0 {
+		first := c.unsure[0].wait(workspace, tokens, now, c.grace)
+		wait = max(wait, first)
+		if first < 0 {
+			wait = first
+		}
+	}
+	return wait
+}
+
+// wait returns how long it takes until the write allows so many tokens.
+func (e *entry) wait(workspace string, tokens int64, now time.Time, grace time.Duration) time.Duration {
+	b := e.bounds[workspace]
+	more := tokens - b.Tokens
+	switch {
+	case more <= 0:
+		return 0
+	case b.Rate <= 0:
+		return -1
+	}
+	over := time.Duration(float64(more) / float64(b.Rate) * float64(time.Second))
+	return max(0, e.sent.Add(grace+over).Sub(now))
 }
 
 // begin returns the write that follows, and counts it as unsure from now on. It may
 // not allow less than an earlier unsure one.
-func (c *cover) begin(seq int64, bounds map[string]int64, now time.Time) *entry {
+func (c *cover) begin(seq int64, bounds map[string]bound, now time.Time) *entry {
 	e := &entry{seq: seq, bounds: bounds, sent: now}
 	if n := len(c.unsure); n > 0 {
 		last := c.unsure[n-1]
 		e.sent = last.sent
-		for workspace, bound := range last.bounds {
-			e.bounds[workspace] = max(e.bounds[workspace], bound)
+		for workspace, b := range last.bounds {
+			own := e.bounds[workspace]
+			e.bounds[workspace] = bound{Tokens: max(own.Tokens, b.Tokens), Rate: max(own.Rate, b.Rate)}
 		}
 	}
 	c.unsure = append(c.unsure, e)
--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -76,17 +76,14 @@
 	h.mu.Lock()
 	need := h.asked.Next(h.free())
 	h.mu.Unlock()
-	tokens, err := p.draw(ctx, h, need)
+	_, err := p.draw(ctx, h, need)
 	f.err = err
 	h.mu.Lock()
 	h.flight = nil
 	h.mu.Unlock()
 	close(f.done)
-	switch {
-	case err != nil:
-		p.OnEvent(Event{Kind: DrawFailed, Workspace: h.workspace, Tokens: need.Least, Err: err})
-	case tokens > 0:
-		p.OnEvent(Event{Kind: Drawn, Workspace: h.workspace, Tokens: tokens})
+	if err != nil {
+		p.OnEvent(Event{Kind: DrawFailed, Workspace: h.workspace, Tokens: need.Least, Left: p.left(h), Err: err})
 	}
 }
 
@@ -184,12 +181,22 @@
 	h.row = d.row
 	h.drawn = d.row.Tokens
 	h.mu.Unlock()
+	if d.tokens > 0 {
+		p.OnEvent(Event{Kind: Drawn, Workspace: h.workspace, Tokens: d.tokens, Left: p.left(h)})
+	}
 	if d.closes != "" {
 		p.journal.closed(d.closes, h.workspace)
 		p.OnEvent(Event{Kind: FormerClosed, Workspace: h.workspace, Tokens: d.returned})
 	}
 }
 
+// left returns what the store has left of the workspace's total, as last seen.
+func (p *Purse) left(h *holding) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return p.Prepaid(h.workspace) - h.allotted
+}
+
 // learn reads why a draw did not take effect, so that the next one can. It returns an
 // error if there is no use in another try.
 func (p *Purse) learn(ctx context.Context, h *holding, err error) error {
--- a/internal/budget/prepaid/eventkind_string.go
+++ b/internal/budget/prepaid/eventkind_string.go
@@ -17,11 +17,12 @@
 	_ = x[GiftGiven-6]
 	_ = x[GiftTaken-7]
 	_ = x[HoldingReturned-8]
+	_ = x[HoldingLeft-9]
 }
 
-const _EventKind_name = "journal_openedjournal_failedjournal_replaceddrawndraw_failedformer_closedgift_givengift_takenholding_returned"
+const _EventKind_name = "journal_openedjournal_failedjournal_replaceddrawndraw_failedformer_closedgift_givengift_takenholding_returnedholding_left"
 
-var _EventKind_index = [...]uint8{0, 14, 28, 44, 49, 60, 73, 83, 93, 109}
+var _EventKind_index = [...]uint8{0, 14, 28, 44, 49, 60, 73, 83, 93, 109, 121}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/internal/budget/prepaid/gift.go
+++ b/internal/budget/prepaid/gift.go
@@ -33,6 +33,9 @@
 	return fromGifts + own
 }
 
+// Accept takes in tokens that another router leaves to this one.
+func (p *Purse) Accept(workspace string, n int64) { p.accept(p.holding(workspace), n) }
+
 // accept takes in a gift.
 func (p *Purse) accept(h *holding, n int64) {
 	if n <= 0 {
--- a/internal/budget/prepaid/holding.go
+++ b/internal/budget/prepaid/holding.go
@@ -45,18 +45,18 @@
 	err  error // valid after done is closed
 }
 
-// free returns what neither was spent nor is waited for. The caller holds mu.
-func (h *holding) free() int64 {
-	free := h.drawn - h.spent - h.returning
+// free returns what may be spent besides. The caller holds mu.
+func (h *holding) free() int64 { return h.drawn - h.wanted() - h.returning }
+
+// wanted returns what is spent or waited for. The caller holds mu.
+func (h *holding) wanted() int64 {
+	wanted := h.spent
 	for _, w := range h.waiting {
-		free -= w.tokens
+		wanted += w.tokens
 	}
-	return free
+	return wanted
 }
 
-// wanted returns what is spent or waited for. The caller holds mu.
-func (h *holding) wanted() int64 { return h.drawn - h.free() }
-
 // take reserves n tokens, gifts first. It returns nil if they are not there, and a
 // waiter if they must be covered first. The caller holds mu.
 func (h *holding) take(n, allowed int64) (*Reservation, *waiter) {
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -56,7 +56,7 @@
 	if j.cover.acked == nil {
 		return 0
 	}
-	return j.cover.acked.bounds[workspace]
+	return j.cover.acked.bounds[workspace].Tokens
 }
 
 // kick asks for a write of the journal.
@@ -79,6 +79,17 @@
 	j.missed = time.Time{}
 }
 
+// until returns how long it takes until so many tokens of a holding may be used, if
+// nothing is written; it is negative if that never comes.
+func (j *journal) until(workspace string, tokens int64, now time.Time) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.open || j.replaced {
+		return -1
+	}
+	return j.cover.until(workspace, tokens, now)
+}
+
 // away reports whether the store did not answer a moment ago.
 func (j *journal) away(now time.Time) bool {
 	j.mu.Lock()
@@ -127,7 +138,7 @@
 		p.opened(version, row, now)
 		return nil
 	}
-	next := journalRow{Life: p.Life, AtMS: page.Clock.Milliseconds(), Bounds: map[string]int64{}, Former: p.formerLives(row, page.Clock)}
+	next := journalRow{Life: p.Life, AtMS: page.Clock.Milliseconds(), Bounds: map[string]bound{}, Former: p.formerLives(row, page.Clock)}
 	var c table.Commit
 	c.RequireAt(p.journalPlace(), version)
 	if err := c.SetAt(p.journalPlace(), next); err != nil {
@@ -147,7 +158,7 @@
 	maps.Copy(former, row.Former)
 	if row.Life != "" {
 		unseen := clock - time.Duration(row.AtMS)*time.Millisecond
-		former[row.Life] = formerLife{Bounds: row.Bounds, Released: released(unseen, p.Grace, p.Spread)}
+		former[row.Life] = formerLife{Bounds: row.Bounds, OverMS: max(0, (unseen - p.Grace).Milliseconds())}
 	}
 	return former
 }
@@ -161,7 +172,7 @@
 	if j.former == nil {
 		j.former = make(map[string]formerLife)
 	}
-	j.cover.ack(&entry{bounds: map[string]int64{}, sent: sent})
+	j.cover.ack(&entry{bounds: map[string]bound{}, sent: sent})
 	j.open = true
 }
 
@@ -219,10 +230,20 @@
 	return waiting, holding
 }
 
-// headroom is what is covered ahead of demand: some time of it, and at least one
-// request. The caller holds mu.
-func (h *holding) headroom(now time.Time) int64 {
-	return int64(h.asked.Rate(now)*headroomTime.Seconds()) + h.asked.Size()
+// headroom is what is covered ahead, which must do until the grace is over. The caller
+// holds mu.
+func (p *Purse) headroom(h *holding, now time.Time) int64 {
+	return int64(headroomFactor * h.asked.Rate(now) * p.Grace.Seconds())
+}
+
+// boundOf returns what the next write allows of a holding. The caller holds its lock.
+func (p *Purse) boundOf(h *holding, now time.Time) bound {
+	if p.sealed.Load() {
+		return bound{Tokens: min(h.drawn, h.wanted())}
+	}
+	tokens := min(h.drawn, h.wanted()+p.headroom(h, now))
+	rate := max(rateFactor*h.asked.Rate(now), float64(h.drawn-tokens)/spread.Seconds())
+	return bound{Tokens: tokens, Rate: int64(rate)}
 }
 
 // writeJournal writes the bounds once.
@@ -243,11 +264,11 @@
 // counts as unsure is found by the second look; what is taken after it stays within.
 func (p *Purse) beginWrite(now time.Time) *entry {
 	holdings := p.all()
-	bounds := make(map[string]int64, len(holdings))
+	bounds := make(map[string]bound, len(holdings))
 	for _, h := range holdings {
 		h.mu.Lock()
 		if h.drawn > 0 {
-			bounds[h.workspace] = min(h.drawn, h.wanted()+h.headroom(now))
+			bounds[h.workspace] = p.boundOf(h, now)
 		}
 		h.mu.Unlock()
 	}
@@ -260,7 +281,7 @@
 	return e
 }
 
-func (j *journal) begin(bounds map[string]int64, now time.Time) *entry {
+func (j *journal) begin(bounds map[string]bound, now time.Time) *entry {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.seq++
@@ -271,8 +292,9 @@
 func (j *journal) raise(e *entry, workspace string, tokens int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if tokens > e.bounds[workspace] {
-		e.bounds[workspace] = tokens
+	if b := e.bounds[workspace]; tokens > b.Tokens {
+		b.Tokens = tokens
+		e.bounds[workspace] = b
 	}
 }
 
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,17 +16,22 @@
 const (
 	shardCount = 16
 
-	// callTimeout bounds one call of the store.
-	callTimeout = 400 * time.Millisecond
+	// callTimeout bounds one call of the store; nobody waits so long for tokens.
+	callTimeout = 3 * time.Second
 	// tick is the time between looks at reservations that wait, since the cover grows with time.
 	tick = 25 * time.Millisecond
 	// refreshAfter is how old the journal may become while tokens are held.
-	refreshAfter = time.Second
-	// headroomTime is how much demand the journal covers ahead.
-	headroomTime = 700 * time.Millisecond
-
-	defaultGrace  = 700 * time.Millisecond
-	defaultSpread = 6 * time.Second
+	refreshAfter = 500 * time.Millisecond
+
+	// defaultGrace is longer than a VM takes to come back after it lost power, so that
+	// such an end costs no more than the headroom.
+	defaultGrace = 2 * time.Second
+	// rateFactor is how much more than of late may be used once the grace is over.
+	rateFactor = 2.5
+	// spread is the time in which a holding may be used up then, at the least.
+	spread = 24 * time.Second
+	// headroomFactor is how much more than of late is covered for the grace.
+	headroomFactor = 1.5
 )
 
 // ErrExhausted reports that a workspace's total does not cover a request.
@@ -53,13 +59,14 @@
 	Size func(n demand.Need) int64
 	// Beg asks other routers for tokens and returns what they gave, and whether all answered.
 	Beg func(ctx context.Context, workspace string, tokens int64) (given int64, all bool)
+	// Offer gives other routers tokens and returns how many they have surely taken.
+	Offer func(ctx context.Context, workspace string, tokens int64) int64
 	// Grace is how long after a write of the journal no more than its bounds are used.
 	Grace time.Duration
-	// Spread is the time over which what lies beyond the bounds is released after that.
-	Spread time.Duration
 	// OnEvent is told of what changes this life's beliefs about tokens; it must not block.
 	OnEvent func(e Event)
 
+	sealed  atomic.Bool // nothing is covered ahead any more
 	once    sync.Once
 	seed    maphash.Seed
 	shards  [shardCount]shard
@@ -74,6 +81,8 @@
 	Workspace string
 	// Tokens is how many.
 	Tokens int64
+	// Left is what the store has left of the workspace's total, as last seen.
+	Left int64
 	// Err is the cause of a failure.
 	Err error
 }
@@ -103,6 +112,9 @@
 	GiftTaken // gift_taken
 	// HoldingReturned tells that a holding was closed at the end of this life.
 	HoldingReturned // holding_returned
+	// HoldingLeft tells that a holding could not be closed and went to other routers;
+	// Tokens were taken by them.
+	HoldingLeft // holding_left
 )
 
 // shard holds a part of the holdings.
@@ -116,9 +128,6 @@
 		if p.Grace == 0 {
 			p.Grace = defaultGrace
 		}
-		if p.Spread == 0 {
-			p.Spread = defaultSpread
-		}
 		if p.Size == nil {
 			p.Size = demand.SizeByDemand(demand.DefaultHorizon)
 		}
@@ -128,12 +137,15 @@
 		if p.Beg == nil {
 			p.Beg = func(context.Context, string, int64) (int64, bool) { return 0, true }
 		}
+		if p.Offer == nil {
+			p.Offer = func(context.Context, string, int64) int64 { return 0 }
+		}
 		p.seed = maphash.MakeSeed()
 		for i := range p.shards {
 			p.shards[i].holdings = make(map[string]*holding)
 		}
 		p.journal.kicked = make(chan struct{}, 1)
-		p.journal.cover = cover{grace: p.Grace, spread: p.Spread}
+		p.journal.cover = cover{grace: p.Grace}
 		p.journal.former = make(map[string]formerLife)
 	})
 }
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -31,17 +31,37 @@
 // Tokens returns how many tokens are reserved.
 func (r *Reservation) Tokens() int64 { return r.own + r.gift }
 
-// Reserve takes n tokens of the workspace and returns when they may be used.
+// ShortageError reports that tokens could not be reserved.
+type ShortageError struct {
+	// Workspace is whose tokens were wanted, and Tokens how many.
+	Workspace string
+	Tokens    int64
+	// After is when the tokens may be had, as far as this life can tell; 0 if it can not.
+	After time.Duration
+	// Err is ErrExhausted or ErrUnavailable, with the cause.
+	Err error
+}
+
+// Error says what was wanted and why it could not be had.
+func (e *ShortageError) Error() string {
+	return fmt.Sprintf("reserve %d tokens of workspace %q: %v", e.Tokens, e.Workspace, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ShortageError) Unwrap() error { return e.Err }
+
+// Reserve takes n tokens of the workspace and returns when they may be used. It waits
+// for up to patience for tokens that are there but not covered yet.
 //
-// Errors are ErrExhausted and ErrUnavailable.
-func (p *Purse) Reserve(ctx context.Context, workspace string, n int64) (*Reservation, error) {
+// The error is a *ShortageError.
+func (p *Purse) Reserve(ctx context.Context, workspace string, n int64, patience time.Duration) (*Reservation, error) {
 	h := p.holding(workspace)
 	h.mu.Lock()
 	h.asked.Ask(n, time.Now())
 	h.mu.Unlock()
 	var lastErr error
 	for range maxTries {
-		r, err := p.take(ctx, h, n)
+		r, err := p.take(ctx, h, n, coverTime)
 		if r != nil {
 			return r, nil
 		}
@@ -59,15 +79,43 @@
 		given, all := p.Beg(ctx, workspace, short)
 		p.accept(h, given)
 		if given < short {
-			return nil, p.refusal(ctx, workspace, n, lastErr, all)
+			return p.lastTry(ctx, h, n, patience, lastErr, all)
 		}
 	}
-	return nil, p.refusal(ctx, workspace, n, lastErr, false)
+	return p.lastTry(ctx, h, n, patience, lastErr, false)
 }
 
-// take reserves n tokens that are there, and waits a moment until they are covered. It
+// lastTry waits for the cover of tokens that are there, if that comes in time, and says
+// otherwise why there are none.
+func (p *Purse) lastTry(ctx context.Context, h *holding, n int64, patience time.Duration, cause error, all bool) (*Reservation, error) {
+	after := p.coveredIn(h, n)
+	if after > 0 && after <= patience {
+		if r, _ := p.take(ctx, h, n, patience); r != nil {
+			return r, nil
+		}
+	}
+	kind := ErrUnavailable
+	if isExhausted(cause) && all && ctx.Err() == nil {
+		kind = ErrExhausted
+	}
+	return nil, &ShortageError{Workspace: h.workspace, Tokens: n, After: max(0, after), Err: fmt.Errorf("%w: %w", kind, cause)}
+}
+
+// coveredIn returns how long it takes until n tokens more of a holding may be used, or
+// a negative time if they are not there.
+func (p *Purse) coveredIn(h *holding, n int64) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	own := max(0, n-h.gifts)
+	if own > h.free() {
+		return -1
+	}
+	return p.journal.until(h.workspace, h.wanted()+own, time.Now())
+}
+
+// take reserves n tokens that are there, and waits for a time until they are covered. It
 // returns nothing if they are not there, and errUncovered if they are not covered.
-func (p *Purse) take(ctx context.Context, h *holding, n int64) (*Reservation, error) {
+func (p *Purse) take(ctx context.Context, h *holding, n int64, wait time.Duration) (*Reservation, error) {
 	now := time.Now()
 	h.mu.Lock()
 	r, w := h.take(n, p.journal.allows(h.workspace, h.drawn, now))
@@ -84,15 +132,15 @@
 	if refill {
 		go p.refill(h)
 	}
-	if w == nil || p.awaitCover(ctx, w) || !h.withdraw(r, w) {
+	if w == nil || awaitCover(ctx, w, wait) || !h.withdraw(r, w) {
 		return r, nil
 	}
 	return nil, errUncovered
 }
 
-// awaitCover waits a moment until a reservation is covered.
-func (p *Purse) awaitCover(ctx context.Context, w *waiter) bool {
-	timer := time.NewTimer(coverTime)
+// awaitCover waits for a time until a reservation is covered.
+func awaitCover(ctx context.Context, w *waiter, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-w.done:
@@ -107,7 +155,7 @@
 // uncovered reports whether the journal should be written before the next request
 // needs it. The caller holds h.mu.
 func (p *Purse) uncovered(h *holding, now time.Time) bool {
-	ahead := h.headroom(now) / 2
+	ahead := p.headroom(h, now) / 2
 	return min(h.drawn, h.wanted()+ahead) > p.journal.covered(h.workspace)
 }
 
@@ -121,15 +169,6 @@
 	return max(0, n-h.gifts-max(0, h.free()))
 }
 
-// refusal says why no tokens could be had.
-func (p *Purse) refusal(ctx context.Context, workspace string, n int64, drawErr error, all bool) error {
-	cause := ErrUnavailable
-	if isExhausted(drawErr) && all && ctx.Err() == nil {
-		cause = ErrExhausted
-	}
-	return fmt.Errorf("reserve %d tokens of workspace %q: %w: %w", n, workspace, cause, drawErr)
-}
-
 // Release gives back the tokens of a request that surely did not run.
 func (r *Reservation) Release() { r.Bill(0) }
 
--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -36,16 +36,24 @@
 	// AtMS is the store's clock, as estimated when the row was sent, in milliseconds.
 	AtMS int64 `json:"at_ms"`
 	// Bounds are the tokens that the life may use of each workspace from this write on.
-	Bounds map[string]int64 `json:"bounds"`
+	Bounds map[string]bound `json:"bounds"`
 	// Former are the ended lives of the VM whose holdings are not all closed.
 	Former map[string]formerLife `json:"former,omitempty"`
 }
 
+// bound is what may be used of one holding.
+type bound struct {
+	// Tokens may be used at once.
+	Tokens int64 `json:"t"`
+	// Rate is how many more may be used each second once the grace is over.
+	Rate int64 `json:"r,omitempty"`
+}
+
 // formerLife is what is known of an ended life.
 type formerLife struct {
-	Bounds map[string]int64 `json:"bounds"`
-	// Released is the share of each holding beyond its bound that may have been used too.
-	Released float64 `json:"released"`
+	Bounds map[string]bound `json:"bounds"`
+	// OverMS is how long after the grace the life may have gone on, in milliseconds.
+	OverMS int64 `json:"over_ms"`
 }
 
 func totalPlace(workspace string) table.Place {
@@ -62,13 +70,13 @@
 
 // used bounds what an ended life has used of a holding.
 func (f formerLife) used(workspace string, drawn int64) int64 {
-	bound := min(f.Bounds[workspace], drawn)
-	return bound + int64(f.Released*float64(drawn-bound)+1)
+	return f.Bounds[workspace].after(drawn, time.Duration(f.OverMS)*time.Millisecond)
 }
 
-// released returns the share of a holding beyond its bound that may be used when
-// nothing has been written for that long.
-func released(sinceWrite, grace, spread time.Duration) float64 {
-	share := float64(sinceWrite-grace) / float64(spread)
-	return max(0, min(share, 1))
+// after returns what may be used of a holding that long after the end of the grace.
+func (b bound) after(drawn int64, over time.Duration) int64 {
+	if over <= 0 {
+		return min(b.Tokens, drawn)
+	}
+	return min(b.Tokens+int64(float64(b.Rate)*over.Seconds()), drawn)
 }
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -134,6 +134,7 @@
 		Prepaid: e.prepaid,
 		Size:    demand.SizeByShare(e.routers),
 		Beg:     e.beg,
+		Offer:   e.offer,
 		OnEvent: e.logTokens,
 	}
 }
@@ -171,6 +172,7 @@
 		inner.MethodProbe:     e.view.HandleProbe,
 		inner.MethodFollow:    e.handleFollow,
 		inner.MethodGive:      e.handleGive,
+		inner.MethodTake:      e.handleTake,
 	}
 	e.view.Join(inner.Member{
 		ID:            e.life,
@@ -184,10 +186,10 @@
 
 func (e *Edge) connectRequests() {
 	e.forwarder = &forward.Forwarder{
-		Plan:      e.plan.Load,
-		Purse:     e.purse,
-		Placement: e.placement,
-		Retries:   &forward.Retries{Terms: e.retryTerms, Window: e.Settings.Edge.RetryWindow, Routers: e.routers},
+		Plan:       e.plan.Load,
+		Purse:      e.purse,
+		Placement:  e.placement,
+		Retries:    &forward.Retries{Terms: e.retryTerms, Window: e.Settings.Edge.RetryWindow, Routers: e.routers},
 		Encode:     platform.Attempt,
 		Identify:   platform.Identify,
 		Genuine:    platform.Genuine,
@@ -270,6 +272,30 @@
 	return given, all && len(others) <= maxBegged
 }
 
+// offer gives tokens to the first other router that takes them. One that does not answer
+// may have taken them, so that no other gets them then.
+func (e *Edge) offer(ctx context.Context, workspace string, tokens int64) int64 {
+	for _, addr := range e.others() {
+		err := e.links.Call(ctx, addr, inner.MethodTake, inner.Take{Workspace: workspace, Tokens: tokens}, &inner.TakeResponse{})
+		switch {
+		case err == nil:
+			return tokens
+		case !errors.Is(err, peer.ErrNotSent):
+			return 0
+		}
+	}
+	return 0
+}
+
+func (e *Edge) handleTake(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.Take
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode tokens: %w", err)
+	}
+	e.purse.Accept(in.Workspace, in.Tokens)
+	return inner.TakeResponse{}, nil
+}
+
 func (e *Edge) handleGive(_ context.Context, params json.RawMessage) (any, error) {
 	var in inner.Give
 	if err := json.Unmarshal(params, &in); err != nil {
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -145,14 +145,13 @@
 	d := &drain.Drain{
 		Announce: func(ctx context.Context) {
 			e.leaving.Store(true)
+			e.purse.Seal()
 			e.view.Leave(ctx)
 		},
-		Age:    keptAddress * e.settings().Edge.MaxAge,
-		Refuse: func() {},
-		Finish: []drain.Part{{Name: "finish requests", Run: e.ingress.Shutdown}},
-		HandOver: []drain.Part{
-			{Name: "give tokens back", Run: e.purse.Close},
-		},
+		Age:          keptAddress * e.settings().Edge.MaxAge,
+		Refuse:       func() {},
+		Finish:       []drain.Part{{Name: "finish requests", Run: e.ingress.Shutdown}},
+		HandOver:     []drain.Part{{Name: "give tokens back", Run: e.giveBack}},
 		Quit:         e.view.Quit,
 		Limit:        e.settings().Router.DrainLimit - handOverTime,
 		HandOverTime: handOverTime,
@@ -164,6 +163,17 @@
 	return nil
 }
 
+// giveBack returns tokens to the store, or leaves them to other routers if it is away.
+func (e *Edge) giveBack(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime/2)
+	defer cancel()
+	if e.config.Failing() {
+		// What goes to others now can be used before the store is back.
+		e.purse.Leave(ctx)
+	}
+	return e.purse.Close(ctx)
+}
+
 // keptAddress is how many times the allowed age some callers keep an address.
 const keptAddress = 3
 
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -23,7 +23,9 @@
 	switch d.Event {
 	case forward.Ended:
 		fields = append(fields, "outcome", d.Outcome, "run", d.Run, "status", d.Status, "events", d.Events)
-	case forward.Refused, forward.Abandoned:
+	case forward.Answered, forward.Broken, forward.Abandoned:
+		fields = append(fields, "run", d.Run, "status", d.Status, "events", d.Events, "first_event_ms", d.FirstEvent.Milliseconds())
+	case forward.Refused:
 		fields = append(fields, "run", d.Run, "status", d.Refusal.Status, "code", d.Refusal.Code, "retry_after_ms", d.Refusal.RetryAfter.Milliseconds())
 	}
 	if d.Tokens > 0 {
@@ -37,7 +39,7 @@
 
 // logTokens writes one line for a change of what this life believes about tokens.
 func (e *Edge) logTokens(ev prepaid.Event) {
-	fields := []any{"workspace", ev.Workspace, "tokens", ev.Tokens}
+	fields := []any{"workspace", ev.Workspace, "tokens", ev.Tokens, "left", ev.Left}
 	if ev.Err != nil {
 		fields = append(fields, "err", ev.Err)
 	}
--- a/internal/protocol/inner/gift.go
+++ b/internal/protocol/inner/gift.go
@@ -1,7 +1,12 @@
 package inner
 
-// MethodGive asks a router for prepaid tokens of a workspace.
-const MethodGive = "give"
+// Methods that move prepaid tokens between routers.
+const (
+	// MethodGive asks a router for tokens of a workspace.
+	MethodGive = "give"
+	// MethodTake gives a router tokens of a workspace.
+	MethodTake = "take"
+)
 
 // Give asks for up to a number of tokens.
 type Give struct {
@@ -9,6 +14,15 @@
 	Tokens    int64  `json:"tokens"`
 }
 
+// Take gives tokens to the receiver, from the moment it answers.
+type Take struct {
+	Workspace string `json:"workspace"`
+	Tokens    int64  `json:"tokens"`
+}
+
+// TakeResponse tells that the tokens are the receiver's.
+type TakeResponse struct{}
+
 // GiveResponse tells how many tokens are the asking router's from now on.
 type GiveResponse struct {
 	Tokens int64 `json:"tokens"`
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -20,8 +20,10 @@
 	startingRetry = 300 * time.Millisecond
 	// busyRetry is when to come back after a refusal by all instances.
 	busyRetry = 150 * time.Millisecond
-	// tokensRetry is when to come back when tokens could not be reserved.
+	// tokensRetry is when to come back when tokens could not be reserved, at the latest.
 	tokensRetry = 2 * time.Second
+	// tokensShare is the part of the goal that a request waits for tokens that are there.
+	tokensShare = 0.4
 	// maxBody bounds the body of an answer that is not a stream.
 	maxBody = 16 << 20
 )
@@ -64,7 +66,7 @@
 	if a.Stream != nil {
 		a.Stream.close()
 	}
-	a.work.finish()
+	a.work.finish(a)
 }
 
 // Serve sends the request to an instance and returns when its answer can be relayed.
@@ -124,5 +126,10 @@
 	if errors.Is(err, prepaid.ErrExhausted) {
 		return answer.Invalid(fasthttp.StatusPaymentRequired, "tokens", "the workspace's prepaid tokens do not cover the request at its largest")
 	}
-	return answer.Busy(fasthttp.StatusServiceUnavailable, "budget_unavailable", tokensRetry, "tokens could not be reserved now")
+	after := tokensRetry
+	var shortage *prepaid.ShortageError
+	if errors.As(err, &shortage) && shortage.After > 0 {
+		after = min(after, shortage.After)
+	}
+	return answer.Busy(fasthttp.StatusServiceUnavailable, "budget_unavailable", after, "tokens could not be reserved now")
 }
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -35,7 +35,6 @@
 	run         answer.RunState // what is known of all attempts together
 	relayed     int64           // events that the caller has got
 	firstEvent  time.Duration   // from the arrival; 0 before
-	settled     bool
 }
 
 // sent is an attempt whose answer has begun to come.
@@ -73,7 +72,7 @@
 	if w.r.Prompt == nil || w.workspace == nil || !w.workspace.Metered || w.service.Engine == nil {
 		return nil
 	}
-	r, err := w.f.Purse.Reserve(w.ctx, w.workspace.Name, w.r.Prompt.MaxTokens())
+	r, err := w.f.Purse.Reserve(w.ctx, w.workspace.Name, w.r.Prompt.MaxTokens(), time.Duration(tokensShare*float64(w.route.Goal)))
 	if err != nil {
 		if w.ctx.Err() != nil {
 			return w.timedOut()
@@ -319,27 +318,37 @@
 	if w.ctx.Err() != nil && !w.late() {
 		event = Abandoned
 	}
-	w.settle(0)
-	w.note(Decision{Event: event, Run: w.run, Status: refusal.Status, Refusal: refusal})
+	used := w.settle()
+	w.note(Decision{Event: event, Run: w.run, Status: refusal.Status, Refusal: refusal, Tokens: used})
 	w.cancel()
 }
 
 // finish ends a request that got a target's answer.
-func (w *work) finish() {
-	w.settle(w.relayed)
+func (w *work) finish(a *Answer) {
+	d := Decision{Event: Answered, Run: w.run, Status: a.Status, Events: w.relayed, FirstEvent: w.firstEvent}
+	if a.Stream != nil && a.Stream.err != nil {
+		d.Event, d.Err = Broken, a.Stream.err
+		if w.ctx.Err() != nil && !w.late() {
+			d.Event = Abandoned
+		}
+	}
+	d.Tokens = w.settle()
+	w.note(d)
 	w.cancel()
 }
 
-// settle counts what the request has used: its prompt as soon as it may have run, and
-// the tokens of the events that were relayed.
-func (w *work) settle(events int64) {
-	if w.reservation == nil || w.settled {
-		return
+// settle counts what the request has used, and returns it: its prompt and the tokens of
+// the events that were relayed, but nothing if its caller has got nothing.
+func (w *work) settle() int64 {
+	if w.reservation == nil {
+		return 0
 	}
-	w.settled = true
-	if w.run == answer.NotRun {
+	if w.relayed == 0 {
 		w.reservation.Release()
-		return
+		return 0
 	}
-	w.reservation.Bill(w.r.Prompt.InputTokens + events*max(1, w.service.Engine.EventTokens))
+	used := w.r.Prompt.InputTokens + w.relayed*max(1, w.service.Engine.EventTokens)
+	used = min(used, w.reservation.Tokens())
+	w.reservation.Bill(used)
+	return used
 }
