Prove budgets by random histories; epochs keep an ended life from closing a newer one

Found on the way: a life whose answers were lost took a newer life's holding for a former one; holdings and journals now carry the epoch of the life.

--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -46,7 +46,6 @@
 	// What is not returned in time is the next life's, by this write.
 	p.journal.kick()
 	pool := pond.NewPool(closeWorkers)
-	defer pool.StopAndWait()
 	group := pool.NewGroup()
 	for _, h := range p.all() {
 		group.SubmitErr(func() error { return p.giveBack(ctx, h) })
--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -95,7 +95,10 @@
 	}
 	var lastErr error
 	for range maxDrawTries {
-		plan := p.planDraw(h, need)
+		plan, err := p.planDraw(h, need)
+		if err != nil {
+			return 0, err
+		}
 		if plan.tokens == 0 && plan.closes == "" && plan.seen {
 			return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, errNothingLeft)
 		}
@@ -133,9 +136,13 @@
 }
 
 // planDraw decides what a draw takes.
-func (p *Purse) planDraw(h *holding, need demand.Need) plannedDraw {
+func (p *Purse) planDraw(h *holding, need demand.Need) (plannedDraw, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	epoch := p.journal.epochOf()
+	if h.row.Epoch > epoch {
+		return plannedDraw{}, fmt.Errorf("draw for workspace %q: %w", h.workspace, errReplaced)
+	}
 	d := plannedDraw{
 		allotted:     h.allotted,
 		row:          h.row,
@@ -156,8 +163,8 @@
 		d.tokens = need.Available
 	}
 	d.allotted += d.tokens
-	d.row = holdingRow{Life: p.Life, Tokens: d.row.Tokens + d.tokens}
-	return d
+	d.row = holdingRow{Life: p.Life, Epoch: epoch, Tokens: d.row.Tokens + d.tokens}
+	return d, nil
 }
 
 func (d plannedDraw) commit(p *Purse, workspace string) (table.Commit, error) {
@@ -312,6 +319,12 @@
 	return j.open && !j.replaced
 }
 
+func (j *journal) epochOf() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.epoch
+}
+
 // usedBy bounds what an ended life has used of a holding.
 func (j *journal) usedBy(life, workspace string, drawn int64) int64 {
 	j.mu.Lock()
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -29,6 +29,7 @@
 	cover    cover
 	version  uint64 // of the row
 	seq      int64
+	epoch    int64
 	open     bool
 	replaced bool
 	former   map[string]formerLife
@@ -138,7 +139,7 @@
 		p.opened(version, row, now)
 		return nil
 	}
-	next := journalRow{Life: p.Life, AtMS: page.Clock.Milliseconds(), Bounds: map[string]bound{}, Former: p.formerLives(row, page.Clock)}
+	next := journalRow{Life: p.Life, Epoch: row.Epoch + 1, AtMS: page.Clock.Milliseconds(), Bounds: map[string]bound{}, Former: p.formerLives(row, page.Clock)}
 	var c table.Commit
 	c.RequireAt(p.journalPlace(), version)
 	if err := c.SetAt(p.journalPlace(), next); err != nil {
@@ -168,6 +169,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.version = version
+	j.epoch = row.Epoch
 	j.former = maps.Clone(row.Former)
 	if j.former == nil {
 		j.former = make(map[string]formerLife)
@@ -302,7 +304,7 @@
 func (j *journal) commit(p *Purse, e *entry) (table.Commit, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	row := journalRow{Life: p.Life, Seq: e.seq, AtMS: j.storeTime(e.sent).Milliseconds(), Bounds: e.bounds, Former: j.former}
+	row := journalRow{Life: p.Life, Epoch: j.epoch, Seq: e.seq, AtMS: j.storeTime(e.sent).Milliseconds(), Bounds: e.bounds, Former: j.former}
 	var c table.Commit
 	c.RequireAt(p.journalPlace(), j.version)
 	if err := c.SetAt(p.journalPlace(), row); err != nil {
--- /dev/null
+++ b/internal/budget/prepaid/machine_test.go
@@ -0,0 +1,283 @@
+package prepaid
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosevalve/internal/platform/table"
+)
+
+// step is one event of a random history.
+type step struct {
+	after     time.Duration
+	kind      stepKind
+	vm        string
+	workspace string
+	tokens    int64
+	part      float64
+	lasts     time.Duration
+	weather   weather
+}
+
+type stepKind int
+
+const (
+	stepRequest stepKind = iota
+	stepKill
+	stepStart
+	stepLeave
+	stepWeather
+	stepWeatherAll
+	stepKillAll
+	stepTopUp
+)
+
+var vms = []string{"a", "b", "c"}
+
+// steps draws a history; requests are the most common event.
+func steps(t *rapid.T) []step {
+	kinds := []stepKind{
+		stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest,
+		stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest,
+		stepKill, stepStart, stepStart, stepLeave, stepWeather, stepWeather, stepWeatherAll, stepKillAll, stepTopUp,
+	}
+	one := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			after:     time.Duration(rapid.IntRange(0, 700).Draw(t, "after_ms")) * time.Millisecond,
+			kind:      rapid.SampledFrom(kinds).Draw(t, "kind"),
+			vm:        rapid.SampledFrom(vms).Draw(t, "vm"),
+			workspace: rapid.SampledFrom([]string{"joiners", "nurses"}).Draw(t, "workspace"),
+			tokens:    rapid.Int64Range(1, 400).Draw(t, "tokens"),
+			part:      rapid.Float64Range(0, 1).Draw(t, "part"),
+			lasts:     time.Duration(rapid.IntRange(0, 3000).Draw(t, "lasts_ms")) * time.Millisecond,
+			weather:   weather(rapid.IntRange(0, int(weathers)-1).Draw(t, "weather")),
+		}
+	})
+	return rapid.SliceOfN(one, 20, 160).Draw(t, "steps")
+}
+
+// play runs a history in virtual time and returns what the oracle has found.
+func play(t *testing.T, history []step, broken func(p *Purse)) error {
+	t.Helper()
+	var found error
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld()
+		w.broken = broken
+		w.topUp("joiners", 1000)
+		w.topUp("nurses", 3000)
+		for _, vm := range vms {
+			w.start(vm)
+		}
+		for _, s := range history {
+			time.Sleep(s.after)
+			w.perform(s)
+		}
+		w.end()
+		found = w.result()
+	})
+	return found
+}
+
+func (w *world) perform(s step) {
+	switch s.kind {
+	case stepRequest:
+		w.request(s.vm, s.workspace, s.tokens, s.part, s.lasts)
+	case stepKill:
+		w.kill(s.vm)
+	case stepStart:
+		if w.life(s.vm) == nil {
+			w.start(s.vm)
+		}
+	case stepLeave:
+		w.leave(s.vm)
+	case stepWeather:
+		w.store.set(s.vm, s.weather)
+	case stepWeatherAll:
+		for _, vm := range vms {
+			w.store.set(vm, s.weather)
+		}
+	case stepKillAll:
+		for _, vm := range vms {
+			w.kill(vm)
+		}
+		time.Sleep(s.lasts)
+		for _, vm := range vms {
+			w.start(vm)
+		}
+	case stepTopUp:
+		w.topUp(s.workspace, s.tokens)
+	}
+}
+
+func TestNeverOverspent(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if err := play(t, steps(rt), nil); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// repeat returns n requests of one VM, one each interval.
+func repeat(n int, vm string, tokens int64, part float64, interval time.Duration) []step {
+	out := make([]step, n)
+	for i := range out {
+		out[i] = step{after: interval, kind: stepRequest, vm: vm, workspace: "joiners", tokens: tokens, part: part, lasts: interval / 2}
+	}
+	return out
+}
+
+// spentInACut is a life that goes on through a long cut, dies, and is followed by one
+// that finds the store well.
+var spentInACut = slices.Concat(
+	repeat(10, "a", 20, 1, 100*time.Millisecond),
+	[]step{{kind: stepWeather, vm: "a", weather: away}},
+	repeat(100, "a", 20, 1, 100*time.Millisecond),
+	[]step{{kind: stepKill, vm: "a"}, {kind: stepWeather, vm: "a", weather: well}, {kind: stepStart, vm: "a", after: time.Second}},
+	repeat(100, "a", 20, 1, 100*time.Millisecond),
+)
+
+// TestOracleCatchesBreaks shows that each mechanism is needed: without it some history
+// overspends.
+func TestOracleCatchesBreaks(t *testing.T) {
+	breaks := []struct {
+		name    string
+		apply   func(p *Purse)
+		history []step // random ones if it is nil
+	}{
+		{name: "a draw is committed without its conditions", apply: dropConditions},
+		{name: "the next life does not count what was used in a cut", apply: slowClock, history: spentInACut},
+		{name: "the next life does not read the journal", apply: forgetJournal},
+		{name: "a gift is taken twice", apply: takeTwice},
+	}
+	for _, b := range breaks {
+		t.Run(b.name, func(t *testing.T) {
+			if b.history == nil {
+				assertCaught(t, b.apply)
+				return
+			}
+			assert.NilError(t, play(t, b.history, nil))
+			assert.ErrorContains(t, play(t, b.history, b.apply), "has used")
+		})
+	}
+}
+
+func dropConditions(p *Purse) {
+	commit := p.Commit
+	p.Commit = func(ctx context.Context, c table.Commit) (table.Stamp, error) {
+		if c.Conditions[0].Table == tableTokens {
+			c.Conditions = nil
+		}
+		return commit(ctx, c)
+	}
+}
+
+func takeTwice(p *Purse) {
+	beg := p.Beg
+	p.Beg = func(ctx context.Context, workspace string, n int64) (int64, bool) {
+		given, all := beg(ctx, workspace, n)
+		return 2 * given, all
+	}
+}
+
+// slowClock makes the store's clock seem to stand still since the last write.
+func slowClock(p *Purse) {
+	read := p.Read
+	p.Read = func(ctx context.Context, r table.Range) (table.Page, error) {
+		page, err := read(ctx, r)
+		if r.Table == tableJournal {
+			page.Clock = time.Millisecond
+		}
+		return page, err
+	}
+}
+
+// forgetJournal makes the bounds of the last life look empty.
+func forgetJournal(p *Purse) {
+	read := p.Read
+	p.Read = func(ctx context.Context, r table.Range) (table.Page, error) {
+		page, err := read(ctx, r)
+		if r.Table == tableJournal {
+			for i, row := range page.Rows {
+				page.Rows[i].Value = []byte(`{"life":"` + lifeOf(row) + `"}`)
+			}
+		}
+		return page, err
+	}
+}
+
+func lifeOf(r table.Row) string {
+	var row journalRow
+	if err := r.Decode(&row); err != nil {
+		return ""
+	}
+	return row.Life
+}
+
+// assertCaught plays random histories until one overspends.
+func assertCaught(t *testing.T, broken func(p *Purse)) {
+	t.Helper()
+	const tries = 2000
+	gen := rapid.Custom(steps)
+	for seed := range tries {
+		if play(t, gen.Example(seed), broken) != nil {
+			return
+		}
+	}
+	t.Fatalf("no history of %d overspends", tries)
+}
+
+// TestLifeInTouchCostsOnlyItsHeadroom bounds what is lost with a life that was killed
+// and comes back within the grace.
+func TestLifeInTouchCostsOnlyItsHeadroom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.topUp("joiners", 1_000_000)
+		w.start("a")
+		for range 100 {
+			w.request("a", "joiners", 1000, 1, 100*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		headroom := int64(headroomFactor * 10_000 * defaultGrace.Seconds())
+		w.kill("a")
+		time.Sleep(time.Second)
+		w.start("a")
+		time.Sleep(2 * time.Second)
+		lost := w.allotted(t, "joiners") - w.life("a").purse.State()[0].Drawn - 100_000
+		assert.Assert(t, lost >= 0 && lost <= headroom, "lost %d of at most %d", lost, headroom)
+		w.end()
+	})
+}
+
+// TestCutServesOn shows that requests of the rate of late are served during a cut that
+// is longer than the grace.
+func TestCutServesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.topUp("joiners", 1_000_000)
+		w.start("a")
+		time.Sleep(time.Second)
+		served := func(seconds int) int {
+			n := 0
+			for range 10 * seconds {
+				r, err := w.life("a").purse.Reserve(t.Context(), "joiners", 1000, 0)
+				if err == nil {
+					r.Bill(1000)
+					n++
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			return n
+		}
+		assert.Equal(t, served(30), 300)
+		w.store.set("a", away)
+		assert.Equal(t, served(8), 80)
+		w.end()
+	})
+}
--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -24,13 +24,17 @@
 
 // holdingRow is what one life of a VM has drawn of a workspace's tokens.
 type holdingRow struct {
-	Life   string `json:"life"`
-	Tokens int64  `json:"tokens"`
+	Life string `json:"life"`
+	// Epoch counts the lives of the VM.
+	Epoch  int64 `json:"epoch"`
+	Tokens int64 `json:"tokens"`
 }
 
 // journalRow bounds what one life of a VM uses.
 type journalRow struct {
 	Life string `json:"life"`
+	// Epoch counts the lives of the VM; each is one higher than the one before.
+	Epoch int64 `json:"epoch"`
 	// Seq counts the writes of the life, so that one whose answer was lost can be recognised.
 	Seq int64 `json:"seq"`
 	// AtMS is the store's clock, as estimated when the row was sent, in milliseconds.
--- /dev/null
+++ b/internal/budget/prepaid/world_test.go
@@ -0,0 +1,354 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/budget/demand"
+	"rosevalve/internal/platform/table"
+)
+
+// weather is how the store treats calls.
+type weather int
+
+const (
+	well      weather = iota
+	away              // no answer and no effect
+	refusing          // refused without effect
+	losing            // commits take effect, their answers are lost
+	late              // commits take effect seconds later if their conditions still hold
+	slow              // calls take a second
+	weathers          // how many there are
+	txTime    = 12 * time.Millisecond
+	slowTime  = 1200 * time.Millisecond
+	lateTime  = 3 * time.Second
+	callLimit = 10 * time.Second
+)
+
+// fakeStore is the platform's store with faults.
+type fakeStore struct {
+	began time.Time
+
+	mu      sync.Mutex // guards the fields below
+	rows    map[table.Place]table.Row
+	version uint64
+	weather map[string]weather // by VM
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{began: time.Now(), rows: make(map[table.Place]table.Row), weather: make(map[string]weather)}
+}
+
+func (s *fakeStore) set(vm string, w weather) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.weather[vm] = w
+}
+
+func (s *fakeStore) now(vm string) weather {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.weather[vm]
+}
+
+func (s *fakeStore) stamp() table.Stamp {
+	return table.Stamp{Version: s.version, Clock: time.Since(s.began) + time.Hour}
+}
+
+// apply performs the commit if its conditions hold.
+func (s *fakeStore) apply(c table.Commit) (table.Stamp, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var current []table.Row
+	failed := false
+	for _, cond := range c.Conditions {
+		r, ok := s.rows[cond.Place]
+		if ok {
+			current = append(current, r)
+		}
+		failed = failed || r.Version != cond.Version
+	}
+	if failed {
+		return s.stamp(), &table.ConflictError{Rows: current}
+	}
+	s.version++
+	for _, p := range c.Puts {
+		if p.Delete {
+			delete(s.rows, p.Place)
+			continue
+		}
+		s.rows[p.Place] = table.Row{Place: p.Place, Version: s.version, Value: p.Value}
+	}
+	return s.stamp(), nil
+}
+
+func (s *fakeStore) commit(ctx context.Context, vm string, c table.Commit) (table.Stamp, error) {
+	unknown := fmt.Errorf("commit: %w", table.ErrUnknownOutcome)
+	switch s.now(vm) {
+	case away:
+		<-ctx.Done()
+		return table.Stamp{}, unknown
+	case refusing:
+		return table.Stamp{}, table.ErrUnavailable
+	case losing:
+		_, _ = s.apply(c)
+		<-ctx.Done()
+		return table.Stamp{}, unknown
+	case late:
+		time.AfterFunc(lateTime, func() { _, _ = s.apply(c) })
+		<-ctx.Done()
+		return table.Stamp{}, unknown
+	case slow:
+		time.Sleep(slowTime)
+	default:
+		time.Sleep(txTime)
+	}
+	return s.apply(c)
+}
+
+func (s *fakeStore) read(ctx context.Context, vm string, r table.Range) (table.Page, error) {
+	switch s.now(vm) {
+	case away:
+		<-ctx.Done()
+		return table.Page{}, table.ErrUnavailable
+	case refusing:
+		return table.Page{}, table.ErrUnavailable
+	case slow:
+		time.Sleep(slowTime)
+	default:
+		time.Sleep(txTime / 3)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := table.Page{Stamp: s.stamp()}
+	for at, row := range s.rows {
+		if at.Table == r.Table && at.Partition == r.Partition && at.Key >= r.From && (r.To == "" || at.Key < r.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, nil
+}
+
+// world is a fleet of VMs on one store, with the oracle that counts what was used.
+type world struct {
+	store *fakeStore
+	// broken changes a life before it starts, to show that the oracle notices.
+	broken func(p *Purse)
+
+	mu    sync.Mutex // guards the fields below
+	total map[string]int64
+	used  map[string]int64 // billed, or reserved and not ended yet
+	lives map[string]*life
+	count int
+	found error
+}
+
+// life is one running process.
+type life struct {
+	purse *Purse
+	stop  context.CancelFunc
+	dead  bool
+	// granted is the total that its configuration tells.
+	granted map[string]int64
+}
+
+func newWorld() *world {
+	return &world{
+		store: newFakeStore(),
+		total: make(map[string]int64),
+		used:  make(map[string]int64),
+		lives: make(map[string]*life),
+	}
+}
+
+// start begins a new life of the VM.
+func (w *world) start(vm string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count++
+	ctx, stop := context.WithCancel(context.Background())
+	l := &life{stop: stop, granted: make(map[string]int64)}
+	for workspace, n := range w.total {
+		l.granted[workspace] = n
+	}
+	l.purse = &Purse{
+		VM:   vm,
+		Life: fmt.Sprintf("%s#%d", vm, w.count),
+		Commit: func(ctx context.Context, c table.Commit) (table.Stamp, error) {
+			if w.gone(l) {
+				<-ctx.Done()
+				return table.Stamp{}, table.ErrUnknownOutcome
+			}
+			return w.store.commit(ctx, vm, c)
+		},
+		Read: func(ctx context.Context, r table.Range) (table.Page, error) {
+			if w.gone(l) {
+				<-ctx.Done()
+				return table.Page{}, table.ErrUnavailable
+			}
+			return w.store.read(ctx, vm, r)
+		},
+		Prepaid: func(workspace string) int64 {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return l.granted[workspace]
+		},
+		Size: demand.SizeByShare(func() int { return 3 }),
+		Beg:  func(_ context.Context, workspace string, n int64) (int64, bool) { return w.beg(vm, workspace, n) },
+		Offer: func(_ context.Context, workspace string, n int64) int64 {
+			return w.offer(vm, workspace, n)
+		},
+	}
+	if w.broken != nil {
+		w.broken(l.purse)
+	}
+	w.lives[vm] = l
+	go func() { _ = l.purse.Run(ctx) }()
+}
+
+// kill ends the VM's life; what it has reserved may have been used.
+func (w *world) kill(vm string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if l := w.lives[vm]; l != nil {
+		l.dead = true
+		l.stop()
+		delete(w.lives, vm)
+	}
+}
+
+func (w *world) life(vm string) *life {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lives[vm]
+}
+
+func (w *world) others(vm string) []*life {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*life
+	for name, l := range w.lives {
+		if name != vm {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (w *world) beg(vm, workspace string, n int64) (int64, bool) {
+	var given int64
+	for _, other := range w.others(vm) {
+		if given < n {
+			given += other.purse.Give(workspace, n-given)
+		}
+	}
+	return given, true
+}
+
+func (w *world) offer(vm, workspace string, n int64) int64 {
+	for _, other := range w.others(vm) {
+		other.purse.Accept(workspace, n)
+		return n
+	}
+	return 0
+}
+
+// count takes n tokens more or less into account.
+func (w *world) use(workspace string, n int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.used[workspace] += n
+	if w.used[workspace] > w.total[workspace] && w.found == nil {
+		w.found = fmt.Errorf("workspace %q has used %d of %d tokens", workspace, w.used[workspace], w.total[workspace])
+	}
+}
+
+// request reserves n tokens at the VM and bills a part of them some time later. If the
+// life ends before, all of them count as used.
+func (w *world) request(vm, workspace string, n int64, part float64, lasts time.Duration) {
+	l := w.life(vm)
+	if l == nil {
+		return
+	}
+	go func() {
+		r, err := l.purse.Reserve(context.Background(), workspace, n, lasts/4)
+		if err != nil || w.gone(l) {
+			return
+		}
+		w.use(workspace, n)
+		time.Sleep(lasts)
+		if w.gone(l) {
+			return
+		}
+		billed := int64(part * float64(n))
+		r.Bill(billed)
+		w.use(workspace, billed-n)
+	}()
+}
+
+func (w *world) gone(l *life) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return l.dead
+}
+
+// topUp raises the workspace's total, and tells the lives of it one after the other.
+func (w *world) topUp(workspace string, n int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.total[workspace] += n
+	for _, l := range w.lives {
+		time.AfterFunc(rand.N(time.Second), func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			l.granted[workspace] = w.total[workspace]
+		})
+	}
+}
+
+// leave stops the VM gracefully.
+func (w *world) leave(vm string) {
+	l := w.life(vm)
+	if l == nil {
+		return
+	}
+	l.purse.Seal()
+	time.Sleep(time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if w.store.now(vm) != well {
+		l.purse.Leave(ctx)
+	}
+	_ = l.purse.Close(ctx)
+	w.kill(vm)
+}
+
+// allotted returns what the workspace's holdings have drawn, by the store.
+func (w *world) allotted(t *testing.T, workspace string) int64 {
+	t.Helper()
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	var total totalRow
+	assert.NilError(t, w.store.rows[totalPlace(workspace)].Decode(&total))
+	return total.Allotted
+}
+
+func (w *world) result() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.found
+}
+
+// end stops all lives and lets what is under way come to an end.
+func (w *world) end() {
+	for _, vm := range []string{"a", "b", "c"} {
+		w.kill(vm)
+	}
+	time.Sleep(callLimit)
+}
