--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -232,10 +232,11 @@
 	return waiting, holding
 }
 
-// headroom is what is covered ahead, which must do until the grace is over. The caller
-// holds mu.
+// headroom is what is covered ahead, which must do until the grace is over, but only a
+// share of what is left, since it is lost with the life. The caller holds mu.
 func (p *Purse) headroom(h *holding, now time.Time) int64 {
-	return int64(headroomFactor * h.asked.Rate(now) * p.Grace.Seconds())
+	ahead := int64(headroomFactor * h.asked.Rate(now) * p.Grace.Seconds())
+	return min(ahead, h.free()/headroomShare)
 }
 
 // boundOf returns what the next write allows of a holding. The caller holds its lock.
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -32,6 +32,8 @@
 	spread = 24 * time.Second
 	// headroomFactor is how much more than of late is covered for the grace.
 	headroomFactor = 1.5
+	// headroomShare is the largest part of what is free that is covered ahead, inverted.
+	headroomShare = 8
 )
 
 // ErrExhausted reports that a workspace's total does not cover a request.
