--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -30,12 +30,13 @@
 func (p *Purse) Leave(ctx context.Context) {
 	p.init()
 	for _, h := range p.all() {
-		tokens := p.Give(h.workspace, math.MaxInt64)
+		tokens := p.givePart(h, math.MaxInt64)
 		if tokens <= 0 {
 			continue
 		}
-		taken := p.Offer(ctx, h.workspace, tokens)
-		p.OnEvent(Event{Kind: HoldingLeft, Workspace: h.workspace, Tokens: taken})
+		if p.passOn(ctx, h.workspace, tokens) {
+			p.OnEvent(Event{Kind: HoldingLeft, Workspace: h.workspace, Tokens: tokens})
+		}
 	}
 }
 
--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -57,6 +57,9 @@
 
 // refill draws ahead of demand, so that an outage of the store finds the holding filled.
 func (p *Purse) refill(h *holding) {
+	if _, self := p.Homes(h.workspace); !self {
+		return
+	}
 	h.mu.Lock()
 	if h.flight != nil {
 		h.mu.Unlock()
--- a/internal/budget/prepaid/gift.go
+++ b/internal/budget/prepaid/gift.go
@@ -1,24 +1,103 @@
 package prepaid
 
-import "time"
+import (
+	"context"
+	"time"
+)
+
+const (
+	// askTime bounds one question to another router, and asksTime all of them for one request.
+	askTime  = 60 * time.Millisecond
+	asksTime = 150 * time.Millisecond
+	// giveTime is how long a router that is asked waits for the store.
+	giveTime = 40 * time.Millisecond
+	// leftoverAge is how long gifts that were not used stay with a router that keeps no
+	// tokens of the workspace.
+	leftoverAge = 500 * time.Millisecond
+	// unusedAge is how long a holding stays with such a router.
+	unusedAge = 2 * time.Second
+)
+
+// Gift is what a router gives to another.
+type Gift struct {
+	// Tokens are the receiver's from now on.
+	Tokens int64
+	// Exhausted tells that neither the giver nor the store has any left.
+	Exhausted bool
+}
+
+// answers sums up what other routers said.
+type answers struct {
+	given     int64
+	answered  int
+	exhausted bool
+}
+
+// askHomes asks the routers one after the other until they gave n tokens.
+func (p *Purse) askHomes(ctx context.Context, h *holding, homes []string, n int64) answers {
+	ctx, cancel := context.WithTimeout(ctx, asksTime)
+	defer cancel()
+	var out answers
+	for _, addr := range homes {
+		if out.given >= n || ctx.Err() != nil {
+			break
+		}
+		gift, err := p.askOne(ctx, addr, h.workspace, n-out.given)
+		if err != nil {
+			continue
+		}
+		out.answered++
+		out.given += gift.Tokens
+		out.exhausted = out.exhausted || gift.Exhausted
+	}
+	p.accept(h, out.given)
+	return out
+}
+
+func (p *Purse) askOne(ctx context.Context, addr, workspace string, n int64) (Gift, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	return p.Ask(ctx, addr, workspace, n)
+}
 
 // Give takes up to n tokens of the workspace out of this life's holding for another
 // router. They count as spent from then on, whether or not they arrive.
-func (p *Purse) Give(workspace string, n int64) int64 {
+func (p *Purse) Give(ctx context.Context, workspace string, n int64) Gift {
+	ctx, cancel := context.WithTimeout(ctx, giveTime)
+	defer cancel()
 	h := p.holding(workspace)
 	h.mu.Lock()
-	allowed := p.journal.allows(workspace, h.drawn, time.Now())
-	given := h.give(n, allowed)
-	covers := given < n && h.free() > 0
+	h.asked.Ask(n, time.Now())
 	h.mu.Unlock()
-	if covers {
-		// What is free but not covered can be given when it is asked for again.
-		p.journal.kick()
+	gift := Gift{Tokens: p.giveWhole(ctx, h, n)}
+	if gift.Tokens == 0 {
+		gift.Tokens = p.givePart(h, n)
+		gift.Exhausted = p.journal.isOpen() && p.left(h) <= 0
 	}
-	if given > 0 {
-		p.OnEvent(Event{Kind: GiftGiven, Workspace: workspace, Tokens: given})
+	if gift.Tokens > 0 {
+		p.OnEvent(Event{Kind: GiftGiven, Workspace: workspace, Tokens: gift.Tokens})
 	}
-	return given
+	return gift
+}
+
+// giveWhole gives n tokens, drawn for it if need be, or none.
+func (p *Purse) giveWhole(ctx context.Context, h *holding, n int64) int64 {
+	r, err := p.take(ctx, h, n, coverTime)
+	if r == nil && err == nil && p.awaitDraw(ctx, h, n) == nil {
+		r, _ = p.take(ctx, h, n, coverTime)
+	}
+	if r == nil {
+		return 0
+	}
+	r.Bill(n)
+	return n
+}
+
+// givePart gives up to n tokens that are free and covered.
+func (p *Purse) givePart(h *holding, n int64) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.give(n, p.journal.allows(h.workspace, h.drawn, time.Now()))
 }
 
 // give takes up to n tokens that are free and covered. The caller holds mu.
@@ -46,3 +125,53 @@
 	h.mu.Unlock()
 	p.OnEvent(Event{Kind: GiftTaken, Workspace: h.workspace, Tokens: n})
 }
+
+// passOn leaves tokens of the workspace to the first other router that takes them. One
+// that does not answer may have them, so that no other gets them then.
+func (p *Purse) passOn(ctx context.Context, workspace string, n int64) bool {
+	homes, _ := p.Homes(workspace)
+	if len(homes) == 0 {
+		return false
+	}
+	return p.Offer(ctx, homes[0], workspace, n)
+}
+
+// Tidy hands back what this router need not keep: gifts that were not used, and
+// holdings of workspaces whose tokens others keep.
+func (p *Purse) Tidy(ctx context.Context) {
+	p.init()
+	now := time.Now()
+	for _, h := range p.all() {
+		homes, self := p.Homes(h.workspace)
+		if self || len(homes) == 0 {
+			continue
+		}
+		if n := h.leftover(now); n > 0 {
+			p.passOn(ctx, h.workspace, n)
+		}
+		if h.unused(now) && !p.journal.away(now) {
+			if err := p.giveBack(ctx, h); err != nil {
+				p.OnEvent(Event{Kind: DrawFailed, Workspace: h.workspace, Err: err})
+			}
+		}
+	}
+}
+
+// leftover takes the gifts that were not used for a while.
+func (h *holding) leftover(now time.Time) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.asked.At()) < leftoverAge {
+		return 0
+	}
+	n := h.gifts
+	h.gifts = 0
+	return n
+}
+
+// unused reports whether the holding's own tokens were not used for a while.
+func (h *holding) unused(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.drawn > 0 && len(h.waiting) == 0 && now.Sub(h.asked.At()) > unusedAge
+}
--- a/internal/budget/prepaid/machine_test.go
+++ b/internal/budget/prepaid/machine_test.go
@@ -178,10 +178,11 @@
 }
 
 func takeTwice(p *Purse) {
-	beg := p.Beg
-	p.Beg = func(ctx context.Context, workspace string, n int64) (int64, bool) {
-		given, all := beg(ctx, workspace, n)
-		return 2 * given, all
+	ask := p.Ask
+	p.Ask = func(ctx context.Context, addr, workspace string, n int64) (Gift, error) {
+		gift, err := ask(ctx, addr, workspace, n)
+		gift.Tokens *= 2
+		return gift, err
 	}
 }
 
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -59,10 +59,13 @@
 	Prepaid func(workspace string) int64
 	// Size decides how many tokens a draw takes.
 	Size func(n demand.Need) int64
-	// Beg asks other routers for tokens and returns what they gave, and whether all answered.
-	Beg func(ctx context.Context, workspace string, tokens int64) (given int64, all bool)
-	// Offer gives other routers tokens and returns how many they have surely taken.
-	Offer func(ctx context.Context, workspace string, tokens int64) int64
+	// Homes lists the other routers that keep the workspace's tokens, the one to ask first
+	// first, and tells whether this router keeps some too.
+	Homes func(workspace string) (others []string, self bool)
+	// Ask asks a router for tokens, which are this router's if it answers.
+	Ask func(ctx context.Context, addr, workspace string, tokens int64) (Gift, error)
+	// Offer gives a router tokens; it reports whether the router has surely taken them.
+	Offer func(ctx context.Context, addr, workspace string, tokens int64) bool
 	// Grace is how long after a write of the journal no more than its bounds are used.
 	Grace time.Duration
 	// OnEvent is told of what changes this life's beliefs about tokens; it must not block.
@@ -136,11 +139,8 @@
 		if p.OnEvent == nil {
 			p.OnEvent = func(Event) {}
 		}
-		if p.Beg == nil {
-			p.Beg = func(context.Context, string, int64) (int64, bool) { return 0, true }
-		}
-		if p.Offer == nil {
-			p.Offer = func(context.Context, string, int64) int64 { return 0 }
+		if p.Homes == nil {
+			p.Homes = func(string) ([]string, bool) { return nil, true }
 		}
 		p.seed = maphash.MakeSeed()
 		for i := range p.shards {
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -59,46 +59,70 @@
 	h.mu.Lock()
 	h.asked.Ask(n, time.Now())
 	h.mu.Unlock()
-	var lastErr error
+	var cause error
 	for range maxTries {
 		r, err := p.take(ctx, h, n, coverTime)
 		if r != nil {
 			return r, nil
 		}
-		if err == nil {
-			err = p.awaitDraw(ctx, h, n)
-		}
-		if err == nil {
-			continue
-		}
-		lastErr = err
-		short := h.short(n, err)
-		if short == 0 {
-			continue
-		}
-		given, all := p.Beg(ctx, workspace, short)
-		p.accept(h, given)
-		if given < short {
-			return p.lastTry(ctx, h, n, patience, lastErr, all)
+		if cause = p.obtain(ctx, h, n, err); cause != nil {
+			break
 		}
 	}
-	return p.lastTry(ctx, h, n, patience, lastErr, false)
-}
-
-// lastTry waits for the cover of tokens that are there, if that comes in time, and says
-// otherwise why there are none.
-func (p *Purse) lastTry(ctx context.Context, h *holding, n int64, patience time.Duration, cause error, all bool) (*Reservation, error) {
 	after := p.coveredIn(h, n)
 	if after > 0 && after <= patience {
 		if r, _ := p.take(ctx, h, n, patience); r != nil {
 			return r, nil
 		}
 	}
-	kind := ErrUnavailable
-	if isExhausted(cause) && all && ctx.Err() == nil {
-		kind = ErrExhausted
+	if cause == nil {
+		cause = ErrUnavailable
+	}
+	return nil, &ShortageError{Workspace: workspace, Tokens: n, After: max(0, after), Err: cause}
+}
+
+// obtain gets what is missing of n tokens from the store and from other routers. The
+// cause tells why a try to take them has just failed; nil stands for too few.
+//
+// Errors are ErrExhausted and ErrUnavailable, with the cause.
+func (p *Purse) obtain(ctx context.Context, h *holding, n int64, cause error) error {
+	homes, self := p.Homes(h.workspace)
+	drawn := false
+	if cause == nil && (self || len(homes) == 0) {
+		drawn = true
+		if cause = p.awaitDraw(ctx, h, n); cause == nil {
+			return nil
+		}
+	}
+	short := h.short(n, cause)
+	if short == 0 {
+		return nil
+	}
+	asked := p.askHomes(ctx, h, homes, short)
+	if asked.given >= short {
+		return nil
+	}
+	if asked.answered == 0 && !drawn && cause == nil {
+		// Without a router that keeps tokens, this one draws its own.
+		drawn = true
+		if cause = p.awaitDraw(ctx, h, n); cause == nil {
+			return nil
+		}
+	}
+	if asked.answered == len(homes) && (asked.exhausted || isExhausted(cause)) && ctx.Err() == nil {
+		return fmt.Errorf("%w: no router has enough of them", ErrExhausted)
+	}
+	return fmt.Errorf("%w: %d of %d routers gave %d of %d tokens: %w", ErrUnavailable, asked.answered, len(homes), asked.given, short, orNone(cause))
+}
+
+// errNone stands for a cause that is not known.
+var errNone = errors.New("no further cause")
+
+func orNone(err error) error {
+	if err == nil {
+		return errNone
 	}
-	return nil, &ShortageError{Workspace: h.workspace, Tokens: n, After: max(0, after), Err: fmt.Errorf("%w: %w", kind, cause)}
+	return err
 }
 
 // coveredIn returns how long it takes until n tokens more of a holding may be used, or
--- a/internal/budget/prepaid/world_test.go
+++ b/internal/budget/prepaid/world_test.go
@@ -199,17 +199,22 @@
 			defer w.mu.Unlock()
 			return l.granted[workspace]
 		},
-		Size: demand.SizeByShare(func() int { return 3 }),
-		Beg:  func(_ context.Context, workspace string, n int64) (int64, bool) { return w.beg(vm, workspace, n) },
-		Offer: func(_ context.Context, workspace string, n int64) int64 {
-			return w.offer(vm, workspace, n)
-		},
+		Size:  demand.SizeByShare(func() int { return 3 }),
+		Homes: func(string) ([]string, bool) { return w.homes(vm) },
+		Ask:   w.ask,
+		Offer: func(_ context.Context, addr, workspace string, n int64) bool { return w.offer(addr, workspace, n) },
 	}
 	if w.broken != nil {
 		w.broken(l.purse)
 	}
 	w.lives[vm] = l
 	go func() { _ = l.purse.Run(ctx) }()
+	go func() {
+		for ctx.Err() == nil {
+			sleep(ctx, time.Second)
+			l.purse.Tidy(ctx)
+		}
+	}()
 }
 
 // kill ends the VM's life; what it has reserved may have been used.
@@ -229,34 +234,39 @@
 	return w.lives[vm]
 }
 
-func (w *world) others(vm string) []*life {
+// homes lists the VMs that keep tokens besides the one that asks.
+func (w *world) homes(vm string) ([]string, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var out []*life
-	for name, l := range w.lives {
-		if name != vm {
-			out = append(out, l)
+	var out []string
+	for _, home := range []string{"a", "b"} {
+		if home != vm && w.lives[home] != nil {
+			out = append(out, home)
 		}
 	}
-	return out
+	return out, vm != "c"
 }
 
-func (w *world) beg(vm, workspace string, n int64) (int64, bool) {
-	var given int64
-	for _, other := range w.others(vm) {
-		if given < n {
-			given += other.purse.Give(workspace, n-given)
-		}
+func (w *world) ask(ctx context.Context, addr, workspace string, n int64) (Gift, error) {
+	time.Sleep(time.Millisecond)
+	l := w.life(addr)
+	if l == nil {
+		return Gift{}, errNone
 	}
-	return given, true
+	gift := l.purse.Give(ctx, workspace, n)
+	if w.gone(l) {
+		return Gift{}, errNone
+	}
+	return gift, nil
 }
 
-func (w *world) offer(vm, workspace string, n int64) int64 {
-	for _, other := range w.others(vm) {
-		other.purse.Accept(workspace, n)
-		return n
+func (w *world) offer(addr, workspace string, n int64) bool {
+	l := w.life(addr)
+	if l == nil {
+		return false
 	}
-	return 0
+	l.purse.Accept(workspace, n)
+	return true
 }
 
 // count takes n tokens more or less into account.
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -10,8 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"rosevalve/internal/budget/demand"
-	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
 	"rosevalve/internal/platform/follow"
@@ -31,9 +29,6 @@
 	storeDial    = 300 * time.Millisecond
 	targetDial   = 250 * time.Millisecond
 	targetSilent = time.Second
-	// maxBegged bounds the routers that are asked for tokens for one request.
-	maxBegged = 16
-	begTime   = 40 * time.Millisecond
 )
 
 // connect builds the parts and joins them.
@@ -125,33 +120,6 @@
 	e.keeper.Update(changes)
 }
 
-func (e *Edge) connectTokens() {
-	e.purse = &prepaid.Purse{
-		VM:      e.Settings.Edge.VM,
-		Life:    e.life,
-		Commit:  e.store.Commit,
-		Read:    e.store.Read,
-		Prepaid: e.prepaid,
-		Size:    demand.SizeByShare(e.routers),
-		Beg:     e.beg,
-		Offer:   e.offer,
-		OnEvent: e.logTokens,
-	}
-}
-
-// prepaid returns the workspace's total by the newest configuration.
-func (e *Edge) prepaid(workspace string) int64 {
-	p := e.plan.Load()
-	if p == nil {
-		return 0
-	}
-	w, ok := p.Workspace(workspace)
-	if !ok {
-		return 0
-	}
-	return w.Prepaid
-}
-
 func (e *Edge) connectFleet() {
 	cfg := e.Settings
 	e.links = &peer.Links{AllowClear: cfg.Fleet.Clear == "anywhere"}
@@ -250,56 +218,3 @@
 	}
 	return nil, fmt.Errorf("table %q is not followed", in.Table)
 }
-
-// beg asks other routers for tokens, one after the other until there are enough.
-func (e *Edge) beg(ctx context.Context, workspace string, tokens int64) (int64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, begTime)
-	defer cancel()
-	var given int64
-	all := true
-	others := e.others()
-	for _, addr := range others[:min(maxBegged, len(others))] {
-		if given >= tokens {
-			break
-		}
-		var out inner.GiveResponse
-		if err := e.links.Call(ctx, addr, inner.MethodGive, inner.Give{Workspace: workspace, Tokens: tokens - given}, &out); err != nil {
-			all = false
-			continue
-		}
-		given += out.Tokens
-	}
-	return given, all && len(others) <= maxBegged
-}
-
-// offer gives tokens to the first other router that takes them. One that does not answer
-// may have taken them, so that no other gets them then.
-func (e *Edge) offer(ctx context.Context, workspace string, tokens int64) int64 {
-	for _, addr := range e.others() {
-		err := e.links.Call(ctx, addr, inner.MethodTake, inner.Take{Workspace: workspace, Tokens: tokens}, &inner.TakeResponse{})
-		switch {
-		case err == nil:
-			return tokens
-		case !errors.Is(err, peer.ErrNotSent):
-			return 0
-		}
-	}
-	return 0
-}
-
-func (e *Edge) handleTake(_ context.Context, params json.RawMessage) (any, error) {
-	var in inner.Take
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("decode tokens: %w", err)
-	}
-	e.purse.Accept(in.Workspace, in.Tokens)
-	return inner.TakeResponse{}, nil
-}
-
-func (e *Edge) handleGive(_ context.Context, params json.RawMessage) (any, error) {
-	var in inner.Give
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("decode question for tokens: %w", err)
-	}
-	return inner.GiveResponse{Tokens: e.purse.Give(in.Workspace, in.Tokens)}, nil
-}
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -29,6 +29,8 @@
 const (
 	// housekeeping is the time between looks for what has expired.
 	housekeeping = 250 * time.Millisecond
+	// tidyInterval is the time between looks for tokens that others should keep.
+	tidyInterval = 500 * time.Millisecond
 	// handOverTime is kept at the end of a stop to give tokens back.
 	handOverTime = time.Second
 )
@@ -85,6 +87,7 @@
 	start(func() error { return e.purse.Run(background) })
 	start(func() error { return e.keepHouse(background) })
 	start(func() error { return e.followSettings(background) })
+	start(func() error { return e.tidyTokens(background) })
 	for _, addr := range []string{e.Settings.Edge.ReadyListen, e.Settings.Edge.DirectoryListen, e.Settings.Edge.MetricsListen} {
 		start(func() error { return side.Serve(listeners[addr]) })
 	}
@@ -133,6 +136,20 @@
 	}
 }
 
+// tidyTokens hands back tokens that this router need not keep, until ctx ends.
+func (e *Edge) tidyTokens(ctx context.Context) error {
+	tick := time.NewTicker(tidyInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			e.purse.Tidy(ctx)
+		}
+	}
+}
+
 // ready reports whether this router may get callers.
 func (e *Edge) ready() bool {
 	return e.plan.Load() != nil && e.targets.Newest() > 0 && !e.leaving.Load()
--- /dev/null
+++ b/internal/fleet/edge/tokens.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"rosevalve/internal/budget/demand"
+	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/target/balance"
+)
+
+// tokenHomes is how many routers keep the tokens of one workspace. More lose fewer of
+// them with one router; fewer serve large requests with what one of them has.
+const tokenHomes = 8
+
+func (e *Edge) connectTokens() {
+	e.purse = &prepaid.Purse{
+		VM:      e.Settings.Edge.VM,
+		Life:    e.life,
+		Commit:  e.store.Commit,
+		Read:    e.store.Read,
+		Prepaid: e.prepaid,
+		Size:    demand.SizeByShare(func() int { return min(tokenHomes, e.routers()) }),
+		Homes:   e.homes,
+		Ask:     e.askTokens,
+		Offer:   e.offerTokens,
+		OnEvent: e.logTokens,
+	}
+}
+
+// prepaid returns the workspace's total by the newest configuration.
+func (e *Edge) prepaid(workspace string) int64 {
+	p := e.plan.Load()
+	if p == nil {
+		return 0
+	}
+	w, ok := p.Workspace(workspace)
+	if !ok {
+		return 0
+	}
+	return w.Prepaid
+}
+
+// homes lists the other routers that keep the workspace's tokens, those of the own
+// failure domain first, and tells whether this router is one of them. Routers agree on
+// them as far as they agree on who lives.
+func (e *Edge) homes(workspace string) ([]string, bool) {
+	type ranked struct {
+		member inner.Member
+		rank   uint64
+	}
+	key := balance.Hash(workspace)
+	var all []ranked
+	for _, m := range e.view.Members() {
+		if m.State == inner.Alive {
+			all = append(all, ranked{member: m, rank: balance.Mix(key, balance.Hash(m.InnerAddr))})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	self := false
+	var near, far []string
+	for _, r := range all[:min(tokenHomes, len(all))] {
+		switch {
+		case r.member.InnerAddr == e.Settings.Router.InnerListen:
+			self = true
+		case r.member.FailureDomain == e.Settings.Router.FailureDomain:
+			near = append(near, r.member.InnerAddr)
+		default:
+			far = append(far, r.member.InnerAddr)
+		}
+	}
+	return append(near, far...), self
+}
+
+// askTokens asks a router for tokens.
+func (e *Edge) askTokens(ctx context.Context, addr, workspace string, tokens int64) (prepaid.Gift, error) {
+	var out inner.GiveResponse
+	err := e.links.Call(ctx, addr, inner.MethodGive, inner.Give{Workspace: workspace, Tokens: tokens}, &out)
+	return prepaid.Gift{Tokens: out.Tokens, Exhausted: out.Exhausted}, err
+}
+
+func (e *Edge) handleGive(ctx context.Context, params json.RawMessage) (any, error) {
+	var in inner.Give
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode question for tokens: %w", err)
+	}
+	gift := e.purse.Give(ctx, in.Workspace, in.Tokens)
+	return inner.GiveResponse{Tokens: gift.Tokens, Exhausted: gift.Exhausted}, nil
+}
+
+// offerTokens gives a router tokens and reports whether it has surely taken them.
+func (e *Edge) offerTokens(ctx context.Context, addr, workspace string, tokens int64) bool {
+	err := e.links.Call(ctx, addr, inner.MethodTake, inner.Take{Workspace: workspace, Tokens: tokens}, &inner.TakeResponse{})
+	if err != nil {
+		e.Log.Warn("tokens may be lost on the way", "workspace", workspace, "tokens", tokens, "peer", addr, "err", err)
+	}
+	return err == nil
+}
+
+func (e *Edge) handleTake(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.Take
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode tokens: %w", err)
+	}
+	e.purse.Accept(in.Workspace, in.Tokens)
+	return inner.TakeResponse{}, nil
+}
--- a/internal/protocol/inner/gift.go
+++ b/internal/protocol/inner/gift.go
@@ -26,4 +26,6 @@
 // GiveResponse tells how many tokens are the asking router's from now on.
 type GiveResponse struct {
 	Tokens int64 `json:"tokens"`
+	// Exhausted tells that neither the giver nor the store has any left.
+	Exhausted bool `json:"exhausted,omitempty"`
 }
