Ask engines before a request that may run once; count a request's work once

A request that may run only once now asks its engine for a report on the line that it will use; this also replaces the new connection such requests needed.

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -97,7 +97,7 @@
 
 func (e *Edge) connectTargets() {
 	dialer := socket.Dialer{Timeout: targetDial, Silence: targetSilent}
-	e.placement = &placement.Placement{Dial: dialer.Dial}
+	e.placement = &placement.Placement{Dial: dialer.Dial, Ask: platform.Report}
 	e.targets = e.follow(platform.TableTargets, e.takeTargets)
 	e.keeper = &roster.Keeper{Regained: e.targets.Regained, OnRoster: e.placement.Update}
 }
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -87,7 +87,7 @@
 
 // attempt sends the request to one more instance and waits for the head of its answer.
 func (w *work) attempt(resumeAfter int64) (*sent, error) {
-	seat, err := w.f.Placement.Choose(w.service.Name, w.demand())
+	seat, err := w.f.Placement.Choose(w.ctx, w.service.Name, w.demand())
 	if err != nil {
 		return nil, &runner.Error{Run: answer.NotRun, Err: err}
 	}
@@ -102,13 +102,7 @@
 		Priority:    w.priority,
 		ResumeAfter: max(resumeAfter, w.r.ResumeAfter),
 	})
-	from, err := seat.Pool().Send(w.ctx, upstream.Call{
-		Attempt:  w.r.ID,
-		Request:  req,
-		Fresh:    !w.route.MayRepeat(),
-		HeadBy:   w.headBy(),
-		Identify: w.f.Identify,
-	})
+	from, err := w.send(seat, req)
 	if reached(err) {
 		w.tried = append(w.tried, seat.ID())
 	}
@@ -124,6 +118,16 @@
 	return &sent{seat: seat, from: from}, nil
 }
 
+// send sends the request to the seat's instance. One that may run only once does not go
+// on a connection that may have ended without a sign.
+func (w *work) send(seat *placement.Seat, req *fasthttp.Request) (*upstream.Answer, error) {
+	line, err := seat.Line(w.ctx, !w.route.MayRepeat())
+	if err != nil {
+		return nil, err
+	}
+	return line.Send(w.ctx, upstream.Call{Attempt: w.r.ID, Request: req, HeadBy: w.headBy(), Identify: w.f.Identify})
+}
+
 // headShare is the part of the goal that a request waits for an answer before it is
 // sent to another instance.
 const headShare = 0.9
@@ -156,6 +160,7 @@
 		d.LikelyOutput = d.MaxOutput / 2
 	}
 	d.EventGap = w.route.EventGap
+	d.Careful = !w.route.MayRepeat()
 	d.CacheTokens = w.service.Engine.CacheTokens
 	for _, part := range w.r.Prompt.Parts {
 		d.Parts = append(d.Parts, placement.Part(part))
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -60,10 +60,7 @@
 	list := s.instances
 	out := make([]candidate, 0, len(list))
 	key, keyed := d.key()
-	split := 0
-	if d.EventGap > 0 {
-		split = s.lanes.note(d, d.Input, len(list), now)
-	}
+	split := s.lanes.splitOf(len(list))
 	offset := p.intN(len(list))
 	for n := range list {
 		at := (n + offset) % len(list)
@@ -103,7 +100,7 @@
 // cost estimates, in prompt tokens, what the request waits for and costs at an instance.
 func (c candidate) cost(d Demand, weight float64) float64 {
 	v := c.view
-	cost := float64(v.reading) + runningTokens*float64(v.running) + failingTokens*v.failing
+	cost := v.reading + runningTokens*v.running + failingTokens*v.failing
 	cost += missingWeight * weight * float64(v.missing)
 	if d.CacheTokens > 0 && v.tokens+d.Input+d.MaxOutput > d.CacheTokens {
 		cost += fullTokens
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -34,6 +34,8 @@
 	judged  time.Time
 	breaker health.Breaker
 	cached  map[uint64]time.Time // prompt parts by when they were last used there
+	told    Report               // the last report, at toldAt
+	toldAt  time.Time
 }
 
 func newInstance(i roster.Instance, p *Placement) *instance {
@@ -47,8 +49,8 @@
 
 // view is what the choice needs of an instance.
 type view struct {
-	running int
-	reading int64
+	running float64
+	reading float64
 	tokens  int64
 	failing float64
 	open    bool // may get a request
@@ -63,9 +65,10 @@
 		// The next request is the probe.
 		i.breaker.Probed(now, true)
 	}
+	running, reading := i.load(now)
 	return view{
-		running: i.running,
-		reading: i.reading,
+		running: running,
+		reading: reading,
 		tokens:  i.tokens,
 		failing: i.failingAt(now),
 		open:    i.breaker.Allows(i.running),
--- a/internal/target/placement/lanes.go
+++ b/internal/target/placement/lanes.go
@@ -40,15 +40,18 @@
 	return d.EventGap > 0 && float64(d.Input) > longShare*readRate*float64(d.EventGap.Milliseconds())
 }
 
-// note counts the work of a request and returns the number of instances in the long lane.
-func (l *lanes) note(d Demand, read int64, instances int, now time.Time) int {
+// note counts the work of a request to a service with so many instances.
+func (l *lanes) note(d Demand, instances int, now time.Time) {
+	if d.EventGap == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	fade := math.Exp(-now.Sub(l.at).Seconds() / laneWindow.Seconds())
 	l.at = now
 	l.long *= fade
 	l.short *= fade
-	work := float64(read) + outputWeight*float64(d.LikelyOutput)
+	work := float64(d.Input) + outputWeight*float64(d.LikelyOutput)
 	if d.long() {
 		l.long += work
 	} else {
@@ -59,8 +62,14 @@
 		l.split = int(math.Round(wanted))
 		l.count = instances
 	}
-	l.split = max(min(l.split, instances-1), min(1, instances-1))
-	return l.split
+}
+
+// splitOf returns how many of the instances are in the long lane; each lane has one at
+// least, if there are two.
+func (l *lanes) splitOf(instances int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(min(l.split, instances-1), min(1, instances-1))
 }
 
 // laneOrder sorts instances in the order that all routers agree on.
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -56,6 +56,9 @@
 	EventGap time.Duration
 	// CacheTokens is the memory of one instance; 0 if it is not bounded by tokens.
 	CacheTokens int64
+	// Careful requests may run only once, so that an instance is asked whether it lives
+	// and how it is before one is sent.
+	Careful bool
 	// Exclude names the instances that the request was sent to before.
 	Exclude []string
 }
@@ -89,6 +92,8 @@
 type Placement struct {
 	// Dial opens a connection to an instance.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Ask asks an instance for its report on the line, which stays open.
+	Ask func(ctx context.Context, line *upstream.Line, by time.Time) (Report, error)
 	// Rand returns a random number below n; nil stands for the library's.
 	Rand func(n int) int
 
@@ -105,6 +110,7 @@
 // Seat is one attempt's place at an instance. It must be ended once.
 type Seat struct {
 	instance *instance
+	line     *upstream.Line // on which the instance has just answered, or nil
 	reading  int64
 	tokens   int64
 	ended    bool
@@ -116,8 +122,17 @@
 // Addr returns the instance's address.
 func (s *Seat) Addr() string { return s.instance.Addr }
 
-// Pool returns the connections to the instance.
-func (s *Seat) Pool() *upstream.Pool { return s.instance.pool }
+// Line returns a connection to the instance, which is a new one if fresh is set, unless
+// the instance has just answered on another.
+//
+// The error is a *runner.Error that says that nothing was sent.
+func (s *Seat) Line(ctx context.Context, fresh bool) (*upstream.Line, error) {
+	if line := s.line; line != nil && line.Open() {
+		s.line = nil
+		return line, nil
+	}
+	return s.instance.pool.Line(ctx, fresh)
+}
 
 // Answering tells that the attempt has begun to answer.
 func (s *Seat) Answering() { s.instance.answering(s) }
@@ -182,20 +197,24 @@
 // Choose takes a seat for the request at an instance of the service.
 //
 // The error is ErrNoInstance.
-func (p *Placement) Choose(service string, d Demand) (*Seat, error) {
+func (p *Placement) Choose(ctx context.Context, service string, d Demand) (*Seat, error) {
 	p.mu.RLock()
 	s := p.services[service]
 	p.mu.RUnlock()
 	if s == nil {
 		return nil, ErrNoInstance
 	}
-	now := time.Now()
-	i := p.choose(s, d, now)
-	if i == nil {
+	s.lanes.note(d, len(s.instances), time.Now())
+	seat := &Seat{}
+	if d.Careful && p.Ask != nil {
+		seat.instance, seat.line = p.ask(ctx, s, d)
+	} else {
+		seat.instance = p.choose(s, d, time.Now())
+	}
+	if seat.instance == nil {
 		return nil, ErrNoInstance
 	}
-	seat := &Seat{instance: i}
-	i.begin(seat, d, now)
+	seat.instance.begin(seat, d, time.Now())
 	return seat, nil
 }
 
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -34,8 +34,6 @@
 	Attempt string
 	// Request is written to the target.
 	Request *fasthttp.Request
-	// Fresh sends it on a connection of its own.
-	Fresh bool
 	// HeadBy is when the head of the answer must have come; zero leaves it to the context.
 	HeadBy time.Time
 	// Identify reads what the header of an answer says about itself.
@@ -67,23 +65,19 @@
 }
 
 // Send sends the request and returns when the header of its answer has come, at the
-// latest when ctx ends; the end of ctx also ends the reading of the body.
+// latest when ctx ends; the end of ctx also ends the reading of the body. The line is
+// used up.
 //
 // The error is a *runner.Error.
-func (p *Pool) Send(ctx context.Context, c Call) (*Answer, error) {
-	conn, err := p.conn(ctx, c.Fresh)
-	if err != nil {
-		return nil, &runner.Error{Run: answer.NotRun, Err: err}
-	}
-	a := &Answer{pool: p, conn: conn, resp: fasthttp.AcquireResponse()}
-	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+func (l *Line) Send(ctx context.Context, c Call) (*Answer, error) {
+	a := l.begin(ctx)
 	if err := a.write(c.Request); err != nil {
 		a.Drop()
 		return nil, err
 	}
 	if err := a.readHead(c); err != nil {
-		if conn.reused && isTimeout(err) || ctx.Err() != nil {
-			p.Distrust()
+		if a.conn.reused && isTimeout(err) || ctx.Err() != nil {
+			a.pool.Distrust()
 		}
 		a.Drop()
 		return nil, &runner.Error{Run: answer.Unknown, Err: errors.Join(err, ctx.Err())}
@@ -165,6 +159,14 @@
 	return err
 }
 
+// begin starts an exchange on the line's connection.
+func (l *Line) begin(ctx context.Context) *Answer {
+	a := &Answer{pool: l.pool, conn: l.conn, resp: fasthttp.AcquireResponse()}
+	l.conn = nil
+	a.stop = context.AfterFunc(ctx, func() { _ = a.conn.Close() })
+	return a
+}
+
 // Status returns the HTTP status.
 func (a *Answer) Status() int { return a.resp.StatusCode() }
 
@@ -231,13 +233,25 @@
 			return
 		}
 	}
-	if !a.stop() || a.skipped || !a.requestWritten() || a.resp.Header.ConnectionClose() || a.resp.Header.ContentLength() < -1 {
-		_ = a.conn.Close()
-		a.release()
-		return
+	keep := a.id.Keep
+	if conn := a.detach(); conn != nil {
+		a.pool.give(conn, keep)
 	}
-	a.pool.give(a.conn, a.id.Keep)
+}
+
+// detach ends an answer that was read as a whole, and returns its connection if both
+// ends agree on where it stands.
+func (a *Answer) detach() *conn {
+	conn := a.conn
+	usable := a.stop() && !a.skipped && a.requestWritten() && !a.resp.Header.ConnectionClose() &&
+		a.resp.Header.ContentLength() >= -1 && conn.br.Buffered() == 0
 	a.release()
+	if !usable {
+		_ = conn.Close()
+		return nil
+	}
+	conn.reused = true
+	return conn
 }
 
 // requestWritten reports whether the target has taken the whole request.
--- a/internal/target/upstream/pool.go
+++ b/internal/target/upstream/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/runner"
 )
 
 const (
@@ -42,19 +44,22 @@
 	until time.Time
 }
 
-// conn returns a connection that has carried requests before, unless fresh is set, or a new one.
-func (p *Pool) conn(ctx context.Context, fresh bool) (*conn, error) {
+// Line returns a connection for one request: one that has carried requests before, or a
+// new one, which it always is if fresh is set.
+//
+// The error is a *runner.Error that says that nothing was sent.
+func (p *Pool) Line(ctx context.Context, fresh bool) (*Line, error) {
 	if !fresh {
 		if c := p.take(time.Now()); c != nil {
-			return c, nil
+			return &Line{pool: p, conn: c}, nil
 		}
 	}
 	raw, err := p.Dial(ctx, p.Addr)
 	if err != nil {
-		return nil, err
+		return nil, &runner.Error{Run: answer.NotRun, Err: err}
 	}
 	opened.Add(1)
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return &Line{pool: p, conn: &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBuffer)}}, nil
 }
 
 // take returns an idle connection on which nothing waits, or nil.
@@ -90,7 +95,7 @@
 		keep = defaultKeep
 	}
 	keep -= keepMargin
-	if keep <= 0 || c.br.Buffered() > 0 {
+	if keep <= 0 {
 		_ = c.Close()
 		return
 	}
