Large routers carry the requests; busy ones leave the directory

The directory now lists routers with a quarter of the largest capacity or more, as long as there are four and none is busy by its processor or link; tokens are kept by these.

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -33,6 +33,8 @@
 
 // connect builds the parts and joins them.
 func (e *Edge) connect() {
+	cfg := e.Settings.Edge
+	e.load = &loadMeter{cores: cfg.Cores, linkBytes: cfg.LinkMbps * mega / bitsPerByte}
 	e.connectStore()
 	e.connectPlan()
 	e.connectTargets()
@@ -148,7 +150,7 @@
 		CallerAddr:    cfg.Router.Listen,
 		FailureDomain: cfg.Router.FailureDomain,
 		Region:        cfg.Router.Region,
-		Busy:          true,
+		Capacity:      e.capacity(),
 	})
 }
 
@@ -169,6 +171,7 @@
 		Relay:     platform.Relay,
 		Refuse:    platform.Refuse,
 		Plan:      e.plan.Load,
+		OnBytes:   func(n int) { e.load.bytes.Add(int64(n)) },
 		Leaving:   e.leaving.Load,
 	}
 }
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -62,6 +62,7 @@
 	ingress   *ingress.Server
 	view      *membership.View
 	links     *peer.Links
+	load      *loadMeter
 }
 
 // Run serves until ctx ends, then drains and returns.
@@ -131,7 +132,8 @@
 			return nil
 		case now := <-tick.C:
 			e.placement.Prune(now)
-			e.view.SetBusy(!e.ready())
+			e.view.SetReady(e.ready())
+			e.view.SetBusy(e.load.overloaded(now))
 		}
 	}
 }
--- a/internal/fleet/edge/side.go
+++ b/internal/fleet/edge/side.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/platform"
@@ -55,23 +57,15 @@
 	}
 }
 
-// addresses lists the routers that take callers, in random order.
+// addresses lists the routers that carry requests, in random order.
 func (e *Edge) addresses() []string {
-	var ready, busy []string
-	for _, m := range e.view.Members() {
-		switch {
-		case m.State != inner.Alive:
-		case m.Busy:
-			busy = append(busy, m.CallerAddr)
-		default:
-			ready = append(ready, m.CallerAddr)
-		}
-	}
-	if len(ready) == 0 {
-		ready = busy
+	carriers := slices.Clone(entry.Carriers(e.view.Members()))
+	rand.Shuffle(len(carriers), func(i, j int) { carriers[i], carriers[j] = carriers[j], carriers[i] })
+	out := make([]string, 0, len(carriers))
+	for _, m := range carriers[:min(maxAddresses, len(carriers))] {
+		out = append(out, m.CallerAddr)
 	}
-	rand.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
-	return ready[:min(maxAddresses, len(ready))]
+	return out
 }
 
 func (e *Edge) state() State {
--- a/internal/fleet/edge/tokens.go
+++ b/internal/fleet/edge/tokens.go
@@ -9,6 +9,7 @@
 
 	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/target/balance"
 )
@@ -24,7 +25,7 @@
 		Commit:  e.store.Commit,
 		Read:    e.store.Read,
 		Prepaid: e.prepaid,
-		Size:    demand.SizeByShare(func() int { return min(tokenHomes, e.routers()) }),
+		Size:    demand.SizeByShare(func() int { return min(tokenHomes, len(entry.Carriers(e.view.Members()))) }),
 		Homes:   e.homes,
 		Ask:     e.askTokens,
 		Offer:   e.offerTokens,
@@ -46,8 +47,8 @@
 }
 
 // homes lists the other routers that keep the workspace's tokens, those of the own
-// failure domain first, and tells whether this router is one of them. Routers agree on
-// them as far as they agree on who lives.
+// failure domain first, and tells whether this router is one of them. They are among
+// those that carry the requests; routers agree on them as far as they agree on these.
 func (e *Edge) homes(workspace string) ([]string, bool) {
 	type ranked struct {
 		member inner.Member
@@ -55,10 +56,8 @@
 	}
 	key := balance.Hash(workspace)
 	var all []ranked
-	for _, m := range e.view.Members() {
-		if m.State == inner.Alive {
-			all = append(all, ranked{member: m, rank: balance.Mix(key, balance.Hash(m.InnerAddr))})
-		}
+	for _, m := range entry.Carriers(e.view.Members()) {
+		all = append(all, ranked{member: m, rank: balance.Mix(key, balance.Hash(m.InnerAddr))})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	self := false
--- /dev/null
+++ b/internal/fleet/entry/carriers_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/protocol/inner"
+)
+
+// fleetOf returns routers with the capacities; a negative one is busy.
+func fleetOf(capacities ...int) []inner.Member {
+	var out []inner.Member
+	for i, c := range capacities {
+		m := inner.Member{InnerAddr: string(rune('a' + i)), Ready: true, Capacity: c}
+		if c < 0 {
+			m.Capacity, m.Busy = -c, true
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func assertCarriers(t *testing.T, want string, members []inner.Member) {
+	t.Helper()
+	got := ""
+	for _, m := range Carriers(members) {
+		got += m.InnerAddr
+	}
+	assert.Equal(t, got, want)
+}
+
+func TestCarriersOfOneSize(t *testing.T) {
+	assertCarriers(t, "abc", fleetOf(100, 100, 90))
+}
+
+func TestSmallRoutersCarryNothing(t *testing.T) {
+	assertCarriers(t, "acef", fleetOf(320, 50, 320, 50, 100, 320))
+}
+
+func TestSmallRoutersHelp(t *testing.T) {
+	t.Run("few large ones", func(t *testing.T) {
+		assertCarriers(t, "abcde", fleetOf(320, 50, 320, 50, 320))
+	})
+	t.Run("a large one is busy", func(t *testing.T) {
+		assertCarriers(t, "bcdef", fleetOf(-320, 50, 320, 50, 320, 320))
+	})
+	t.Run("all are busy", func(t *testing.T) {
+		assertCarriers(t, "ab", fleetOf(-320, -50))
+	})
+}
+
+func TestRoutersThatAreNotReady(t *testing.T) {
+	members := fleetOf(100, 100, 100)
+	members[0].Ready = false
+	members[1].State = inner.Leaving
+	assertCarriers(t, "c", members)
+}
--- a/internal/fleet/membership/statement.go
+++ b/internal/fleet/membership/statement.go
@@ -14,6 +14,17 @@
 // Quit announces that this router is gone; it comes last.
 func (v *View) Quit(ctx context.Context) { v.announce(ctx, inner.Dead) }
 
+// SetReady tells the fleet whether this router can serve callers of routed requests.
+func (v *View) SetReady(ready bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.self.Ready == ready {
+		return
+	}
+	v.self.Ready = ready
+	v.restate()
+}
+
 // SetBusy tells the fleet whether callers shall prefer other routers.
 func (v *View) SetBusy(busy bool) {
 	v.mu.Lock()
--- a/internal/fleet/settings/edge.go
+++ b/internal/fleet/settings/edge.go
@@ -12,6 +12,10 @@
 	DirectoryListen string
 	// MetricsListen is the address of metrics and of the state dump.
 	MetricsListen string
+	// Cores is the processor time that the VM gives this process, in cores.
+	Cores float64
+	// LinkMbps is the bandwidth of the VM's link, in megabits a second.
+	LinkMbps float64
 	// MaxAge is how long callers may keep the list of routers.
 	MaxAge time.Duration
 	// RetryRatio is the number of repeats that each request earns.
@@ -28,6 +32,8 @@
 		addrOption("edge", "ready_listen", "127.0.0.1:7002", "address of the readiness check", &s.ReadyListen),
 		addrOption("edge", "directory_listen", "127.0.0.1:7003", "address where callers ask which routers to use", &s.DirectoryListen),
 		addrOption("edge", "metrics_listen", "127.0.0.1:7004", "address of metrics and of the state dump", &s.MetricsListen),
+		numberOption("edge", "cores", "1", "processor time that the VM gives this process, in cores", 0.01, 1024, &s.Cores),
+		numberOption("edge", "link_mbps", "1000", "bandwidth of the VM's link, in megabits a second", 0.1, 1e6, &s.LinkMbps),
 		durationOption("edge", "max_age", "1s", "how long callers may keep the list of routers", 100*time.Millisecond, time.Hour, &s.MaxAge),
 		numberOption("edge", "retry_ratio", "0.2", "repeats that each request of a service earns", 0, 1, &s.RetryRatio),
 		numberOption("edge", "retry_slack", "10", "repeats of a service that all routers may make besides", 0, 1e6, &s.RetrySlack),
--- a/internal/protocol/inner/inner.go
+++ b/internal/protocol/inner/inner.go
@@ -46,4 +46,8 @@
 	Counter uint64 `json:"counter"`
 	// Busy says that the router prefers that callers go elsewhere.
 	Busy bool `json:"busy,omitempty"`
+	// Ready says that the router can serve callers of routed requests.
+	Ready bool `json:"ready,omitempty"`
+	// Capacity is about how many routed requests the router's VM can carry in a second.
+	Capacity int `json:"capacity,omitempty"`
 }
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -41,6 +41,8 @@
 	Refuse func(out *fasthttp.Response, refusal *answer.Error, requestID string)
 	// Plan returns the newest routing plan, or nil if there is none.
 	Plan func() *plan.Plan
+	// OnBytes is told of bytes that go over this VM's link; it must not block.
+	OnBytes func(n int)
 	// Leaving reports whether callers shall send nothing more on their connections.
 	Leaving func() bool
 
@@ -163,6 +165,8 @@
 		s.Refuse(&ctx.Response, answer.Invalid(fasthttp.StatusBadRequest, "request", "%v", err), "")
 		return
 	}
+	// What comes from a caller goes on to a target, and the other way round.
+	s.OnBytes(2 * (len(ctx.Request.Header.RawHeaders()) + len(r.Body)))
 	callerCtx, leave := context.WithCancel(context.Background())
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.watch(leave)
@@ -175,6 +179,7 @@
 	}
 	s.Relay(&ctx.Response, a.Status, a.Header)
 	if a.Stream == nil {
+		s.OnBytes(2 * len(a.Body))
 		ctx.Response.SetBody(a.Body)
 		a.Close()
 		leave()
@@ -182,7 +187,7 @@
 	}
 	ended = true
 	ctx.Response.ImmediateHeaderFlush = false
-	ctx.SetBodyStream(&body{answer: a, close: func() {
+	ctx.SetBodyStream(&body{answer: a, onBytes: s.OnBytes, close: func() {
 		leave()
 		s.inFlight.Add(-1)
 	}}, -1)
@@ -199,8 +204,9 @@
 
 // body is the body of a streamed answer.
 type body struct {
-	answer *forward.Answer
-	close  func()
+	answer  *forward.Answer
+	onBytes func(n int)
+	close   func()
 }
 
 // Read is not used, since the server writes the body by WriteTo.
@@ -210,7 +216,11 @@
 func (b *body) SupportsBodyWriteTo() bool { return true }
 
 // WriteTo relays the events as they come.
-func (b *body) WriteTo(w io.Writer) (int64, error) { return b.answer.Stream.WriteTo(w) }
+func (b *body) WriteTo(w io.Writer) (int64, error) {
+	n, err := b.answer.Stream.WriteTo(w)
+	b.onBytes(2 * int(n))
+	return n, err
+}
 
 // Close ends the answer, whether it was relayed as a whole or not.
 func (b *body) Close() error {
