--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -172,7 +172,7 @@
 		Refuse:    platform.Refuse,
 		Plan:      e.plan.Load,
 		OnBytes:   func(n int) { e.load.bytes.Add(int64(n)) },
-		Leaving:   e.leaving.Load,
+		Leaving:   func() bool { return e.leaving.Load() || e.load.overloaded(time.Now()) },
 	}
 }
 
