--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -85,9 +85,7 @@
 	h.flight = nil
 	h.mu.Unlock()
 	close(f.done)
-	if err != nil {
-		p.OnEvent(Event{Kind: DrawFailed, Workspace: h.workspace, Tokens: need.Least, Left: p.left(h), Err: err})
-	}
+	p.noteDraw(h, need.Least, err)
 }
 
 // draw takes tokens from the workspace's total, and closes what an ended life of this
@@ -305,8 +303,8 @@
 	if err == nil {
 		_, err = p.draw(ctx, h, demand.Need{})
 	}
-	if err != nil && !isExhausted(err) {
-		p.OnEvent(Event{Kind: DrawFailed, Workspace: workspace, Err: err})
+	if !isExhausted(err) {
+		p.noteDraw(h, 0, err)
 	}
 }
 
--- /dev/null
+++ b/internal/budget/prepaid/event.go
@@ -0,0 +1,106 @@
+package prepaid
+
+import "time"
+
+// Event is a change of what a life believes about its tokens.
+type Event struct {
+	// Kind says what has happened.
+	Kind EventKind
+	// Workspace is whose tokens it is about; empty if about all.
+	Workspace string
+	// Tokens is how many.
+	Tokens int64
+	// Left is what the store has left of the workspace's total, as last seen.
+	Left int64
+	// Away is how long something has failed.
+	Away time.Duration
+	// Err is the cause of a failure.
+	Err error
+}
+
+//go:generate ../../../bin/stringer -type=EventKind -linecomment
+
+// EventKind says what has happened to tokens.
+type EventKind int
+
+// The kinds of events.
+const (
+	// JournalOpened tells that this life may spend.
+	JournalOpened EventKind = iota // journal_opened
+	// JournalFailed tells that the journal can not be written from now on.
+	JournalFailed // journal_failed
+	// JournalRegained tells that the journal is written again, after the time Away.
+	JournalRegained // journal_regained
+	// JournalReplaced tells that another life has taken the journal over.
+	JournalReplaced // journal_replaced
+	// Drawn tells that tokens were drawn from the store.
+	Drawn // drawn
+	// DrawFailed tells that no tokens can be drawn from now on.
+	DrawFailed // draw_failed
+	// StoreEmpty tells that the store has fewer tokens left than a draw needs.
+	StoreEmpty // store_empty
+	// FormerClosed tells that a holding of an ended life was closed; Tokens came back.
+	FormerClosed // former_closed
+	// GiftGiven tells that tokens went to another router.
+	GiftGiven // gift_given
+	// GiftTaken tells that tokens came from other routers.
+	GiftTaken // gift_taken
+	// HoldingReturned tells that a holding was closed at the end of this life.
+	HoldingReturned // holding_returned
+	// HoldingLeft tells that a holding could not be closed and went to other routers;
+	// Tokens were taken by them.
+	HoldingLeft // holding_left
+)
+
+// drawState is how the last draw of a holding has ended.
+type drawState int
+
+const (
+	drawWell drawState = iota
+	drawEmpty
+	drawFailing
+)
+
+// noteDraw tells that draws have begun to fail, or to find too few tokens.
+func (p *Purse) noteDraw(h *holding, wanted int64, err error) {
+	state := drawWell
+	switch {
+	case isExhausted(err):
+		state = drawEmpty
+	case err != nil:
+		state = drawFailing
+	}
+	h.mu.Lock()
+	changed := h.drawing != state
+	h.drawing = state
+	h.mu.Unlock()
+	if !changed || state == drawWell {
+		return
+	}
+	kind := DrawFailed
+	if state == drawEmpty {
+		kind = StoreEmpty
+	}
+	p.OnEvent(Event{Kind: kind, Workspace: h.workspace, Tokens: wanted, Left: p.left(h), Err: err})
+}
+
+// noteJournal tells that writes of the journal have begun to fail, or to go well again.
+func (p *Purse) noteJournal(err error) {
+	j := &p.journal
+	now := time.Now()
+	j.mu.Lock()
+	before := j.failedAt
+	switch {
+	case err == nil:
+		j.failedAt = time.Time{}
+	case before.IsZero():
+		j.failedAt = now
+	}
+	j.mu.Unlock()
+	switch {
+	case err != nil && before.IsZero():
+		p.OnEvent(Event{Kind: JournalFailed, Err: err})
+	case err == nil && !before.IsZero():
+		p.OnEvent(Event{Kind: JournalRegained, Away: now.Sub(before)})
+	}
+}
--- a/internal/budget/prepaid/eventkind_string.go
+++ b/internal/budget/prepaid/eventkind_string.go
@@ -10,19 +10,21 @@
 	var x [1]struct{}
 	_ = x[JournalOpened-0]
 	_ = x[JournalFailed-1]
-	_ = x[JournalReplaced-2]
-	_ = x[Drawn-3]
-	_ = x[DrawFailed-4]
-	_ = x[FormerClosed-5]
-	_ = x[GiftGiven-6]
-	_ = x[GiftTaken-7]
-	_ = x[HoldingReturned-8]
-	_ = x[HoldingLeft-9]
+	_ = x[JournalRegained-2]
+	_ = x[JournalReplaced-3]
+	_ = x[Drawn-4]
+	_ = x[DrawFailed-5]
+	_ = x[StoreEmpty-6]
+	_ = x[FormerClosed-7]
+	_ = x[GiftGiven-8]
+	_ = x[GiftTaken-9]
+	_ = x[HoldingReturned-10]
+	_ = x[HoldingLeft-11]
 }
 
-const _EventKind_name = "journal_openedjournal_failedjournal_replaceddrawndraw_failedformer_closedgift_givengift_takenholding_returnedholding_left"
+const _EventKind_name = "journal_openedjournal_failedjournal_regainedjournal_replaceddrawndraw_failedstore_emptyformer_closedgift_givengift_takenholding_returnedholding_left"
 
-var _EventKind_index = [...]uint8{0, 14, 28, 44, 49, 60, 73, 83, 93, 109, 121}
+var _EventKind_index = [...]uint8{0, 14, 28, 44, 60, 65, 76, 87, 100, 110, 120, 136, 148}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/internal/budget/prepaid/gift.go
+++ b/internal/budget/prepaid/gift.go
@@ -150,9 +150,7 @@
 			p.passOn(ctx, h.workspace, n)
 		}
 		if h.unused(now) && !p.journal.away(now) {
-			if err := p.giveBack(ctx, h); err != nil {
-				p.OnEvent(Event{Kind: DrawFailed, Workspace: h.workspace, Err: err})
-			}
+			p.noteDraw(h, 0, p.giveBack(ctx, h))
 		}
 	}
 }
--- a/internal/budget/prepaid/holding.go
+++ b/internal/budget/prepaid/holding.go
@@ -24,7 +24,8 @@
 	returning int64
 	waiting   []*waiter // in the order of arrival
 	asked     demand.Meter
-	flight    *flight // the draw that is under way, if any
+	flight    *flight   // the draw that is under way, if any
+	drawing   drawState // how the last one has ended
 
 	// The rows as last seen, for the conditions of the next draw.
 	totalVersion, rowVersion uint64
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -38,6 +38,8 @@
 	heard time.Time
 	// missed is when a call of the store last failed, unless one has succeeded since.
 	missed time.Time
+	// failedAt is when writes of the row began to fail; zero if the last one went well.
+	failedAt time.Time
 }
 
 // allows returns how many tokens of a holding may be used now.
@@ -106,11 +108,11 @@
 func (p *Purse) open(ctx context.Context) error {
 	for {
 		err := p.tryOpen(ctx)
+		p.noteJournal(err)
 		if err == nil {
 			p.OnEvent(Event{Kind: JournalOpened})
 			return nil
 		}
-		p.OnEvent(Event{Kind: JournalFailed, Err: err})
 		if !sleep(ctx, retryPause/2+rand.N(retryPause)) {
 			return fmt.Errorf("open journal: %w", ctx.Err())
 		}
@@ -195,14 +197,16 @@
 		waiting, holding := p.grantAll()
 		if due || holding && time.Since(wrote) >= refreshAfter {
 			wrote = time.Now()
-			if err := p.writeJournal(ctx); errors.Is(err, errReplaced) {
+			err := p.writeJournal(ctx)
+			if errors.Is(err, errReplaced) {
 				p.OnEvent(Event{Kind: JournalReplaced, Err: err})
 				return nil
-			} else if err != nil {
-				p.OnEvent(Event{Kind: JournalFailed, Err: err})
-				if !sleep(ctx, retryPause) {
-					return nil
-				}
+			}
+			p.noteJournal(err)
+			if err != nil && !sleep(ctx, retryPause) {
+				return nil
+			}
+			if err != nil {
 				p.journal.kick()
 			}
 			waiting, _ = p.grantAll()
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -78,50 +78,6 @@
 	journal journal
 }
 
-// Event is a change of what a life believes about its tokens.
-type Event struct {
-	// Kind says what has happened.
-	Kind EventKind
-	// Workspace is whose tokens it is about; empty if about all.
-	Workspace string
-	// Tokens is how many.
-	Tokens int64
-	// Left is what the store has left of the workspace's total, as last seen.
-	Left int64
-	// Err is the cause of a failure.
-	Err error
-}
-
-//go:generate ../../../bin/stringer -type=EventKind -linecomment
-
-// EventKind says what has happened to tokens.
-type EventKind int
-
-// The kinds of events.
-const (
-	// JournalOpened tells that this life may spend.
-	JournalOpened EventKind = iota // journal_opened
-	// JournalFailed tells that the journal could not be written.
-	JournalFailed // journal_failed
-	// JournalReplaced tells that another life has taken the journal over.
-	JournalReplaced // journal_replaced
-	// Drawn tells that tokens were drawn from the store.
-	Drawn // drawn
-	// DrawFailed tells that no tokens could be drawn.
-	DrawFailed // draw_failed
-	// FormerClosed tells that a holding of an ended life was closed; Tokens came back.
-	FormerClosed // former_closed
-	// GiftGiven tells that tokens went to another router.
-	GiftGiven // gift_given
-	// GiftTaken tells that tokens came from other routers.
-	GiftTaken // gift_taken
-	// HoldingReturned tells that a holding was closed at the end of this life.
-	HoldingReturned // holding_returned
-	// HoldingLeft tells that a holding could not be closed and went to other routers;
-	// Tokens were taken by them.
-	HoldingLeft // holding_left
-)
-
 // shard holds a part of the holdings.
 type shard struct {
 	mu       sync.Mutex // guards holdings
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -104,7 +104,6 @@
 	}
 	if asked.answered == 0 && !drawn && cause == nil {
 		// Without a router that keeps tokens, this one draws its own.
-		drawn = true
 		if cause = p.awaitDraw(ctx, h, n); cause == nil {
 			return nil
 		}
--- /dev/null
+++ b/internal/cmd/rosevalve/ctl_explain.go
@@ -0,0 +1,51 @@
+package rosevalve
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"rosevalve/internal/fleet/explain"
+)
+
+// explain tells from saved logs what became of a request. The arguments are its id and
+// the files; without files the logs come from standard input.
+func (c *ctl) explain(args []string) error {
+	if len(args) == 0 {
+		return fmt.Errorf("%w: explain needs the id of a request", errUsage)
+	}
+	logs, closeAll, err := c.openLogs(args[1:])
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	found, err := explain.Find(args[0], logs)
+	if err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	_, err = found.WriteTo(c.stdout)
+	return err
+}
+
+func (c *ctl) openLogs(names []string) (logs []explain.Log, closeAll func(), err error) {
+	var files []io.Closer
+	closeAll = func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	if len(names) == 0 {
+		return []explain.Log{{Name: "-", Lines: c.stdin}}, closeAll, nil
+	}
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			closeAll()
+			return nil, nil, fmt.Errorf("open log: %w", err)
+		}
+		files = append(files, f)
+		logs = append(logs, explain.Log{Name: filepath.Base(name), Lines: f})
+	}
+	return logs, closeAll, nil
+}
--- a/internal/cmd/rosevalve/edge.go
+++ b/internal/cmd/rosevalve/edge.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"rosevalve/internal/fleet/edge"
+	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/fleet/settings"
 )
 
@@ -49,7 +50,7 @@
 			defer stop()
 			e := &edge.Edge{
 				Settings: cfg,
-				Log:      newLogger(cfg, stdout),
+				Events:   &eventlog.Log{Out: stdout, Format: cfg.Log.Format},
 				File:     flags.File(),
 				Reload:   func() (settings.Settings, error) { return settings.Read(args[0], args[1:]) },
 				Hangup:   hangups(),
--- a/internal/cmd/rosevalve/main.go
+++ b/internal/cmd/rosevalve/main.go
@@ -34,6 +34,7 @@
 		edgeCommand(args, stdout),
 		ctlCommand(os.Stdin, stdout),
 		settingsCommand(stdout),
+		eventsCommand(stdout),
 		versionCommand(stdout),
 	}
 	if len(args) > 0 {
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
 	"rosevalve/internal/platform/follow"
@@ -43,6 +45,11 @@
 	e.connectRequests()
 }
 
+// dialWith lets the HTTP library dial with a dialer.
+func dialWith(d socket.Dialer) fasthttp.DialFunc {
+	return func(addr string) (net.Conn, error) { return d.Dial(context.Background(), addr) }
+}
+
 func (e *Edge) connectStore() {
 	dialer := socket.Dialer{Timeout: storeDial, Silence: time.Second}
 	e.store = &platform.Store{HTTP: &fasthttp.HostClient{
@@ -60,16 +67,16 @@
 func (e *Edge) follow(name string, onRows func([]table.Row)) *follow.Table {
 	t := &follow.Table{
 		Name:   name,
-		Read:   e.store.Read,
+		Read:   e.read,
 		Watch:  e.store.Watch,
 		Ask:    e.askRows,
 		OnRows: onRows,
-		OnContact: func(err error) {
+		OnContact: func(err error, age time.Duration) {
 			if err != nil {
-				e.Log.Warn("store lost", "table", name, "err", err)
+				e.Events.Emit(eventlog.StoreLost, "table", name, "age_ms", age.Milliseconds(), "err", err)
 				return
 			}
-			e.Log.Info("store regained", "table", name)
+			e.Events.Emit(eventlog.StoreRegained, "table", name, "away_ms", age.Milliseconds())
 		},
 	}
 	t.Prepare()
@@ -86,42 +93,51 @@
 		}
 		cfg, err := platform.Config(r)
 		if err != nil {
-			e.Log.Error("configuration can not be read", "row_version", r.Version, "err", err)
+			e.Events.Emit(eventlog.PlanUnreadable, "row_version", r.Version, "err", err)
 			continue
 		}
 		if old := e.plan.Load(); old != nil && old.Version() >= cfg.Version {
 			continue
 		}
 		e.plan.Store(plan.New(cfg))
-		e.Log.Info("configuration in force", "plan_version", cfg.Version, "row_version", r.Version, "routes", len(cfg.Routes), "from_peers", e.config.Failing())
+		e.Events.Emit(eventlog.PlanInForce, "plan_version", cfg.Version, "row_version", r.Version,
+			"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces), "from_peers", e.config.Failing())
 	}
 }
 
 func (e *Edge) connectTargets() {
 	dialer := socket.Dialer{Timeout: targetDial, Silence: targetSilent}
-	e.placement = &placement.Placement{Dial: dialer.Dial, Ask: platform.Report}
+	e.placement = &placement.Placement{Dial: dialer.Dial, Ask: platform.Report, OnHealth: e.noteHealth}
 	e.targets = e.follow(platform.TableTargets, e.takeTargets)
 	e.keeper = &roster.Keeper{Regained: e.targets.Regained, OnRoster: e.placement.Update}
 }
 
 // takeTargets takes over what targets have announced.
 func (e *Edge) takeTargets(rows []table.Row) {
-	var changes []roster.Change
-	for _, r := range rows {
-		c := roster.Change{ID: r.Key, Gone: r.Deleted}
-		if !r.Deleted {
-			var err error
-			if c.Instance, err = platform.Target(r); err != nil {
-				e.Log.Warn("announcement names no target", "instance", r.Key, "err", err)
-				c.Gone = true
-			}
-		}
-		e.Log.Info("target announced", "instance", c.ID, "gone", c.Gone, "draining", c.Instance.Draining, "addr", c.Instance.Addr, "row_version", r.Version)
-		changes = append(changes, c)
+	changes := make([]roster.Change, len(rows))
+	for n, r := range rows {
+		changes[n] = e.targetChange(r)
 	}
 	e.keeper.Update(changes)
 }
 
+// targetChange tells what a row says about an instance. One that can not be read counts
+// as gone.
+func (e *Edge) targetChange(r table.Row) roster.Change {
+	if r.Deleted {
+		e.Events.Emit(eventlog.TargetGone, "instance", r.Key, "row_version", r.Version)
+		return roster.Change{ID: r.Key, Gone: true}
+	}
+	i, err := platform.Target(r)
+	if err != nil {
+		e.Events.Emit(eventlog.TargetUnreadable, "instance", r.Key, "row_version", r.Version, "err", err)
+		return roster.Change{ID: r.Key, Gone: true}
+	}
+	e.Events.Emit(eventlog.TargetAnnounced, "instance", r.Key, "addr", i.Addr, "service", i.Service,
+		"draining", i.Draining, "row_version", r.Version)
+	return roster.Change{ID: r.Key, Instance: i}
+}
+
 func (e *Edge) connectFleet() {
 	cfg := e.Settings
 	e.links = &peer.Links{AllowClear: cfg.Fleet.Clear == "anywhere"}
@@ -163,7 +179,7 @@
 		Encode:     platform.Attempt,
 		Identify:   platform.Identify,
 		Genuine:    platform.Genuine,
-		OnDecision: e.logDecision,
+		OnDecision: e.noteDecision,
 	}
 	e.ingress = &ingress.Server{
 		Forwarder: e.forwarder,
@@ -172,7 +188,9 @@
 		Refuse:    platform.Refuse,
 		Plan:      e.plan.Load,
 		OnBytes:   func(n int) { e.load.bytes.Add(int64(n)) },
-		Leaving:   func() bool { return e.leaving.Load() || e.load.overloaded(time.Now()) },
+		Leaving:   func() bool { return e.leaving.Load() || e.load.busy.Load() },
+		OnUnread:  e.noteUnread,
+		Log:       e,
 	}
 }
 
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/fleet/drain"
+	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
 	"rosevalve/internal/fleet/settings"
@@ -39,8 +39,8 @@
 type Edge struct {
 	// Settings are the checked options at the start.
 	Settings settings.Settings
-	// Log receives what happens.
-	Log *log.Logger
+	// Events is the log of what happens.
+	Events *eventlog.Log
 	// File is the settings file that is looked at for changes; empty if there is none.
 	File string
 	// Reload reads the settings again.
@@ -63,12 +63,16 @@
 	view      *membership.View
 	links     *peer.Links
 	load      *loadMeter
+	metrics   *meters
+	peers     peerWatch
 }
 
 // Run serves until ctx ends, then drains and returns.
 func (e *Edge) Run(ctx context.Context) error {
 	e.life = e.Settings.Edge.VM + "#" + rand.Text()[:8]
 	e.current.Store(&e.Settings)
+	e.metrics = newMeters()
+	defer e.startLog()()
 	e.connect()
 	listeners, err := e.listen()
 	if err != nil {
@@ -89,15 +93,17 @@
 	start(func() error { return e.keepHouse(background) })
 	start(func() error { return e.followSettings(background) })
 	start(func() error { return e.tidyTokens(background) })
+	start(func() error { return e.followLoad(background) })
 	for _, addr := range []string{e.Settings.Edge.ReadyListen, e.Settings.Edge.DirectoryListen, e.Settings.Edge.MetricsListen} {
 		start(func() error { return side.Serve(listeners[addr]) })
 	}
 	start(func() error { return e.ingress.Serve(listeners[e.Settings.Router.Listen]) })
-	e.Log.Info("started", "life", e.life, "listen", e.Settings.Router.Listen)
+	e.Events.Emit(eventlog.ProcessStarted, "life", e.life, "listen", e.Settings.Router.Listen, "pid", os.Getpid())
 	for {
 		select {
 		case err := <-failed:
 			if err != nil {
+				e.Events.Emit(eventlog.ProcessFailed, "life", e.life, "err", err)
 				return fmt.Errorf("edge stopped: %w", err)
 			}
 		case <-ctx.Done():
@@ -133,11 +139,43 @@
 		case now := <-tick.C:
 			e.placement.Prune(now)
 			e.view.SetReady(e.ready())
-			e.view.SetBusy(e.load.overloaded(now))
+			e.peers.look(e.Settings.Router.InnerListen, e.view.Members(), e.Events.Emit)
 		}
 	}
 }
 
+// followLoad measures what this router carries, until ctx ends.
+func (e *Edge) followLoad(ctx context.Context) error {
+	tick := time.NewTicker(loadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			e.measureLoad(now)
+		}
+	}
+}
+
+func (e *Edge) measureLoad(now time.Time) {
+	used, changed, err := e.load.measure(now)
+	if err != nil {
+		e.Events.Emit(eventlog.LoadUnknown, "err", err)
+		return
+	}
+	if !changed {
+		return
+	}
+	busy := e.load.busy.Load()
+	e.view.SetBusy(busy)
+	event := eventlog.RouterCalm
+	if busy {
+		event = eventlog.RouterBusy
+	}
+	e.Events.Emit(event, "processor_percent", int64(percent*used.processor), "link_percent", int64(percent*used.link))
+}
+
 // tidyTokens hands back tokens that this router need not keep, until ctx ends.
 func (e *Edge) tidyTokens(ctx context.Context) error {
 	tick := time.NewTicker(tidyInterval)
@@ -160,7 +198,8 @@
 // drain stops the router gracefully: callers go elsewhere at once, but who still comes
 // is served while it may hold the address.
 func (e *Edge) drain() error {
-	e.Log.Info("draining", "life", e.life)
+	began := time.Now()
+	e.Events.Emit(eventlog.ProcessDraining, "life", e.life)
 	d := &drain.Drain{
 		Announce: func(ctx context.Context) {
 			e.leaving.Store(true)
@@ -175,13 +214,37 @@
 		Limit:        e.settings().Router.DrainLimit - handOverTime,
 		HandOverTime: handOverTime,
 	}
-	if err := d.Run(); err != nil {
-		return fmt.Errorf("drain: %w", err)
+	err := d.Run()
+	pairs := []any{"life", e.life, "took_ms", time.Since(began).Milliseconds()}
+	if err != nil {
+		pairs = append(pairs, "err", err)
+		err = fmt.Errorf("drain: %w", err)
 	}
-	e.Log.Info("drained", "life", e.life)
-	return nil
+	e.Events.Emit(eventlog.ProcessDrained, pairs...)
+	return err
 }
 
+// startLog writes the log beside the rest and returns what ends it.
+func (e *Edge) startLog() (end func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		e.Events.Run(ctx)
+	}()
+	return func() {
+		stop()
+		select {
+		case <-written:
+		case <-time.After(lastLines):
+			// Nobody reads them.
+		}
+	}
+}
+
+// lastLines bounds the wait for a reader of the log at the end.
+const lastLines = 200 * time.Millisecond
+
 // giveBack returns tokens to the store, or leaves them to other routers if it is away.
 func (e *Edge) giveBack(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, handOverTime/2)
--- a/internal/fleet/edge/load.go
+++ b/internal/fleet/edge/load.go
@@ -1,8 +1,8 @@
 package edge
 
 import (
+	"fmt"
 	"math"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +17,7 @@
 	// busy, and calmShare the part below which it no longer is.
 	busyShare = 0.7
 	calmShare = 0.35
-	// loadInterval is the least time between two measurements.
+	// loadInterval is the time between two measurements.
 	loadInterval = 500 * time.Millisecond
 
 	bitsPerByte = 8
@@ -38,39 +38,48 @@
 	linkBytes float64 // a second
 	// bytes counts what went over the link.
 	bytes atomic.Int64
+	busy  atomic.Bool
 
-	mu        sync.Mutex // guards the fields below
+	// What follows belongs to the caller of measure.
 	at        time.Time
 	processor time.Duration
 	moved     int64
-	busy      bool
 }
 
-// overloaded measures now and then, and returns the newest finding.
-func (l *loadMeter) overloaded(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	passed := now.Sub(l.at)
-	if passed < loadInterval {
-		return l.busy
+// loadShare is the used part of what the VM has.
+type loadShare struct {
+	processor, link float64
+}
+
+// measure compares with the last measurement. It reports whether the router has become
+// busy or calm.
+func (l *loadMeter) measure(now time.Time) (used loadShare, changed bool, err error) {
+	processor, err := processorTime()
+	if err != nil {
+		return loadShare{}, false, err
 	}
-	processor, moved := processorTime(), l.bytes.Load()
-	if !l.at.IsZero() {
-		used := max(
-			(processor-l.processor).Seconds()/passed.Seconds()/l.cores,
-			float64(moved-l.moved)/passed.Seconds()/l.linkBytes,
-		)
-		l.busy = used > busyShare || l.busy && used > calmShare
+	moved := l.bytes.Load()
+	passed := now.Sub(l.at).Seconds()
+	first := l.at.IsZero()
+	used = loadShare{
+		processor: (processor - l.processor).Seconds() / passed / l.cores,
+		link:      float64(moved-l.moved) / passed / l.linkBytes,
 	}
 	l.at, l.processor, l.moved = now, processor, moved
-	return l.busy
+	if first {
+		return loadShare{}, false, nil
+	}
+	was := l.busy.Load()
+	most := max(used.processor, used.link)
+	l.busy.Store(most > busyShare || was && most > calmShare)
+	return used, l.busy.Load() != was, nil
 }
 
 // processorTime returns the processor time that this process has used.
-func processorTime() time.Duration {
+func processorTime() (time.Duration, error) {
 	var usage unix.Rusage
 	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
-		return 0
+		return 0, fmt.Errorf("read the used processor time: %w", err)
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
 }
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -1,52 +1,167 @@
 package edge
 
 import (
-	"context"
-	"net"
-
-	"github.com/valyala/fasthttp"
+	"fmt"
+	"strconv"
+	"time"
 
 	"rosevalve/internal/budget/prepaid"
-	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/fleet/eventlog"
+	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/forward"
+	"rosevalve/internal/target/placement"
 )
 
-// logDecision writes one line for a decision about a request.
-func (e *Edge) logDecision(d forward.Decision) {
-	fields := []any{
+// tokenEvents are the log's names for what happens to tokens.
+var tokenEvents = map[prepaid.EventKind]eventlog.Event{
+	prepaid.JournalOpened:   eventlog.JournalOpened,
+	prepaid.JournalFailed:   eventlog.JournalFailed,
+	prepaid.JournalRegained: eventlog.JournalRegained,
+	prepaid.JournalReplaced: eventlog.JournalReplaced,
+	prepaid.Drawn:           eventlog.TokensDrawn,
+	prepaid.DrawFailed:      eventlog.DrawFailed,
+	prepaid.StoreEmpty:      eventlog.StoreEmpty,
+	prepaid.FormerClosed:    eventlog.FormerHoldingClosed,
+	prepaid.GiftGiven:       eventlog.GiftGiven,
+	prepaid.GiftTaken:       eventlog.GiftTaken,
+	prepaid.HoldingReturned: eventlog.HoldingReturned,
+	prepaid.HoldingLeft:     eventlog.HoldingPassedOn,
+}
+
+// noteTokens tells of a change of what this life believes about tokens.
+func (e *Edge) noteTokens(ev prepaid.Event) {
+	e.metrics.tokens(ev)
+	var pairs []any
+	if ev.Workspace != "" {
+		pairs = append(pairs, "workspace", ev.Workspace, "tokens", ev.Tokens)
+	}
+	switch ev.Kind {
+	case prepaid.Drawn, prepaid.DrawFailed, prepaid.StoreEmpty:
+		pairs = append(pairs, "left_tokens", ev.Left)
+	case prepaid.JournalRegained:
+		pairs = append(pairs, "away_ms", ev.Away.Milliseconds())
+	}
+	if ev.Err != nil {
+		pairs = append(pairs, "err", ev.Err)
+	}
+	e.Events.Emit(tokenEvents[ev.Kind], pairs...)
+}
+
+// requestEvents are the log's names for decisions about requests.
+var requestEvents = map[forward.Event]eventlog.Event{
+	forward.Refused:      eventlog.RequestRefused,
+	forward.Sent:         eventlog.AttemptSent,
+	forward.Ended:        eventlog.AttemptEnded,
+	forward.Repeated:     eventlog.RequestRepeated,
+	forward.NotRepeated:  eventlog.RepeatDenied,
+	forward.TokensDenied: eventlog.TokensDenied,
+	forward.Answered:     eventlog.RequestAnswered,
+	forward.Abandoned:    eventlog.RequestAbandoned,
+	forward.Broken:       eventlog.AnswerBroken,
+}
+
+// noteDecision tells of a decision about a request.
+func (e *Edge) noteDecision(d forward.Decision) {
+	e.metrics.decision(d)
+	pairs := []any{
 		"request_id", d.Request.ID, "route", d.Route, "service", d.Service, "workspace", d.Workspace,
 		"plan_version", d.PlanVersion, "attempt", d.Attempt, "took_ms", d.Took.Milliseconds(),
 	}
-	if d.Instance != "" {
-		fields = append(fields, "instance", d.Instance, "addr", d.Addr)
-	}
 	switch d.Event {
+	case forward.Sent:
+		pairs = append(pairs, "instance", d.Instance, "addr", d.Addr, "reserved_tokens", d.Tokens)
+		pairs = append(pairs, reasonPairs(d.Reason)...)
+		pairs = append(pairs, "store_age_ms", e.storeAge().Milliseconds())
 	case forward.Ended:
-		fields = append(fields, "outcome", d.Outcome, "run", d.Run, "status", d.Status, "events", d.Events)
-	case forward.Answered, forward.Broken, forward.Abandoned:
-		fields = append(fields, "run", d.Run, "status", d.Status, "events", d.Events, "first_event_ms", d.FirstEvent.Milliseconds())
+		pairs = append(pairs, "instance", d.Instance, "addr", d.Addr, "outcome", d.Outcome, "run", d.Run, "status", d.Status, "events", d.Events)
+	case forward.Answered:
+		pairs = append(pairs, "run", d.Run, "status", d.Status, "events", d.Events, "first_event_ms", d.FirstEvent.Milliseconds(), "used_tokens", d.Tokens)
+	case forward.Broken, forward.Abandoned:
+		pairs = append(pairs, "run", d.Run, "status", d.Status, "events", d.Events, "used_tokens", d.Tokens)
+	case forward.Repeated:
+		pairs = append(pairs, "run", d.Run, "events", d.Events)
+	case forward.NotRepeated:
+		pairs = append(pairs, "run", d.Run)
+	case forward.TokensDenied:
+		pairs = append(pairs, "wanted_tokens", d.Tokens, "store_age_ms", e.storeAge().Milliseconds())
 	case forward.Refused:
-		fields = append(fields, "run", d.Run, "status", d.Refusal.Status, "code", d.Refusal.Code, "retry_after_ms", d.Refusal.RetryAfter.Milliseconds())
-	}
-	if d.Tokens > 0 {
-		fields = append(fields, "tokens", d.Tokens)
+		pairs = append(pairs, "run", d.Run, "status", d.Status, "code", d.Refusal.Code, "retry_after_ms", d.Refusal.RetryAfter.Milliseconds(), "err", d.Refusal.Message)
 	}
 	if d.Err != nil {
-		fields = append(fields, "err", d.Err)
+		pairs = append(pairs, "err", d.Err)
 	}
-	e.Log.Info(d.Event.String(), fields...)
+	e.Events.Emit(requestEvents[d.Event], pairs...)
 }
 
-// logTokens writes one line for a change of what this life believes about tokens.
-func (e *Edge) logTokens(ev prepaid.Event) {
-	fields := []any{"workspace", ev.Workspace, "tokens", ev.Tokens, "left", ev.Left}
-	if ev.Err != nil {
-		fields = append(fields, "err", ev.Err)
+// reasonPairs are the inputs that chose an instance, with the age of those it told.
+func reasonPairs(r placement.Reason) []any {
+	pairs := []any{
+		"running", int64(r.Running), "reading_tokens", int64(r.Reading), "missing_tokens", r.Missing,
+		"failing_percent", int64(percent * r.Failing),
 	}
-	e.Log.Info(ev.Kind.String(), fields...)
+	if r.Reported {
+		pairs = append(pairs, "report_age_ms", r.ReportAge.Milliseconds())
+	}
+	return pairs
+}
+
+const percent = 100
+
+// storeAge returns how long ago the store has confirmed the plan.
+func (e *Edge) storeAge() time.Duration { return e.config.Age() }
+
+// noteUnread tells of a request that could not be read.
+func (e *Edge) noteUnread(status int, err error) {
+	e.metrics.count("rosevalve_unreadable_requests_total", 1, "status", strconv.Itoa(status))
+	e.Events.Emit(eventlog.RequestUnreadable, "status", status, "err", err)
+}
+
+// Printf logs what the HTTP library tells of a connection.
+func (e *Edge) Printf(format string, args ...any) {
+	e.Events.Emit(eventlog.ConnectionFailed, "err", fmt.Sprintf(format, args...))
 }
 
-// dialWith lets the HTTP library dial with a dialer.
-func dialWith(d socket.Dialer) fasthttp.DialFunc {
-	return func(addr string) (net.Conn, error) { return d.Dial(context.Background(), addr) }
+// noteHealth tells that an instance was ejected or readmitted.
+func (e *Edge) noteHealth(h placement.Health) {
+	if h.Ejected {
+		e.metrics.ejections.Inc()
+		e.Events.Emit(eventlog.TargetEjected, "instance", h.Instance, "addr", h.Addr,
+			"failing_percent", int64(percent*h.Failing), "until_ms", time.Until(h.Until).Milliseconds())
+		return
+	}
+	e.Events.Emit(eventlog.TargetReadmitted, "instance", h.Instance, "addr", h.Addr)
+}
+
+// peerWatch tells of changes in the view of the other routers.
+type peerWatch struct {
+	known map[string]inner.Member // by inner address
+}
+
+// look compares the members with those seen before.
+func (w *peerWatch) look(self string, members []inner.Member, emit func(ev eventlog.Event, pairs ...any)) {
+	seen := make(map[string]inner.Member, len(members))
+	for _, m := range members {
+		if m.InnerAddr == self {
+			continue
+		}
+		seen[m.InnerAddr] = m
+		old, ok := w.known[m.InnerAddr]
+		if ok && old.State == m.State && old.ID == m.ID {
+			continue
+		}
+		switch m.State {
+		case inner.Suspect:
+			emit(eventlog.PeerSuspected, "peer", m.InnerAddr, "id", m.ID)
+		case inner.Leaving:
+			emit(eventlog.PeerLeaving, "peer", m.InnerAddr, "id", m.ID)
+		default:
+			emit(eventlog.PeerFound, "peer", m.InnerAddr, "id", m.ID, "failure_domain", m.FailureDomain)
+		}
+	}
+	for addr, m := range w.known {
+		if _, ok := seen[addr]; !ok {
+			emit(eventlog.PeerLost, "peer", addr, "id", m.ID)
+		}
+	}
+	w.known = seen
 }
--- a/internal/fleet/edge/reload.go
+++ b/internal/fleet/edge/reload.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/fleet/settings"
 )
 
@@ -50,7 +51,7 @@
 	}
 	info, err := os.Stat(e.File)
 	if err != nil {
-		e.Log.Warn("settings file can not be looked at", "file", e.File, "err", err)
+		e.Events.Emit(eventlog.SettingsRejected, "cause", "file", "err", err)
 		return time.Time{}
 	}
 	return info.ModTime()
@@ -60,9 +61,9 @@
 func (e *Edge) reload(cause string) {
 	cfg, err := e.Reload()
 	if err != nil {
-		e.Log.Error("settings not reloaded", "cause", cause, "err", err)
+		e.Events.Emit(eventlog.SettingsRejected, "cause", cause, "err", err)
 		return
 	}
 	e.current.Store(&cfg)
-	e.Log.Info("settings reloaded", "cause", cause, "seeds", cfg.Fleet.Seeds)
+	e.Events.Emit(eventlog.SettingsReloaded, "cause", cause, "seeds", cfg.Fleet.Seeds)
 }
--- a/internal/fleet/edge/side.go
+++ b/internal/fleet/edge/side.go
@@ -48,7 +48,10 @@
 		return
 	}
 	switch path {
-	case "/metrics", "/debug/vars":
+	case "/metrics":
+		ctx.SetContentType("text/plain; version=0.0.4")
+		e.metrics.write(ctx)
+	case "/debug/vars":
 		expvarhandler.ExpvarHandler(ctx)
 	case "/debug/state":
 		httpjson.Write(ctx, fasthttp.StatusOK, e.state())
--- a/internal/fleet/edge/tokens.go
+++ b/internal/fleet/edge/tokens.go
@@ -10,6 +10,7 @@
 	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/fleet/entry"
+	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/target/balance"
 )
@@ -22,14 +23,14 @@
 	e.purse = &prepaid.Purse{
 		VM:      e.Settings.Edge.VM,
 		Life:    e.life,
-		Commit:  e.store.Commit,
-		Read:    e.store.Read,
+		Commit:  e.commit,
+		Read:    e.read,
 		Prepaid: e.prepaid,
 		Size:    demand.SizeByShare(func() int { return min(tokenHomes, len(entry.Carriers(e.view.Members()))) }),
 		Homes:   e.homes,
 		Ask:     e.askTokens,
 		Offer:   e.offerTokens,
-		OnEvent: e.logTokens,
+		OnEvent: e.noteTokens,
 	}
 }
 
@@ -95,7 +96,7 @@
 func (e *Edge) offerTokens(ctx context.Context, addr, workspace string, tokens int64) bool {
 	err := e.links.Call(ctx, addr, inner.MethodTake, inner.Take{Workspace: workspace, Tokens: tokens}, &inner.TakeResponse{})
 	if err != nil {
-		e.Log.Warn("tokens may be lost on the way", "workspace", workspace, "tokens", tokens, "peer", addr, "err", err)
+		e.Events.Emit(eventlog.TokensMayBeLost, "workspace", workspace, "tokens", tokens, "peer", addr, "err", err)
 	}
 	return err == nil
 }
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -39,11 +39,14 @@
 	Ask func(ctx context.Context, addr string, in inner.FollowRequest) (inner.FollowResponse, error)
 	// OnRows is told of the rows that changed, in the order of their versions. It must not block.
 	OnRows func(rows []table.Row)
-	// OnContact is told when the store is lost, with the cause, or reached again, with nil.
-	OnContact func(err error)
+	// OnContact is told when the store is lost, with the cause, or reached again, with nil,
+	// and how long ago it had confirmed the copy before. It must not block.
+	OnContact func(err error, age time.Duration)
 
 	set     rowSet
 	failing atomic.Bool
+	// confirmed is the begin of the last call that went well, or of this copy.
+	confirmed atomic.Pointer[time.Time]
 	// regained is when the store was last reached after it had been lost; nil if never.
 	regained atomic.Pointer[time.Time]
 	hints    chan string // addresses of routers that know more
@@ -68,8 +71,16 @@
 	return *regained, true
 }
 
+// Age returns how long ago the store has confirmed the copy, or the copy was prepared if
+// it never has.
+func (t *Table) Age() time.Duration { return time.Since(*t.confirmed.Load()) }
+
 // Prepare must come before any other method.
-func (t *Table) Prepare() { t.hints = make(chan string, 1) }
+func (t *Table) Prepare() {
+	t.hints = make(chan string, 1)
+	now := time.Now()
+	t.confirmed.Store(&now)
+}
 
 // Run keeps the copy up to date until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
@@ -150,16 +161,20 @@
 // changes. A call that went well shows that the store was well since its begin.
 func (t *Table) note(began time.Time, err error) {
 	failing := err != nil && !errors.Is(err, table.ErrHistoryLost)
+	age := t.Age()
+	if !failing {
+		t.confirmed.Store(&began)
+		err = nil
+	}
 	if failing == t.failing.Load() {
 		return
 	}
 	if !failing {
 		t.regained.Store(&began)
-		err = nil
 	}
 	t.failing.Store(failing)
 	if t.OnContact != nil {
-		t.OnContact(err)
+		t.OnContact(err, age)
 	}
 }
 
--- a/internal/request/forward/decision.go
+++ b/internal/request/forward/decision.go
@@ -30,6 +30,8 @@
 	Abandoned // request_abandoned
 	// Broken answers were cut off in their middle.
 	Broken // answer_broken
+	// TokensDenied requests got no tokens of their workspace.
+	TokensDenied // tokens_denied
 )
 
 // Decision is one decision about a request, with what decided it.
@@ -44,6 +46,8 @@
 	PlanVersion uint64
 	// Instance and Addr are those of the attempt, if the decision is about one.
 	Instance, Addr string
+	// Reason is what chose the instance of an attempt that is sent.
+	Reason placement.Reason
 	// Attempt counts the attempts of the request from 1.
 	Attempt int
 	// Outcome is how the attempt ended.
@@ -56,7 +60,7 @@
 	Refusal *answer.Error
 	// Err is the cause of a failure.
 	Err error
-	// Tokens are reserved, or used once the request has ended.
+	// Tokens are wanted or reserved, or used once the request has ended.
 	Tokens int64
 	// Events is the number of events that were relayed.
 	Events int64
--- a/internal/request/forward/event_string.go
+++ b/internal/request/forward/event_string.go
@@ -16,11 +16,12 @@
 	_ = x[Answered-5]
 	_ = x[Abandoned-6]
 	_ = x[Broken-7]
+	_ = x[TokensDenied-8]
 }
 
-const _Event_name = "request_refusedattempt_sentattempt_endedrequest_repeatedrepeat_deniedrequest_answeredrequest_abandonedanswer_broken"
+const _Event_name = "request_refusedattempt_sentattempt_endedrequest_repeatedrepeat_deniedrequest_answeredrequest_abandonedanswer_brokentokens_denied"
 
-var _Event_index = [...]uint8{0, 15, 27, 40, 56, 69, 85, 102, 115}
+var _Event_index = [...]uint8{0, 15, 27, 40, 56, 69, 85, 102, 115, 128}
 
 func (i Event) String() string {
 	idx := int(i) - 0
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -74,9 +74,14 @@
 //
 // The error is an *answer.Error, whose run state is true for what may still come.
 func (f *Forwarder) Serve(ctx context.Context, r *Request) (*Answer, error) {
-	w, refusal := f.admit(r)
+	p := f.Plan()
+	w, refusal := f.admit(p, r)
 	if refusal != nil {
-		f.decide(Decision{Event: Refused, Request: r, Refusal: refusal})
+		d := Decision{Event: Refused, Request: r, Run: refusal.Run, Status: refusal.Status, Refusal: refusal}
+		if p != nil {
+			d.PlanVersion = p.Version()
+		}
+		f.decide(d)
 		return nil, refusal
 	}
 	w.ctx, w.cancel = context.WithDeadline(ctx, w.deadline)
@@ -88,9 +93,8 @@
 	return a, nil
 }
 
-// admit finds the route and the workspace of a request.
-func (f *Forwarder) admit(r *Request) (*work, *answer.Error) {
-	p := f.Plan()
+// admit finds the route and the workspace of a request by the plan, which may be nil.
+func (f *Forwarder) admit(p *plan.Plan, r *Request) (*work, *answer.Error) {
 	if p == nil {
 		return nil, answer.Busy(fasthttp.StatusServiceUnavailable, "starting", startingRetry, "router has not read its configuration yet")
 	}
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -78,7 +78,7 @@
 			return w.timedOut()
 		}
 		refusal := tokensRefusal(err)
-		w.note(Decision{Event: NotRepeated, Err: err, Tokens: w.r.Prompt.MaxTokens()})
+		w.note(Decision{Event: TokensDenied, Err: err, Tokens: w.r.Prompt.MaxTokens()})
 		return refusal
 	}
 	w.reservation = r
@@ -92,7 +92,7 @@
 		return nil, &runner.Error{Run: answer.NotRun, Err: err}
 	}
 	w.attempts++
-	w.note(Decision{Event: Sent, Instance: seat.ID(), Addr: seat.Addr()})
+	w.note(Decision{Event: Sent, Instance: seat.ID(), Addr: seat.Addr(), Reason: seat.Reason(), Tokens: w.reserved()})
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	w.f.Encode(req, w.r, Attempt{
@@ -118,6 +118,14 @@
 	return &sent{seat: seat, from: from}, nil
 }
 
+// reserved returns the tokens that are reserved for the request.
+func (w *work) reserved() int64 {
+	if w.reservation == nil {
+		return 0
+	}
+	return w.reservation.Tokens()
+}
+
 // send sends the request to the seat's instance. One that may run only once does not go
 // on a connection that may have ended without a sign.
 func (w *work) send(seat *placement.Seat, req *fasthttp.Request) (*upstream.Answer, error) {
--- a/internal/request/ingress/conn.go
+++ b/internal/request/ingress/conn.go
@@ -53,7 +53,7 @@
 // Read reads within the caller's time. It ends a watch.
 func (c *conn) Read(p []byte) (int, error) {
 	c.unwatch()
-	if n, err, ok := c.takeAhead(p); ok {
+	if taken, n, err := c.takeAhead(p); taken {
 		return n, err
 	}
 	header, idle := c.limits()
@@ -62,26 +62,26 @@
 		limit = header
 	}
 	if limit > 0 {
-		if err := c.Conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
 			return 0, err
 		}
 	}
 	return c.Conn.Read(p)
 }
 
-// takeAhead returns what the watch has read.
-func (c *conn) takeAhead(p []byte) (int, error, bool) {
+// takeAhead returns what the watch has read, if there was one.
+func (c *conn) takeAhead(p []byte) (taken bool, n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.hasAhead && len(p) > 0:
 		c.hasAhead = false
 		p[0] = c.ahead[0]
-		return 1, nil, true
+		return true, 1, nil
 	case c.aheadErr != nil:
-		return 0, c.aheadErr, true
+		return true, 0, c.aheadErr
 	default:
-		return 0, nil, false
+		return false, 0, nil
 	}
 }
 
@@ -106,7 +106,7 @@
 	}
 	done := make(chan struct{})
 	c.watched = done
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
 		n, err := c.Conn.Read(c.ahead[:])
@@ -134,9 +134,9 @@
 	if done == nil {
 		return
 	}
-	_ = c.Conn.SetReadDeadline(past)
+	_ = c.SetReadDeadline(past)
 	<-done
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.SetReadDeadline(time.Time{})
 }
 
 // lingerOnClose makes Close read what the caller still sends.
@@ -166,7 +166,7 @@
 	if half, ok := c.Conn.(*net.TCPConn); ok {
 		_ = half.CloseWrite()
 	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -45,6 +45,10 @@
 	OnBytes func(n int)
 	// Leaving reports whether callers shall send nothing more on their connections.
 	Leaving func() bool
+	// OnUnread is told of requests that could not be read; it must not block.
+	OnUnread func(status int, err error)
+	// Log receives what the HTTP library tells of connections.
+	Log fasthttp.Logger
 
 	once     sync.Once
 	http     *fasthttp.Server
@@ -54,20 +58,20 @@
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.http = &fasthttp.Server{
-			Handler:                       s.handle,
-			ErrorHandler:                  s.unreadable,
-			HeaderReceived:                s.limitBody,
-			ConnState:                     onState,
-			ReadBufferSize:                defaultHeaderBytes + writeBuffer,
-			WriteBufferSize:               writeBuffer,
-			MaxRequestBodySize:            defaultBodyBytes,
-			CloseOnShutdown:               true,
-			NoDefaultServerHeader:         true,
-			NoDefaultDate:                 true,
-			NoDefaultContentType:          true,
-			DisablePreParseMultipartForm:  true,
-			DisableHeaderNamesNormalizing: false,
-			ReduceMemoryUsage:             true,
+			Handler:                      s.handle,
+			ErrorHandler:                 s.unreadable,
+			HeaderReceived:               s.limitBody,
+			ConnState:                    onState,
+			ReadBufferSize:               defaultHeaderBytes + writeBuffer,
+			WriteBufferSize:              writeBuffer,
+			MaxRequestBodySize:           defaultBodyBytes,
+			CloseOnShutdown:              true,
+			NoDefaultServerHeader:        true,
+			NoDefaultDate:                true,
+			NoDefaultContentType:         true,
+			DisablePreParseMultipartForm: true,
+			ReduceMemoryUsage:            true,
+			Logger:                       s.Log,
 		}
 	})
 }
@@ -141,7 +145,13 @@
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.lingerOnClose()
 	}
-	s.Refuse(&ctx.Response, answer.Invalid(status, "request", "request could not be read: %v", err), "")
+	s.reject(ctx, status, "request", err)
+}
+
+// reject refuses a request that could not be read.
+func (s *Server) reject(ctx *fasthttp.RequestCtx, status int, part string, err error) {
+	s.OnUnread(status, err)
+	s.Refuse(&ctx.Response, answer.Invalid(status, part, "request could not be read: %v", err), "")
 }
 
 // handle serves one request.
@@ -157,12 +167,12 @@
 		ctx.SetConnectionClose()
 	}
 	if len(ctx.Request.Header.RawHeaders()) > s.limits().HeaderBytes {
-		s.Refuse(&ctx.Response, answer.Invalid(fasthttp.StatusRequestHeaderFieldsTooLarge, "header", "header is larger than %d bytes", s.limits().HeaderBytes), "")
+		s.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "header", fmt.Errorf("header is larger than %d bytes", s.limits().HeaderBytes))
 		return
 	}
 	r, err := s.Request(&ctx.Request, ctx.Time())
 	if err != nil {
-		s.Refuse(&ctx.Response, answer.Invalid(fasthttp.StatusBadRequest, "request", "%v", err), "")
+		s.reject(ctx, fasthttp.StatusBadRequest, "request", err)
 		return
 	}
 	// What comes from a caller goes on to a target, and the other way round.
@@ -186,7 +196,6 @@
 		return
 	}
 	ended = true
-	ctx.Response.ImmediateHeaderFlush = false
 	ctx.SetBodyStream(&body{answer: a, onBytes: s.OnBytes, close: func() {
 		leave()
 		s.inFlight.Add(-1)
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -23,8 +23,9 @@
 // instance is one lifetime of a target with what is known of it.
 type instance struct {
 	roster.Instance
-	pool *upstream.Pool
-	hash uint64
+	pool     *upstream.Pool
+	hash     uint64
+	onHealth func(Health) // nil if nobody listens
 
 	mu      sync.Mutex // guards the fields below
 	running int        // attempts of this router
@@ -43,6 +44,7 @@
 		Instance: i,
 		pool:     &upstream.Pool{Addr: i.Addr, Dial: p.Dial},
 		hash:     balance.Hash(i.ID),
+		onHealth: p.OnHealth,
 		cached:   make(map[uint64]time.Time),
 	}
 }
@@ -104,7 +106,8 @@
 func (i *instance) begin(s *Seat, d Demand, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	s.reading = d.Input - d.sharedTokens() + i.missing(d)
+	s.reason = i.reason(d, now)
+	s.reading = d.Input - d.sharedTokens() + s.reason.Missing
 	s.tokens = d.Input + d.MaxOutput
 	i.running++
 	i.reading += s.reading
@@ -144,6 +147,7 @@
 	i.running--
 	i.reading -= s.reading
 	i.tokens -= s.tokens
+	defer i.tellHealth(i.breaker.State(), now)
 	switch o {
 	case Unjudged:
 		return
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -94,6 +94,8 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Ask asks an instance for its report on the line, which stays open.
 	Ask func(ctx context.Context, line *upstream.Line, by time.Time) (Report, error)
+	// OnHealth is told when an instance is ejected or readmitted; it must not block.
+	OnHealth func(h Health)
 	// Rand returns a random number below n; nil stands for the library's.
 	Rand func(n int) int
 
@@ -111,6 +113,7 @@
 type Seat struct {
 	instance *instance
 	line     *upstream.Line // on which the instance has just answered, or nil
+	reason   Reason
 	reading  int64
 	tokens   int64
 	ended    bool
@@ -122,6 +125,9 @@
 // Addr returns the instance's address.
 func (s *Seat) Addr() string { return s.instance.Addr }
 
+// Reason returns what was known of the instance when it was chosen.
+func (s *Seat) Reason() Reason { return s.reason }
+
 // Line returns a connection to the instance, which is a new one if fresh is set, unless
 // the instance has just answered on another.
 //
--- a/internal/target/placement/report.go
+++ b/internal/target/placement/report.go
@@ -94,6 +94,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
+	defer i.tellHealth(i.breaker.State(), now)
 	i.breaker.Failed(now, true)
 	i.judge(1, now)
 	if unreachable {
--- a/internal/target/roster/keeper_test.go
+++ b/internal/target/roster/keeper_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,11 +16,11 @@
 }
 
 // kept returns a keeper with instances, whose store was last regained at a time.
-func kept(regained *time.Time, ids ...string) (*Keeper, *Roster) {
-	newest := &Roster{}
+func kept(regained *time.Time, ids ...string) (*Keeper, *atomic.Pointer[Roster]) {
+	newest := &atomic.Pointer[Roster]{}
 	k := &Keeper{
 		Regained: func() (time.Time, bool) { return *regained, !regained.IsZero() },
-		OnRoster: func(r *Roster) { *newest = *r },
+		OnRoster: newest.Store,
 	}
 	for _, id := range ids {
 		k.Update([]Change{announced(id)})
@@ -31,7 +32,7 @@
 	var never time.Time
 	k, newest := kept(&never, "a", "b")
 	k.Update([]Change{{ID: "a", Gone: true}})
-	assert.Equal(t, newest.Len(), 1)
+	assert.Equal(t, newest.Load().Len(), 1)
 }
 
 func TestVanishedInstanceIsKeptAfterAnOutage(t *testing.T) {
@@ -40,9 +41,9 @@
 		k, newest := kept(&regained, "a")
 		time.Sleep(lapseGrace / 2)
 		k.Update([]Change{{ID: "a", Gone: true}})
-		assert.Equal(t, newest.Len(), 1)
+		assert.Equal(t, newest.Load().Len(), 1)
 		time.Sleep(lapseGrace/2 + time.Millisecond)
-		assert.Equal(t, newest.Len(), 0)
+		assert.Equal(t, newest.Load().Len(), 0)
 	})
 }
 
@@ -54,7 +55,7 @@
 		time.Sleep(lapseGrace / 2)
 		k.Update([]Change{announced("a")})
 		time.Sleep(lapseGrace)
-		assert.Equal(t, newest.Len(), 1)
+		assert.Equal(t, newest.Load().Len(), 1)
 	})
 }
 
@@ -64,7 +65,7 @@
 		k, newest := kept(&regained, "a")
 		time.Sleep(lapseGrace)
 		k.Update([]Change{{ID: "a", Gone: true}})
-		assert.Equal(t, newest.Len(), 0)
+		assert.Equal(t, newest.Load().Len(), 0)
 	})
 }
 
@@ -75,5 +76,5 @@
 	old.Instance.Born = born.Add(-time.Second)
 	old.Instance.Addr = "10.0.0.2:80"
 	k.Update([]Change{old})
-	assert.Equal(t, newest.Service("s")[0].Addr, "10.0.0.1:80")
+	assert.Equal(t, newest.Load().Service("s")[0].Addr, "10.0.0.1:80")
 }
