--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -107,6 +107,7 @@
 		h.drawn -= free
 		h.returning = 0
 		h.row = holdingRow{}
+		h.named = 0
 		h.totalVersion, h.rowVersion = stamp.Version, noVersion
 		return nil
 	}
--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -91,11 +91,11 @@
 // draw takes tokens from the workspace's total, and closes what an ended life of this
 // VM has left there.
 func (p *Purse) draw(ctx context.Context, h *holding, need demand.Need) (int64, error) {
-	if !p.journal.isOpen() {
-		return 0, fmt.Errorf("draw for workspace %q: journal is not open: %w", h.workspace, table.ErrUnavailable)
-	}
 	var lastErr error
 	for range maxDrawTries {
+		if err := p.name(ctx, h); err != nil {
+			return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, err)
+		}
 		plan, err := p.planDraw(h, need)
 		if err != nil {
 			return 0, err
--- a/internal/budget/prepaid/holding.go
+++ b/internal/budget/prepaid/holding.go
@@ -32,6 +32,10 @@
 	allotted                 int64
 	row                      holdingRow
 	refillAt                 time.Time // earliest time of the next draw ahead of demand
+
+	// named is the first write of the journal that names the workspace for the draws to
+	// come; 0 if none does.
+	named int64
 }
 
 // waiter is a reservation that the journal does not cover yet.
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -40,6 +40,8 @@
 	missed time.Time
 	// failedAt is when writes of the row began to fail; zero if the last one went well.
 	failedAt time.Time
+	// acked is closed when a write takes effect; nil if nobody waits.
+	acked chan struct{}
 }
 
 // allows returns how many tokens of a holding may be used now.
@@ -176,7 +178,7 @@
 	if j.former == nil {
 		j.former = make(map[string]formerLife)
 	}
-	j.cover.ack(&entry{bounds: map[string]bound{}, sent: sent})
+	j.ack(&entry{bounds: map[string]bound{}, sent: sent})
 	j.open = true
 }
 
@@ -274,7 +276,7 @@
 	bounds := make(map[string]bound, len(holdings))
 	for _, h := range holdings {
 		h.mu.Lock()
-		if h.drawn > 0 {
+		if h.drawn > 0 || h.named > 0 {
 			bounds[h.workspace] = p.boundOf(h, now)
 		}
 		h.mu.Unlock()
@@ -327,7 +329,7 @@
 	switch {
 	case err == nil:
 		j.version = stamp.Version
-		j.cover.ack(e)
+		j.ack(e)
 		return nil
 	case errors.As(err, &conflict) && len(conflict.Rows) == 1:
 		return j.resolve(p.Life, conflict.Rows[0])
@@ -351,7 +353,7 @@
 		return fmt.Errorf("%w: life %q, write %d", errReplaced, row.Life, row.Seq)
 	}
 	j.version = found.Version
-	j.cover.ack(e)
+	j.ack(e)
 	j.kick()
 	return nil
 }
--- a/internal/budget/prepaid/machine_test.go
+++ b/internal/budget/prepaid/machine_test.go
@@ -256,6 +256,49 @@
 	})
 }
 
+// TestHoldingOfALifeWithoutItsJournalComesBack kills a life that has drawn while its
+// journal could not be written, and the next one before it needs the workspace.
+func TestHoldingOfALifeWithoutItsJournalComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.topUp("joiners", 1_000_000)
+		w.topUp("nurses", 1_000_000)
+		journalAway := false
+		w.broken = func(p *Purse) {
+			commit := p.Commit
+			p.Commit = func(ctx context.Context, c table.Commit) (table.Stamp, error) {
+				if journalAway && c.Conditions[0].Table == tableJournal {
+					<-ctx.Done()
+					return table.Stamp{}, table.ErrUnknownOutcome
+				}
+				return commit(ctx, c)
+			}
+		}
+		w.start("a")
+		time.Sleep(time.Second)
+		w.request("a", "nurses", 1000, 1, time.Second)
+		time.Sleep(time.Second)
+		journalAway = true
+		w.request("a", "joiners", 1000, 1, time.Second)
+		time.Sleep(callTimeout)
+		w.kill("a")
+		journalAway = false
+		for range 2 {
+			time.Sleep(time.Second)
+			w.start("a")
+			time.Sleep(time.Second)
+			w.kill("a")
+		}
+		w.start("a")
+		time.Sleep(time.Second)
+		w.request("a", "joiners", 1000, 0, 10*time.Millisecond)
+		time.Sleep(time.Second)
+		lost := w.allotted(t, "joiners") - w.life("a").purse.State()[0].Drawn
+		assert.Equal(t, lost, int64(0))
+		w.end()
+	})
+}
+
 // TestCutServesOn shows that requests of the rate of late are served during a cut that
 // is longer than the grace.
 func TestCutServesOn(t *testing.T) {
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -140,7 +140,7 @@
 
 func (e *Edge) connectFleet() {
 	cfg := e.Settings
-	e.links = &peer.Links{AllowClear: cfg.Fleet.Clear == "anywhere"}
+	e.links = &peer.Links{AllowClear: cfg.Fleet.Clear == "anywhere", Log: libraryLog{log: e.Events, event: eventlog.PeerConnectionFailed}}
 	if cfg.Fleet.Secured() {
 		e.links.Credentials = &peer.Credentials{CertFile: cfg.Fleet.TLSCert, KeyFile: cfg.Fleet.TLSKey, CAFile: cfg.Fleet.TLSCA}
 	}
@@ -190,7 +190,7 @@
 		OnBytes:   func(n int) { e.load.bytes.Add(int64(n)) },
 		Leaving:   func() bool { return e.leaving.Load() || e.load.busy.Load() },
 		OnUnread:  e.noteUnread,
-		Log:       e,
+		Log:       libraryLog{log: e.Events, event: eventlog.ConnectionFailed},
 	}
 }
 
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -37,7 +37,7 @@
 	}
 	switch ev.Kind {
 	case prepaid.Drawn, prepaid.DrawFailed, prepaid.StoreEmpty:
-		pairs = append(pairs, "left_tokens", ev.Left)
+		pairs = append(pairs, "left_tokens", ev.Left, "prepaid_tokens", e.prepaid(ev.Workspace))
 	case prepaid.JournalRegained:
 		pairs = append(pairs, "away_ms", ev.Away.Milliseconds())
 	}
@@ -116,9 +116,15 @@
 	e.Events.Emit(eventlog.RequestUnreadable, "status", status, "err", err)
 }
 
-// Printf logs what the HTTP library tells of a connection.
-func (e *Edge) Printf(format string, args ...any) {
-	e.Events.Emit(eventlog.ConnectionFailed, "err", fmt.Sprintf(format, args...))
+// libraryLog logs what a library tells of connections.
+type libraryLog struct {
+	log   *eventlog.Log
+	event eventlog.Event
+}
+
+// Printf logs one message of the library.
+func (l libraryLog) Printf(format string, args ...any) {
+	l.log.Emit(l.event, "err", fmt.Sprintf(format, args...))
 }
 
 // noteHealth tells that an instance was ejected or readmitted.
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -45,6 +45,8 @@
 	Credentials *Credentials
 	// AllowClear permits connections in clear beyond loopback.
 	AllowClear bool
+	// Log receives what the RPC library tells of connections; nil stands for standard error.
+	Log jsonrpc2.Logger
 	// IdleTimeout closes a connection on which nothing arrives.
 	IdleTimeout time.Duration
 	// MaxAge is the age at which a connection is replaced.
@@ -180,7 +182,11 @@
 // open speaks the protocol on a connection.
 func (l *Links) open(ctx context.Context, conn *countedConn) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
-	return jsonrpc2.NewConn(ctx, stream, poolHandler{links: l})
+	var options []jsonrpc2.ConnOpt
+	if l.Log != nil {
+		options = append(options, jsonrpc2.SetLogger(l.Log))
+	}
+	return jsonrpc2.NewConn(ctx, stream, poolHandler{links: l}, options...)
 }
 
 // poolHandler runs calls in the pool, and refuses them while its queue is full.
