Say that prepaid tokens are used up only when no ended life holds any

A router also never looked again at a total that it believed to be drawn, so that returned tokens were not found.

Change: before 402 the router looks at the total and at all holdings, at most twice a second for each workspace. Holdings of lives that do not run may come back within 10 s; till then the answer is 503 with when to come back. Draws whose answer was lost are told when they are found.

Tests first: TestTokensOfAnEndedLifeAreNotUsedUp and TestTokensOfAVMThatIsGoneAreUsedUp got ErrExhausted at once.

--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -265,12 +265,18 @@
 		}
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.totalVersion, h.allotted = totalVersion, total.Allotted
 	h.rowVersion, h.row = rowVersion, row
+	found := int64(0)
 	if row.Life == p.Life {
+		found = row.Tokens - h.drawn
 		h.drawn = row.Tokens
 	}
+	h.mu.Unlock()
+	if found > 0 {
+		// The answer of an earlier draw was lost.
+		p.OnEvent(Event{Kind: Drawn, Workspace: h.workspace, Tokens: found, Left: p.left(h)})
+	}
 	return nil
 }
 
--- a/internal/budget/prepaid/holding.go
+++ b/internal/budget/prepaid/holding.go
@@ -36,6 +36,9 @@
 	// named is the first write of the journal that names the workspace for the draws to
 	// come; 0 if none does.
 	named int64
+
+	// verdict is the last look at all holdings of the workspace.
+	verdict verdict
 }
 
 // waiter is a reservation that the journal does not cover yet.
--- a/internal/budget/prepaid/machine_test.go
+++ b/internal/budget/prepaid/machine_test.go
@@ -299,6 +299,72 @@
 	})
 }
 
+// endedHolder returns a world in which a life has ended that holds 900 of 1000 tokens,
+// and a request for 500 at another VM.
+func endedHolder(t *testing.T) (*world, func() error) {
+	t.Helper()
+	w := newWorld()
+	w.topUp("joiners", 1000)
+	w.start("a")
+	w.start("b")
+	time.Sleep(time.Second)
+	r, err := w.life("a").purse.Reserve(t.Context(), "joiners", 900, 0)
+	assert.NilError(t, err)
+	r.Release()
+	time.Sleep(time.Second)
+	w.kill("a")
+	return w, func() error {
+		_, err := w.life("b").purse.Reserve(t.Context(), "joiners", 500, 0)
+		return err
+	}
+}
+
+// TestTokensOfAnEndedLifeAreNotUsedUp shows that a request is told to come back while
+// the tokens of an ended life may come back too.
+func TestTokensOfAnEndedLifeAreNotUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, request := endedHolder(t)
+		defer w.end()
+		assert.ErrorIs(t, request(), ErrUnavailable)
+		time.Sleep(time.Second)
+		w.start("a")
+		time.Sleep(time.Second)
+		assert.NilError(t, request())
+	})
+}
+
+func TestTokensOfAVMThatIsGoneAreUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, request := endedHolder(t)
+		defer w.end()
+		assert.ErrorIs(t, request(), ErrUnavailable)
+		time.Sleep(comeBackTime)
+		assert.ErrorIs(t, request(), ErrExhausted)
+	})
+}
+
+// TestReturnedTokensAreFound lets a life return what another had seen drawn.
+func TestReturnedTokensAreFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer w.end()
+		w.topUp("joiners", 1000)
+		w.start("a")
+		w.start("b")
+		time.Sleep(time.Second)
+		_, err := w.life("a").purse.Reserve(t.Context(), "joiners", 900, 0)
+		assert.NilError(t, err)
+		_, err = w.life("b").purse.Reserve(t.Context(), "joiners", 500, 0)
+		assert.ErrorIs(t, err, ErrExhausted)
+		r, err := w.life("a").purse.Reserve(t.Context(), "joiners", 50, 0)
+		assert.NilError(t, err)
+		r.Release()
+		w.leave("a")
+		_, err = w.life("b").purse.Reserve(t.Context(), "joiners", 50, 0)
+		assert.NilError(t, err)
+	})
+}
+
 // TestCutServesOn shows that requests of the rate of late are served during a cut that
 // is longer than the grace.
 func TestCutServesOn(t *testing.T) {
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -66,6 +66,8 @@
 	Ask func(ctx context.Context, addr, workspace string, tokens int64) (Gift, error)
 	// Offer gives a router tokens; it reports whether the router has surely taken them.
 	Offer func(ctx context.Context, addr, workspace string, tokens int64) bool
+	// Alive reports whether a life is believed to run.
+	Alive func(life string) bool
 	// Grace is how long after a write of the journal no more than its bounds are used.
 	Grace time.Duration
 	// OnEvent is told of what changes this life's beliefs about tokens; it must not block.
@@ -98,6 +100,9 @@
 		if p.Homes == nil {
 			p.Homes = func(string) ([]string, bool) { return nil, true }
 		}
+		if p.Alive == nil {
+			p.Alive = func(life string) bool { return life == p.Life }
+		}
 		p.seed = maphash.MakeSeed()
 		for i := range p.shards {
 			p.shards[i].holdings = make(map[string]*holding)
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -109,7 +109,14 @@
 		}
 	}
 	if asked.answered == len(homes) && (asked.exhausted || isExhausted(cause)) && ctx.Err() == nil {
-		return fmt.Errorf("%w: no router has enough of them", ErrExhausted)
+		cause = p.confirmExhausted(ctx, h)
+		switch {
+		case cause == nil:
+			return fmt.Errorf("%w: no router has enough of them", ErrExhausted)
+		case errors.Is(cause, errMoreLeft):
+			// The next draw finds it.
+			return nil
+		}
 	}
 	return fmt.Errorf("%w: %d of %d routers gave %d of %d tokens: %w", ErrUnavailable, asked.answered, len(homes), asked.given, short, orNone(cause))
 }
--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -13,6 +13,7 @@
 	keyTotal  = "total"
 	keyBook   = "book"
 	prefixVM  = "vm/"
+	afterVMs  = "vm0" // behind the keys of all VMs
 	noVersion = 0 // of a row that does not exist
 )
 
--- a/internal/budget/prepaid/world_test.go
+++ b/internal/budget/prepaid/world_test.go
@@ -201,6 +201,7 @@
 		},
 		Size:  demand.SizeByShare(func() int { return 3 }),
 		Homes: func(string) ([]string, bool) { return w.homes(vm) },
+		Alive: w.alive,
 		Ask:   w.ask,
 		Offer: func(_ context.Context, addr, workspace string, n int64) bool { return w.offer(addr, workspace, n) },
 	}
@@ -234,6 +235,18 @@
 	return w.lives[vm]
 }
 
+// alive reports whether a life runs.
+func (w *world) alive(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range w.lives {
+		if l.purse.Life == name {
+			return true
+		}
+	}
+	return false
+}
+
 // homes lists the VMs that keep tokens besides the one that asks.
 func (w *world) homes(vm string) ([]string, bool) {
 	w.mu.Lock()
--- a/internal/fleet/edge/tokens.go
+++ b/internal/fleet/edge/tokens.go
@@ -28,6 +28,7 @@
 		Prepaid: e.prepaid,
 		Size:    demand.SizeByShare(func() int { return min(tokenHomes, len(entry.Carriers(e.view.Members()))) }),
 		Homes:   e.homes,
+		Alive:   e.alive,
 		Ask:     e.askTokens,
 		Offer:   e.offerTokens,
 		OnEvent: e.noteTokens,
@@ -76,6 +77,13 @@
 	return append(near, far...), self
 }
 
+// alive reports whether a life is believed to run.
+func (e *Edge) alive(life string) bool {
+	return slices.ContainsFunc(e.view.Members(), func(m inner.Member) bool {
+		return m.ID == life && m.State != inner.Dead
+	})
+}
+
 // askTokens asks a router for tokens.
 func (e *Edge) askTokens(ctx context.Context, addr, workspace string, tokens int64) (prepaid.Gift, error) {
 	var out inner.GiveResponse
