--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -14,7 +14,7 @@
 	keyBook   = "book"
 	prefixVM  = "vm/"
 	afterVMs  = "vm0" // behind the keys of all VMs
-	noVersion = 0 // of a row that does not exist
+	noVersion = 0     // of a row that does not exist
 )
 
 // totalRow is what a workspace's holdings have drawn together, with what those that
