--- a/internal/budget/prepaid/machine_test.go
+++ b/internal/budget/prepaid/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -250,7 +251,7 @@
 		time.Sleep(time.Second)
 		w.start("a")
 		time.Sleep(2 * time.Second)
-		lost := w.allotted(t, "joiners") - w.life("a").purse.State()[0].Drawn - 100_000
+		lost := w.allotted(t, "joiners") - w.drawn("a", "joiners") - 100_000
 		assert.Assert(t, lost >= 0 && lost <= headroom, "lost %d of at most %d", lost, headroom)
 		w.end()
 	})
@@ -263,11 +264,11 @@
 		w := newWorld()
 		w.topUp("joiners", 1_000_000)
 		w.topUp("nurses", 1_000_000)
-		journalAway := false
+		var journalAway atomic.Bool
 		w.broken = func(p *Purse) {
 			commit := p.Commit
 			p.Commit = func(ctx context.Context, c table.Commit) (table.Stamp, error) {
-				if journalAway && c.Conditions[0].Table == tableJournal {
+				if journalAway.Load() && c.Conditions[0].Table == tableJournal {
 					<-ctx.Done()
 					return table.Stamp{}, table.ErrUnknownOutcome
 				}
@@ -278,11 +279,11 @@
 		time.Sleep(time.Second)
 		w.request("a", "nurses", 1000, 1, time.Second)
 		time.Sleep(time.Second)
-		journalAway = true
+		journalAway.Store(true)
 		w.request("a", "joiners", 1000, 1, time.Second)
 		time.Sleep(callTimeout)
 		w.kill("a")
-		journalAway = false
+		journalAway.Store(false)
 		for range 2 {
 			time.Sleep(time.Second)
 			w.start("a")
@@ -293,7 +294,7 @@
 		time.Sleep(time.Second)
 		w.request("a", "joiners", 1000, 0, 10*time.Millisecond)
 		time.Sleep(time.Second)
-		lost := w.allotted(t, "joiners") - w.life("a").purse.State()[0].Drawn
+		lost := w.allotted(t, "joiners") - w.drawn("a", "joiners")
 		assert.Equal(t, lost, int64(0))
 		w.end()
 	})
--- a/internal/budget/prepaid/world_test.go
+++ b/internal/budget/prepaid/world_test.go
@@ -362,6 +362,16 @@
 	return total.Allotted
 }
 
+// drawn returns what the VM's life has drawn of the workspace.
+func (w *world) drawn(vm, workspace string) int64 {
+	for _, s := range w.life(vm).purse.State() {
+		if s.Workspace == workspace {
+			return s.Drawn
+		}
+	}
+	return 0
+}
+
 func (w *world) result() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
