--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -192,7 +192,7 @@
 
 // ready reports whether this router may get callers.
 func (e *Edge) ready() bool {
-	return e.plan.Load() != nil && e.targets.Newest() > 0 && !e.leaving.Load()
+	return e.plan.Load() != nil && e.targets.Known() && !e.leaving.Load()
 }
 
 // drain stops the router gracefully: callers go elsewhere at once, but who still comes
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -94,7 +94,7 @@
 	start(func() error { return r.purse.Run(background) })
 	start(func() error { return r.reclaimer.Run(background) })
 	start(func() error { return r.links.Serve(background, innerListener) })
-	start(func() error { return server.Serve(callerListener) })
+	start(func() error { return r.serveCallers(callerListener, server) })
 	r.Log.Info("router started", "id", r.id, "listen", r.Settings.Router.Listen)
 	select {
 	case err := <-failed:
--- a/internal/fleet/router/serve.go
+++ b/internal/fleet/router/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/queue"
 	"rosevalve/internal/target/pool"
@@ -68,6 +70,11 @@
 	}
 }
 
+// serveCallers accepts callers until the listener is closed.
+func (r *Router) serveCallers(l net.Listener, server *fasthttp.Server) error {
+	return server.Serve(socket.LingerListener{Listener: l})
+}
+
 func (r *Router) handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/healthz":
@@ -97,6 +104,9 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
+	if c, ok := ctx.Conn().(*socket.LingerConn); ok {
+		c.LingerOnClose()
+	}
 	answer.Invalid(status, "body", "request could not be read: %v", err).Send(ctx, "")
 }
 
--- /dev/null
+++ b/internal/fleet/router/serve_test.go
@@ -0,0 +1,37 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestTooLargeBodyIsAnswered sends more than the limit without reading in between, as
+// callers do, so that a connection closed at once would lose the answer in a reset.
+func TestTooLargeBodyIsAnswered(t *testing.T) {
+	r := &Router{}
+	r.Settings.Request.MaxBody = 1000
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() { _ = r.serveCallers(listener, r.server()) }()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	const size = 4 << 20
+	_, err = fmt.Fprintf(conn, "POST /v1/chat HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+	assert.NilError(t, err)
+	_, err = conn.Write([]byte(strings.Repeat("x", size)))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
+}
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -55,6 +55,9 @@
 // Newest returns the version of the newest row that is known; 0 if none is.
 func (t *Table) Newest() uint64 { return t.set.newestRow() }
 
+// Known reports whether the table was ever read as a whole, even if it was empty.
+func (t *Table) Known() bool { return t.set.knows() > 0 }
+
 // Failing reports whether the store does not answer this router.
 func (t *Table) Failing() bool { return t.failing.Load() }
 
--- a/internal/request/gateway/reader.go
+++ b/internal/request/gateway/reader.go
@@ -2,11 +2,11 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/register"
 )
@@ -51,7 +51,7 @@
 		case <-changed:
 		case <-r.timer.C:
 			r.timer.Reset(presenceInterval)
-			if gone(r.conn) {
+			if socket.Peek(r.conn) == socket.Closed {
 				return nil, false, nil, errCallerGone
 			}
 			return nil, false, nil, errWaiting
@@ -81,31 +81,3 @@
 		}
 	}
 }
-
-// gone reports whether the other end has closed the connection.
-//
-// It looks at the socket's buffer without taking anything out of it.
-func gone(conn net.Conn) bool {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var n int
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	switch {
-	case err != nil:
-		return true
-	case errors.Is(peekErr, syscall.EAGAIN) || errors.Is(peekErr, syscall.EINTR):
-		return false
-	default:
-		return peekErr != nil || n == 0
-	}
-}
--- a/internal/request/ingress/conn.go
+++ b/internal/request/ingress/conn.go
@@ -1,22 +1,16 @@
 package ingress
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
 
+	"rosevalve/internal/protocol/socket"
+
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
-const (
-	// lingerTime and lingerBytes bound what is read of a request that was refused
-	// before its end, so that the refusal is not lost in a reset.
-	lingerTime  = time.Second
-	lingerBytes = 8 << 20
-)
-
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
@@ -32,18 +26,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, limits: l.limits}, nil
+	return &conn{LingerConn: &socket.LingerConn{Conn: raw}, limits: l.limits}, nil
 }
 
 // conn is a caller's connection. While a request is served on it, it reads ahead one
 // byte to notice that the caller has left.
 type conn struct {
-	net.Conn
+	*socket.LingerConn
 	limits func() (header, idle time.Duration)
 
 	mu       sync.Mutex // guards the fields below
 	active   bool       // a request is being read or served
-	linger   bool       // read what is left before closing
 	watched  chan struct{}
 	ahead    [1]byte
 	hasAhead bool
@@ -66,7 +59,7 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(p)
+	return c.LingerConn.Read(p)
 }
 
 // takeAhead returns what the watch has read, if there was one.
@@ -109,7 +102,7 @@
 	_ = c.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		n, err := c.Conn.Read(c.ahead[:])
+		n, err := c.LingerConn.Read(c.ahead[:])
 		if n == 0 && isTimeout(err) {
 			return
 		}
@@ -139,37 +132,10 @@
 	_ = c.SetReadDeadline(time.Time{})
 }
 
-// lingerOnClose makes Close read what the caller still sends.
-func (c *conn) lingerOnClose() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.linger = true
-}
-
-// Close closes the connection, with what was written to it delivered first.
+// Close ends the watch and closes the connection.
 func (c *conn) Close() error {
 	c.unwatch()
-	c.mu.Lock()
-	linger := c.linger
-	c.linger = false
-	c.mu.Unlock()
-	if !linger {
-		return c.Conn.Close()
-	}
-	go c.drain()
-	return nil
-}
-
-// drain reads what the caller still sends, for a bounded time, and closes.
-func (c *conn) drain() {
-	defer func() { _ = c.Conn.Close() }()
-	if half, ok := c.Conn.(*net.TCPConn); ok {
-		_ = half.CloseWrite()
-	}
-	if err := c.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+	return c.LingerConn.Close()
 }
 
 func isTimeout(err error) bool {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -143,7 +144,7 @@
 		status = fasthttp.StatusRequestTimeout
 	}
 	if c, ok := ctx.Conn().(*conn); ok {
-		c.lingerOnClose()
+		c.LingerOnClose()
 	}
 	s.reject(ctx, status, "request", err)
 }
@@ -170,6 +171,11 @@
 		s.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "header", fmt.Errorf("header is larger than %d bytes", s.limits().HeaderBytes))
 		return
 	}
+	if framedTwice(&ctx.Request.Header) {
+		s.reject(ctx, fasthttp.StatusBadRequest, "header", errors.New("body has a length and is chunked"))
+		ctx.SetConnectionClose()
+		return
+	}
 	r, err := s.Request(&ctx.Request, ctx.Time())
 	if err != nil {
 		s.reject(ctx, fasthttp.StatusBadRequest, "request", err)
@@ -202,6 +208,18 @@
 	}}, -1)
 }
 
+// framedTwice reports whether the header tells the end of the body in two ways, which
+// others on the way may have read differently.
+func framedTwice(h *fasthttp.RequestHeader) bool {
+	length, chunked := false, false
+	for line := range bytes.Lines(h.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		length = length || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
+		chunked = chunked || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+	}
+	return length && chunked
+}
+
 // refuse answers a request that got no answer from a target.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, r *forward.Request, err error) {
 	var refusal *answer.Error
