Count what an ended life may have used only until the next one began

Cause: the bound of an ended life grew until its successor reached the store.

Change: the successor takes its own uptime off the store's clock, since no two lives of a VM run at the same time.

--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -124,6 +124,7 @@
 func (p *Purse) tryOpen(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	uptime := time.Since(p.born)
 	page, err := p.Read(ctx, table.Range{Table: tableJournal, Partition: p.VM, From: keyBook, To: table.Behind(keyBook)})
 	if err != nil {
 		return fmt.Errorf("read journal: %w", err)
@@ -143,7 +144,7 @@
 		p.opened(version, row, now)
 		return nil
 	}
-	next := journalRow{Life: p.Life, Epoch: row.Epoch + 1, AtMS: page.Clock.Milliseconds(), Bounds: map[string]bound{}, Former: p.formerLives(row, page.Clock)}
+	next := journalRow{Life: p.Life, Epoch: row.Epoch + 1, AtMS: page.Clock.Milliseconds(), Bounds: map[string]bound{}, Former: p.formerLives(row, page.Clock-uptime)}
 	var c table.Commit
 	c.RequireAt(p.journalPlace(), version)
 	if err := c.SetAt(p.journalPlace(), next); err != nil {
@@ -157,12 +158,13 @@
 	return nil
 }
 
-// formerLives returns what is known of the ended lives, the last of which wrote row.
-func (p *Purse) formerLives(row journalRow, clock time.Duration) map[string]formerLife {
+// formerLives returns what is known of the ended lives, the last of which wrote row and
+// had ended at a time of the store's clock.
+func (p *Purse) formerLives(row journalRow, ended time.Duration) map[string]formerLife {
 	former := make(map[string]formerLife, len(row.Former)+1)
 	maps.Copy(former, row.Former)
 	if row.Life != "" {
-		unseen := clock - time.Duration(row.AtMS)*time.Millisecond
+		unseen := ended - time.Duration(row.AtMS)*time.Millisecond
 		former[row.Life] = formerLife{Bounds: row.Bounds, OverMS: max(0, (unseen - p.Grace).Milliseconds())}
 	}
 	return former
--- a/internal/budget/prepaid/machine_test.go
+++ b/internal/budget/prepaid/machine_test.go
@@ -237,6 +237,19 @@
 // TestLifeInTouchCostsOnlyItsHeadroom bounds what is lost with a life that was killed
 // and comes back within the grace.
 func TestLifeInTouchCostsOnlyItsHeadroom(t *testing.T) {
+	assertLosesHeadroom(t, 0)
+}
+
+// TestWaitForTheStoreCostsNothing lets the next life wait for the store; the ended one
+// has used nothing meanwhile.
+func TestWaitForTheStoreCostsNothing(t *testing.T) {
+	assertLosesHeadroom(t, 20*time.Second)
+}
+
+// assertLosesHeadroom bounds what is lost if the next life begins a second after the
+// end of one, and reaches the store after a time.
+func assertLosesHeadroom(t *testing.T, storeAway time.Duration) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		w.topUp("joiners", 1_000_000)
@@ -249,7 +262,10 @@
 		headroom := int64(headroomFactor * 10_000 * defaultGrace.Seconds())
 		w.kill("a")
 		time.Sleep(time.Second)
+		w.store.set("a", refusing)
 		w.start("a")
+		time.Sleep(storeAway)
+		w.store.set("a", well)
 		time.Sleep(2 * time.Second)
 		lost := w.allotted(t, "joiners") - w.drawn("a", "joiners") - 100_000
 		assert.Assert(t, lost >= 0 && lost <= headroom, "lost %d of at most %d", lost, headroom)
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -75,6 +75,7 @@
 
 	sealed  atomic.Bool // nothing is covered ahead any more
 	once    sync.Once
+	born    time.Time // no earlier than the end of the VM's last life
 	seed    maphash.Seed
 	shards  [shardCount]shard
 	journal journal
@@ -103,6 +104,7 @@
 		if p.Alive == nil {
 			p.Alive = func(life string) bool { return life == p.Life }
 		}
+		p.born = time.Now()
 		p.seed = maphash.MakeSeed()
 		for i := range p.shards {
 			p.shards[i].holdings = make(map[string]*holding)
