Requests: an answer that ends while its request is written waits for the writer

Cause: a request of more than 4 KiB is written by a goroutine that read the exchange's connection itself. Beside it, the goroutine went on reading the caller's body, which the HTTP library reuses for the next request once the answer is done: a target could have got bytes of another request.

Change: the goroutine has the connection as an argument, and the end of an exchange closes the connection and then waits for the writer, which the close wakes at once.

Ruled out, by reading each goroutine that the path of a request starts: the watch of a caller's connection (joined before each read and before the close), the close at the end of a context (holds the connection itself; a stop that comes too late keeps the connection from being used again), the question for tokens (hands its gift over or books it itself, and holds nothing of the request), the draw and the refill (hold workspace and holding only), the lingering close (owns its connection), the head of a relayed stream (written before the first event, so before the stream can go on at another instance).

--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -57,7 +57,7 @@
 	conn    *conn
 	resp    *fasthttp.Response
 	id      Identity
-	written chan error // ends when the request is written as a whole; nil if it is
+	writing *writing // of a large request, beside the answer; nil if it was written before
 	stop    func() bool
 	ended   func() error // why the exchange was given up; nil if it was not
 	body    io.Reader
@@ -65,6 +65,12 @@
 	skipped bool // other answers came before
 }
 
+// writing is the sending of a request while its answer is read.
+type writing struct {
+	done chan struct{} // closed at the end
+	err  error         // valid once done is closed
+}
+
 // Send sends the request and returns when the header of its answer has come, at the
 // latest when ctx ends; the end of ctx also ends the reading of the body. The line is
 // used up.
@@ -91,7 +97,8 @@
 	return a, nil
 }
 
-// write sends the request; a large one goes on in the background.
+// write sends the request; a large one goes on in the background until the answer is
+// ended.
 func (a *Answer) write(req *fasthttp.Request) error {
 	body := req.Body()
 	if len(body) > 0 || !req.Header.IsGet() && !req.Header.IsHead() {
@@ -110,14 +117,16 @@
 		}
 		return &runner.Error{Run: state, Err: fmt.Errorf("write request: %w", err)}
 	}
-	a.written = make(chan error, 1)
-	go func() {
-		_, err := buffers.WriteTo(a.conn.Conn)
-		a.written <- err
-	}()
+	a.writing = &writing{done: make(chan struct{})}
+	go a.writing.run(a.conn.Conn, buffers)
 	return nil
 }
 
+func (w *writing) run(conn net.Conn, buffers net.Buffers) {
+	defer close(w.done)
+	_, w.err = buffers.WriteTo(conn)
+}
+
 // readHead reads the header of the answer that belongs to the request.
 func (a *Answer) readHead(c Call) error {
 	if err := a.conn.SetReadDeadline(c.HeadBy); err != nil {
@@ -226,10 +235,19 @@
 		return
 	}
 	a.stop()
-	_ = a.conn.Close()
+	a.closeConn()
 	a.release()
 }
 
+// closeConn closes the connection and returns when nothing reads the request any more,
+// whose body belongs to the caller.
+func (a *Answer) closeConn() {
+	_ = a.conn.Close()
+	if a.writing != nil {
+		<-a.writing.done
+	}
+}
+
 // Keep ends the answer and keeps its connection, if both ends agree on where it stands.
 func (a *Answer) Keep() {
 	if a.conn == nil {
@@ -254,23 +272,25 @@
 	conn := a.conn
 	usable := a.stop() && !a.skipped && a.requestWritten() && !a.resp.Header.ConnectionClose() &&
 		a.resp.Header.ContentLength() >= -1 && conn.br.Buffered() == 0
-	a.release()
 	if !usable {
-		_ = conn.Close()
-		return nil
+		a.closeConn()
+		conn = nil
+	}
+	a.release()
+	if conn != nil {
+		conn.reused = true
 	}
-	conn.reused = true
 	return conn
 }
 
 // requestWritten reports whether the target has taken the whole request.
 func (a *Answer) requestWritten() bool {
-	if a.written == nil {
+	if a.writing == nil {
 		return true
 	}
 	select {
-	case err := <-a.written:
-		return err == nil
+	case <-a.writing.done:
+		return a.writing.err == nil
 	default:
 		return false
 	}
