Placement counts in time, with what answers show of the engines

Change: a learner for each service fits the time to the first event to the tokens read before it, and follows the time of a step and the stay of a request. Costs are delays; what is lost otherwise is a part of the loss of the request: failures, full memory, and shared parts that are read again, by the part of the request's engine time that this takes. An engine whose places are taken counts the wait for one. The lanes' split follows a minute instead of 10 s. The figures are in the state dump and logged as service_pace.

Ruled out: a misjudged cache.

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -113,6 +113,7 @@
 		Ask:      platform.Report,
 		OnHealth: e.noteHealth,
 		OnNotice: e.noteNotice,
+		OnPace:   e.notePace,
 	}
 	e.targets = e.follow(platform.TableTargets, e.takeTargets)
 	e.keeper = &roster.Keeper{Regained: e.targets.Regained, OnRoster: e.placement.Update}
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -153,6 +153,12 @@
 	}
 }
 
+// notePace tells that a service's engines were found to be faster or slower than before.
+func (e *Edge) notePace(service string, p placement.Pace) {
+	e.Events.Emit(eventlog.ServicePace, "service", service, "tokens_per_ms", int64(p.ReadRate), "base_ms", p.Base.Milliseconds(),
+		"step_us", p.Step.Microseconds(), "stay_ms", p.Stay.Milliseconds(), "samples", p.Samples)
+}
+
 // peerWatch tells of changes in the view of the other routers.
 type peerWatch struct {
 	known map[string]inner.Member // by inner address
--- a/internal/fleet/edge/side.go
+++ b/internal/fleet/edge/side.go
@@ -12,6 +12,7 @@
 	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/target/placement"
 	"rosevalve/platform"
 )
 
@@ -29,7 +30,9 @@
 	Leaving     bool            `json:"leaving"`
 	InFlight    int64           `json:"in_flight"`
 	Tokens      []prepaid.State `json:"tokens"`
-	Members     []inner.Member  `json:"members"`
+	// Paces are what answers show of the engines, by service.
+	Paces   map[string]placement.Pace `json:"paces"`
+	Members []inner.Member            `json:"members"`
 }
 
 // handleSide answers the calls beside requests.
@@ -78,6 +81,7 @@
 		Leaving:  e.leaving.Load(),
 		InFlight: e.ingress.InFlight(),
 		Tokens:   e.purse.State(),
+		Paces:    e.placement.Paces(),
 		Members:  e.view.Members(),
 	}
 	if p := e.plan.Load(); p != nil {
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -32,6 +32,7 @@
 	TargetReadmitted                  // target_readmitted
 	TargetLeaving                     // target_leaving
 	TargetPaused                      // target_paused
+	ServicePace                       // service_pace
 	JournalOpened                     // journal_opened
 	JournalFailed                     // journal_failed
 	JournalRegained                   // journal_regained
@@ -120,6 +121,7 @@
 	TargetReadmitted:     {component: Targets, doc: "an ejected instance has served a request", fields: "instance, addr"},
 	TargetLeaving:        {component: Targets, doc: "an instance has said in an answer that it ends; it gets no new requests", fields: "instance, addr, running"},
 	TargetPaused:         {component: Targets, failure: true, doc: "an instance that was too busy gets nothing from this router for a time", fields: "instance, addr, running, pause_ms"},
+	ServicePace:          {component: Targets, doc: "answers show that a service's engines are faster or slower than was known", fields: "service, tokens_per_ms, base_ms, step_us, stay_ms, samples"},
 	JournalOpened:        {component: Tokens, doc: "this life may spend tokens"},
 	JournalFailed:        {component: Tokens, failure: true, doc: "the journal can not be written from now on; spending goes on within its bounds", fields: "err"},
 	JournalRegained:      {component: Tokens, doc: "the journal is written again", fields: "away_ms"},
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -197,6 +197,11 @@
 func (s *Stream) complete() {
 	s.done = true
 	s.sent.from.Keep()
+	w := s.work
+	if w.attempts == 1 {
+		// The first event's tokens came before the time that is measured.
+		s.sent.seat.Streamed((w.relayed-1)*w.service.Engine.EventTokens, time.Since(w.r.Arrived)-w.firstEvent)
+	}
 	s.sent.seat.End(placement.Served)
 }
 
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -7,23 +7,34 @@
 )
 
 const (
-	// missingWeight is how much worse it is to read a shared token again than to wait
-	// for one that is being read: both take the same time, but reading costs twice.
-	missingWeight = 2
 	// strangerWeight is how much worse it is to read shared tokens at an instance that
 	// other routers would not choose for them either.
 	strangerWeight = 1.5
-	// runningTokens is the work, in prompt tokens, that one running request stands for.
-	runningTokens = 300
-	// failingTokens is the work that a certain failure stands for.
-	failingTokens = 40000
-	// fullTokens is the work that the lack of memory stands for.
-	fullTokens = 20000
-	// closedTokens is the work that an open breaker stands for; such an instance is
-	// chosen only if there is no other.
-	closedTokens = 1e9
+	// runningSteps is how many steps of an engine one running request counts for, which
+	// makes each step longer.
+	runningSteps = 1.5
+	// leastLoss is the delay that the loss of a request counts for at the least.
+	leastLoss = 600 * time.Millisecond
+	// failingLosses is how many losses a certain failure counts for; one failure of late
+	// counts for one.
+	failingLosses = 1 / failureWeight
+	// closedCost is what an open breaker counts for; such an instance is chosen only if
+	// there is no other.
+	closedCost = 24 * time.Hour
 )
 
+// loss returns the delay that the loss of the request counts for.
+func (d Demand) loss() time.Duration { return max(leastLoss, d.Goal) }
+
+// reread returns what it costs to read shared tokens again, as a part of the loss of the
+// request: the engine spends on them what it would have had for another request.
+func (d Demand) reread(tokens int64, pace Pace, places int) float64 {
+	if tokens == 0 {
+		return 0
+	}
+	return float64(pace.read(float64(tokens))) / float64(d.work(pace, places))
+}
+
 // candidate is an instance with what is known of it at the moment of the choice.
 type candidate struct {
 	instance *instance
@@ -34,10 +45,11 @@
 
 // choose returns the instance with the least cost, or nil.
 func (p *Placement) choose(s *service, d Demand, now time.Time) *instance {
-	candidates := p.candidates(s, d, now)
+	pace := s.learner.pace()
+	candidates := p.candidates(s, d, pace, now)
 	first, second := leaders(candidates)
 	var best *instance
-	lowest := math.Inf(1)
+	lowest := time.Duration(math.MaxInt64)
 	for n, c := range candidates {
 		weight := strangerWeight
 		switch n {
@@ -47,7 +59,7 @@
 		case second:
 			weight = 1
 		}
-		if cost := c.cost(d, weight); cost < lowest {
+		if cost := c.cost(d, pace, weight); cost < lowest {
 			best, lowest = c.instance, cost
 		}
 	}
@@ -56,7 +68,7 @@
 
 // candidates looks at the instances that take requests and that this one was not sent
 // to, from a random one on, which decides between equals.
-func (p *Placement) candidates(s *service, d Demand, now time.Time) []candidate {
+func (p *Placement) candidates(s *service, d Demand, pace Pace, now time.Time) []candidate {
 	list := s.instances
 	out := make([]candidate, 0, len(list))
 	key, keyed := d.key()
@@ -68,8 +80,8 @@
 		if slices.Contains(d.Exclude, i.ID) || !i.welcomes(now) {
 			continue
 		}
-		c := candidate{instance: i, view: i.look(d, now)}
-		c.astray = d.EventGap > 0 && d.long() != (at < split)
+		c := candidate{instance: i, view: i.look(d, pace, now)}
+		c.astray = d.EventGap > 0 && d.long(pace) != (at < split)
 		if keyed {
 			c.rank = rank(key, i)
 		}
@@ -97,19 +109,36 @@
 	return first, second
 }
 
-// cost estimates, in prompt tokens, what the request waits for and costs at an instance.
-func (c candidate) cost(d Demand, weight float64) float64 {
+// cost estimates the delay of the request at an instance, and what else its work there
+// costs as if it were a delay.
+func (c candidate) cost(d Demand, pace Pace, weight float64) time.Duration {
 	v := c.view
-	cost := v.reading + runningTokens*v.running + failingTokens*v.failing + d.wayCost(v.trip)
-	cost += missingWeight * weight * float64(v.missing)
+	cost := c.wait(d, pace) + d.wayCost(v.trip)
+	cost += scale(d.loss(), weight*d.reread(v.missing, pace, c.instance.Capacity))
+	cost += scale(d.loss(), failingLosses*v.failing)
 	if d.CacheTokens > 0 && v.tokens+d.Input+d.MaxOutput > d.CacheTokens {
-		cost += fullTokens
+		cost += d.loss()
 	}
 	if c.astray {
-		cost += wrongLaneTokens
+		cost += scale(d.EventGap, wrongLaneGaps)
 	}
 	if !v.open {
-		cost += closedTokens
+		cost += closedCost
 	}
 	return cost
 }
+
+// wait estimates how long the instance takes to begin the answer: what is read there
+// before, what runs beside it, and the wait for a place.
+func (c candidate) wait(d Demand, pace Pace) time.Duration {
+	v := c.view
+	own := float64(d.Input - d.sharedTokens())
+	wait := pace.read(v.reading+own) + scale(pace.Step, runningSteps*v.running)
+	places := float64(c.instance.Capacity)
+	if over := v.occupied + 1 - places; places > 0 && over > 0 {
+		wait += scale(pace.Stay, over/places)
+	}
+	return wait
+}
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/target/placement/distance.go
+++ b/internal/target/placement/distance.go
@@ -11,9 +11,6 @@
 // since whatever delays a dial beside the way only makes it longer.
 const riseWeight = 1.0 / 32
 
-// lateTokens is the work, in prompt tokens, that a goal stands for which is surely missed.
-const lateTokens = 20000
-
 // distance is the round trip to the instances of a failure domain, as dials show it.
 type distance struct {
 	mu    sync.Mutex // guards trip
@@ -64,17 +61,17 @@
 	return d
 }
 
-// wayCost estimates, in prompt tokens, what it costs the request that its instance is so
-// far away: what an engine reads meanwhile, and the goal that the way alone may miss.
-func (d Demand) wayCost(trip time.Duration) float64 {
+// wayCost estimates what it costs the request that its instance is so far away: the delay,
+// and the goal that the way alone may miss.
+func (d Demand) wayCost(trip time.Duration) time.Duration {
 	way := trip
 	if d.Once {
 		way *= 2
 	}
-	cost := readRate * float64(way) / float64(time.Millisecond)
+	cost := way
 	if d.Goal > 0 {
 		share := min(1, float64(way)/float64(d.Goal))
-		cost += lateTokens * share * share
+		cost += scale(d.loss(), share*share)
 	}
 	return cost
 }
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -26,8 +26,10 @@
 	pool     *upstream.Pool
 	distance *distance // to its failure domain
 	hash     uint64
-	onHealth func(Health) // nil if nobody listens
-	onNotice func(Notice) // nil if nobody listens
+	learner  *learner                     // of its service
+	onHealth func(Health)                 // nil if nobody listens
+	onNotice func(Notice)                 // nil if nobody listens
+	onPace   func(service string, p Pace) // nil if nobody listens
 
 	mu       sync.Mutex // guards the fields below
 	running  int        // attempts of this router
@@ -52,6 +54,7 @@
 		hash:     balance.Hash(i.ID),
 		onHealth: p.OnHealth,
 		onNotice: p.OnNotice,
+		onPace:   p.OnPace,
 		cached:   make(map[uint64]time.Time),
 	}
 	out.pool = &upstream.Pool{Addr: i.Addr, Dial: d.dialer(p.Dial), Identify: p.Identify, OnNotice: out.heed}
@@ -60,32 +63,34 @@
 
 // view is what the choice needs of an instance.
 type view struct {
-	running float64
-	reading float64
-	tokens  int64
-	failing float64
-	open    bool // may get a request
-	missing int64
-	trip    time.Duration
+	running  float64
+	reading  float64
+	tokens   int64
+	failing  float64
+	occupied float64
+	open     bool // may get a request
+	missing  int64
+	trip     time.Duration
 }
 
 // look describes the instance for a request.
-func (i *instance) look(d Demand, now time.Time) view {
+func (i *instance) look(d Demand, pace Pace, now time.Time) view {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.breaker.ProbeDue(now) {
 		// The next request is the probe.
 		i.breaker.Probed(now, true)
 	}
-	running, reading := i.load(now)
+	running, reading := i.load(now, pace.Unread)
 	return view{
-		running: running,
-		reading: reading,
-		tokens:  i.tokens,
-		failing: i.failingAt(now),
-		open:    i.breaker.Allows(i.running),
-		missing: i.missing(d),
-		trip:    i.distance.length(),
+		running:  running,
+		reading:  reading,
+		tokens:   i.tokens,
+		failing:  i.failingAt(now),
+		occupied: i.occupied(now),
+		open:     i.breaker.Allows(i.running),
+		missing:  i.missing(d),
+		trip:     i.distance.length(),
 	}
 }
 
@@ -120,6 +125,8 @@
 	s.reason = i.reason(d, now)
 	s.reading = d.Input - d.sharedTokens() + s.reason.Missing
 	s.tokens = d.Input + d.MaxOutput
+	s.began = now
+	s.ahead = s.reason.Reading + float64(s.reading)
 	i.running++
 	i.reading += s.reading
 	i.tokens += s.tokens
@@ -144,9 +151,13 @@
 }
 
 // answering counts that an attempt has begun to answer.
-func (i *instance) answering(s *Seat) {
+func (i *instance) answering(s *Seat, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	pace, changed := i.learner.began(s.ahead, float64(s.reading), now.Sub(s.began)-i.distance.length())
+	if changed && i.onPace != nil {
+		i.onPace(i.Service, pace)
+	}
 	i.reading -= s.reading
 	s.reading = 0
 }
@@ -163,6 +174,7 @@
 	case Unjudged:
 		return
 	case Served:
+		i.learner.ended(now.Sub(s.began))
 		i.breaker.Succeeded()
 		i.judge(0, now)
 	case Declined:
--- a/internal/target/placement/lanes.go
+++ b/internal/target/placement/lanes.go
@@ -9,19 +9,16 @@
 )
 
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond.
-	readRate = 30
 	// longShare is the part of the longest pause between events from which on the
 	// reading of a prompt disturbs the streams beside it.
 	longShare = 0.25
-	// outputWeight is how many prompt tokens one token of an answer counts for.
-	outputWeight = 2
 	// laneWindow is the time constant of the measured work.
-	laneWindow = 10 * time.Second
+	laneWindow = time.Minute
 	// laneSlack is how far the split may be off, in instances, before it is moved.
 	laneSlack = 0.75
-	// wrongLaneTokens is the work that the wrong lane stands for.
-	wrongLaneTokens = 6000
+	// wrongLaneGaps is how many of the longest pauses between events the wrong lane
+	// counts for.
+	wrongLaneGaps = 0.7
 )
 
 // lanes divide the engines of a service between requests with long prompts, whose
@@ -29,20 +26,28 @@
 // stand in one order that all routers agree on; the split follows the measured work.
 type lanes struct {
 	mu          sync.Mutex // guards the fields below
-	long, short float64    // work of late, in prompt tokens
+	long, short float64    // work of late, in nanoseconds of an engine
 	at          time.Time
 	split       int // instances of the long lane
 	count       int // instances when the split was made
 }
 
 // long reports whether the request's prompt takes so long to read that it disturbs others.
-func (d Demand) long() bool {
-	return d.EventGap > 0 && float64(d.Input) > longShare*readRate*float64(d.EventGap.Milliseconds())
+func (d Demand) long(pace Pace) bool {
+	return d.EventGap > 0 && pace.read(float64(d.Input)) > scale(d.EventGap, longShare)
 }
 
-// note counts the work of a request to a service with so many instances.
-func (l *lanes) note(d Demand, instances int, now time.Time) {
-	if d.EventGap == 0 {
+// work returns the time of an engine that the request takes up, if the engine answers as
+// many others at once as it can.
+func (d Demand) work(pace Pace, places int) time.Duration {
+	steps := float64(d.LikelyOutput) / float64(max(1, places))
+	return pace.read(float64(d.Input)) + scale(pace.Step, steps)
+}
+
+// note counts the work of a request to the instances.
+func (l *lanes) note(d Demand, pace Pace, list []*instance, now time.Time) {
+	instances := len(list)
+	if d.EventGap == 0 || instances == 0 {
 		return
 	}
 	l.mu.Lock()
@@ -51,8 +56,8 @@
 	l.at = now
 	l.long *= fade
 	l.short *= fade
-	work := float64(d.Input) + outputWeight*float64(d.LikelyOutput)
-	if d.long() {
+	work := float64(d.work(pace, list[0].Capacity))
+	if d.long(pace) {
 		l.long += work
 	} else {
 		l.short += work
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -106,6 +106,8 @@
 	OnHealth func(h Health)
 	// OnNotice is told when an instance is found to leave or to pause; it must not block.
 	OnNotice func(n Notice)
+	// OnPace is told of a service's pace when it has changed by much; it must not block.
+	OnPace func(service string, p Pace)
 	// Rand returns a random number below n; nil stands for the library's.
 	Rand func(n int) int
 
@@ -119,6 +121,7 @@
 type service struct {
 	instances []*instance // in the order of their lanes
 	lanes     *lanes
+	learner   *learner
 }
 
 // Seat is one attempt's place at an instance. It must be ended once.
@@ -126,8 +129,10 @@
 	instance *instance
 	line     *upstream.Line // on which the instance has just answered, or nil
 	reason   Reason
-	reading  int64
+	reading  int64   // prompt tokens of its own that are not read yet
+	ahead    float64 // prompt tokens to read before its answer, its own included
 	tokens   int64
+	began    time.Time
 	ended    bool
 }
 
@@ -153,7 +158,10 @@
 }
 
 // Answering tells that the attempt has begun to answer.
-func (s *Seat) Answering() { s.instance.answering(s) }
+func (s *Seat) Answering() { s.instance.answering(s, time.Now()) }
+
+// Streamed tells how long the tokens of the answer took from the first to the last.
+func (s *Seat) Streamed(tokens int64, took time.Duration) { s.instance.learner.streamed(tokens, took) }
 
 // End tells how the attempt has ended; only the first call counts.
 func (s *Seat) End(o Outcome) {
@@ -187,12 +195,13 @@
 		}
 		s := p.services[i.Service]
 		if s == nil {
-			s = &service{lanes: &lanes{}}
+			s = &service{lanes: &lanes{}, learner: &learner{}}
 			if before, ok := old[i.Service]; ok {
-				s.lanes = before.lanes
+				s.lanes, s.learner = before.lanes, before.learner
 			}
 			p.services[i.Service] = s
 		}
+		state.learner = s.learner
 		s.instances = append(s.instances, state)
 	}
 	for _, s := range p.services {
@@ -224,7 +233,7 @@
 	if s == nil {
 		return nil, ErrNoInstance
 	}
-	s.lanes.note(d, len(s.instances), time.Now())
+	s.lanes.note(d, s.learner.pace(), s.instances, time.Now())
 	seat := &Seat{}
 	if d.Careful && p.Ask != nil {
 		seat.instance, seat.line = p.ask(ctx, s, d)
@@ -238,6 +247,17 @@
 	return seat, nil
 }
 
+// Paces returns the pace of each service.
+func (p *Placement) Paces() map[string]Pace {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make(map[string]Pace, len(p.services))
+	for name, s := range p.services {
+		out[name] = s.learner.pace()
+	}
+	return out
+}
+
 func (p *Placement) intN(n int) int {
 	if p.Rand == nil {
 		return rand.IntN(n)
--- a/internal/target/placement/reason.go
+++ b/internal/target/placement/reason.go
@@ -23,7 +23,7 @@
 
 // reason describes the instance for a request. The caller holds mu.
 func (i *instance) reason(d Demand, now time.Time) Reason {
-	running, reading := i.load(now)
+	running, reading := i.load(now, i.learner.pace().Unread)
 	age := now.Sub(i.toldAt)
 	return Reason{
 		Running:   running,
--- a/internal/target/placement/report.go
+++ b/internal/target/placement/report.go
@@ -16,9 +16,6 @@
 	reportTime = 60 * time.Millisecond
 	// maxAsked bounds the instances that are asked for one request.
 	maxAsked = 3
-	// waitingTokens is the work, in prompt tokens, that a request stands for which an
-	// instance reports as waiting.
-	waitingTokens = 3000
 )
 
 // Report is what an engine says about its load; it lags behind.
@@ -103,13 +100,25 @@
 }
 
 // load returns what runs and is read there, by this router's own count and by the last
-// report, which counts less as it grows old. The caller holds mu.
-func (i *instance) load(now time.Time) (running float64, reading float64) {
+// report, which counts less as it grows old and whose waiting requests leave so many
+// tokens unread. The caller holds mu.
+func (i *instance) load(now time.Time, unread float64) (running float64, reading float64) {
 	running, reading = float64(i.running), float64(i.reading)
 	age := now.Sub(i.toldAt)
 	if age >= reportFade {
 		return running, reading
 	}
 	weight := 1 - float64(age)/float64(reportFade)
-	return max(running, weight*float64(i.told.Running)), max(reading, weight*waitingTokens*float64(i.told.Waiting))
+	return max(running, weight*float64(i.told.Running)), max(reading, weight*unread*float64(i.told.Waiting))
+}
+
+// occupied returns the places that are taken or waited for, by the same two. The caller
+// holds mu.
+func (i *instance) occupied(now time.Time) float64 {
+	age := now.Sub(i.toldAt)
+	if age >= reportFade {
+		return float64(i.running)
+	}
+	weight := 1 - float64(age)/float64(reportFade)
+	return max(float64(i.running), weight*float64(i.told.Running+i.told.Waiting))
 }
