--- a/internal/target/placement/pace.go
+++ b/internal/target/placement/pace.go
@@ -19,7 +19,7 @@
 	priorBase = 20 * time.Millisecond
 	// maxSurprise bounds a sample by a multiple of what was expected, so that a request
 	// that hung does not count as one that was read slowly.
-	maxSurprise = 3
+	maxSurprise = 2
 	// noteworthy is the factor by which a figure must change to be told.
 	noteworthy = 1.3
 )
--- a/internal/target/placement/pace_test.go
+++ b/internal/target/placement/pace_test.go
@@ -26,7 +26,7 @@
 			// Requests of one length alone would not tell reading from the rest.
 			tokens := rapid.Float64Range(100, 4000).Draw(rt, "tokens") + float64(n%4*4000)
 			took := base + tokens/rate
-			if n%20 == 7 {
+			if n%19 == 7 {
 				took += 2000
 			}
 			l.began(tokens, tokens, time.Duration(took*float64(time.Millisecond)))
