--- a/internal/budget/prepaid/ahead.go
+++ b/internal/budget/prepaid/ahead.go
@@ -9,7 +9,7 @@
 // refillDue reports whether less than half of what the demand asks for is there. The
 // caller holds h.mu.
 func (p *Purse) refillDue(h *holding, now time.Time) bool {
-	if h.flight != nil || now.Before(h.refillAt) {
+	if h.flight != nil || now.Before(h.refillAt) || p.sealed.Load() {
 		return false
 	}
 	left := p.Prepaid(h.workspace) - h.allotted
@@ -30,7 +30,7 @@
 		return false
 	}
 	h.mu.Lock()
-	if h.flight != nil {
+	if h.flight != nil || p.sealed.Load() {
 		h.mu.Unlock()
 		return false
 	}
--- a/internal/budget/prepaid/bench_test.go
+++ b/internal/budget/prepaid/bench_test.go
@@ -26,6 +26,9 @@
 			all.Go(func() {
 				r, err := w.life("a").purse.Reserve(b.Context(), nameOf(n), 1000, time.Second)
 				if err == nil {
+					if err := r.Begin(b.Context()); err != nil {
+						b.Fatal(err)
+					}
 					r.Bill(1000)
 				}
 			})
@@ -58,6 +61,9 @@
 	for b.Loop() {
 		r, err := p.Reserve(b.Context(), "joiners", 1, time.Second)
 		assert.NilError(b, err)
+		if err := r.Begin(b.Context()); err != nil {
+			b.Fatal(err)
+		}
 		r.Bill(0)
 	}
 }
--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -77,6 +77,9 @@
 
 // giveBack returns the free tokens of one holding; one that keeps nothing is closed.
 func (p *Purse) giveBack(ctx context.Context, h *holding, keep func(h *holding) int64) error {
+	if err := h.awaitFlight(ctx); err != nil {
+		return err
+	}
 	for range maxDrawTries {
 		r, err := p.planReturn(h, keep)
 		if err != nil || r.nothing() {
@@ -94,6 +97,23 @@
 	return fmt.Errorf("return tokens of workspace %q: %w", h.workspace, errConflict)
 }
 
+// awaitFlight waits for the draw that is under way, whose tokens would stay here otherwise.
+func (h *holding) awaitFlight(ctx context.Context) error {
+	h.mu.Lock()
+	f := h.flight
+	h.mu.Unlock()
+	if f == nil {
+		return nil
+	}
+	select {
+	case <-f.done:
+		// How it has ended is told where it began.
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("return tokens of workspace %q: wait for a draw: %w", h.workspace, ctx.Err())
+	}
+}
+
 // plannedReturn is one commit that returns tokens.
 type plannedReturn struct {
 	commit table.Commit
@@ -115,7 +135,7 @@
 	}
 	kept := keep(h)
 	h.returning = 0
-	h.returning = max(0, h.row.Tokens-h.wanted()-kept)
+	h.returning = max(0, h.row.Tokens-h.wanted()-h.promised-kept)
 	r.free, r.closes = h.returning, kept == 0
 	if r.nothing() {
 		return r, nil
@@ -176,5 +196,6 @@
 // open then is allotted in full; what it does not use is the next holding's. The caller
 // holds mu.
 func (h *holding) startAnew() {
-	h.named, h.drawn, h.spent, h.returning = 0, 0, 0, 0
+	h.named, h.drawn, h.spent, h.promised, h.returning = 0, 0, 0, 0, 0
+	h.era++
 }
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -265,6 +265,9 @@
 		if !w.f.Genuine(s.from.Header()) {
 			return nil, w.reject(s, errors.New("answer bears no signature of its target"))
 		}
+		if err := w.begin(); err != nil {
+			return nil, w.reject(s, err)
+		}
 		w.firstEvent = time.Since(w.r.Arrived)
 		stream := newStream(w, s)
 		return &Answer{Status: s.from.Status(), Header: s.from.Header(), Stream: stream, work: w}, nil
@@ -284,6 +287,9 @@
 		// Only a target that says so has not run the request.
 		return nil, w.reject(s, fmt.Errorf("target answered %d and may have run the request", status))
 	}
+	if err := w.begin(); err != nil {
+		return nil, w.reject(s, err)
+	}
 	w.firstEvent = time.Since(w.r.Arrived)
 	var header fasthttp.ResponseHeader
 	s.from.Header().CopyTo(&header)
@@ -292,6 +298,14 @@
 	return &Answer{Status: status, Header: &header, Body: body, work: w}, nil
 }
 
+// begin waits until the reserved tokens may be used, before the caller gets anything.
+func (w *work) begin() error {
+	if w.reservation == nil {
+		return nil
+	}
+	return w.reservation.Begin(w.ctx)
+}
+
 // canRepeatElsewhere reports whether another attempt is possible at all.
 func (w *work) canRepeatElsewhere() bool { return len(w.tried) < max(1, w.route.MaxTargets) }
 
