Large fleet: the order of routers is worked out once for each view; rarer collections; callers stay in their failure domain

Cause: each look at the tokens (twice a second) ranked all routers anew for each workspace in use, and each reservation and directory answer selected the carriers anew; with 70 routers and 40 workspaces this was 16% of all processor time of a loopback fleet, and it grows with routers times workspaces. A quarter went into garbage collection. Callers were told of routers in all failure domains, though each has enough of its own.

Change: entry.Fleet keeps carriers and leaders until the view changes (a view is an immutable slice); the watch of other routers does nothing for an unchanged view. The heap may grow by 400% between collections, within 60% of the VM's memory ([edge] memory_mb). Callers are told of the carriers of their failure domain if these are eight or more.

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
@@ -159,6 +160,7 @@
 		ConfigVersion:   e.config.Newest,
 		OnConfigVersion: e.config.HeardFrom,
 	}
+	e.fleet = &entry.Fleet{Members: e.view.Members}
 	e.links.Self = e.view.Self
 	e.links.Handlers = map[string]peer.Handler{
 		inner.MethodHeartbeat: e.view.HandleHeartbeat,
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
@@ -61,6 +62,7 @@
 	forwarder *forward.Forwarder
 	ingress   *ingress.Server
 	view      *membership.View
+	fleet     *entry.Fleet
 	links     *peer.Links
 	load      *loadMeter
 	metrics   *meters
@@ -73,6 +75,7 @@
 	e.life = e.Settings.Edge.VM + "#" + rand.Text()[:8]
 	e.current.Store(&e.Settings)
 	e.metrics = newMeters()
+	defer e.collectRarely()()
 	defer e.startLog()()
 	e.connect()
 	listeners, err := e.listen()
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/forward"
@@ -162,10 +163,15 @@
 // peerWatch tells of changes in the view of the other routers.
 type peerWatch struct {
 	known map[string]inner.Member // by inner address
+	view  []inner.Member          // that it was told last
 }
 
 // look compares the members with those seen before.
 func (w *peerWatch) look(self string, members []inner.Member, emit func(ev eventlog.Event, pairs ...any)) {
+	if entry.SameView(members, w.view) {
+		return
+	}
+	w.view = members
 	seen := make(map[string]inner.Member, len(members))
 	for _, m := range members {
 		if m.InnerAddr == self {
--- a/internal/fleet/edge/side.go
+++ b/internal/fleet/edge/side.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"rosevalve/internal/budget/prepaid"
-	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/target/placement"
@@ -45,7 +44,7 @@
 		}
 		return
 	case platform.CallDirectory:
-		if err := platform.WriteDirectory(&ctx.Response, e.addresses(), e.settings().Edge.MaxAge); err != nil {
+		if err := platform.WriteDirectory(&ctx.Response, e.addresses(platform.CallerDomain(ctx.QueryArgs())), e.settings().Edge.MaxAge); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		}
 		return
@@ -63,9 +62,10 @@
 	}
 }
 
-// addresses lists the routers that carry requests, in random order.
-func (e *Edge) addresses() []string {
-	carriers := slices.Clone(entry.Carriers(e.view.Members()))
+// addresses lists the routers that carry the requests of a failure domain's callers, in
+// random order.
+func (e *Edge) addresses(domain string) []string {
+	carriers := slices.Clone(e.fleet.Near(domain))
 	rand.Shuffle(len(carriers), func(i, j int) { carriers[i], carriers[j] = carriers[j], carriers[i] })
 	out := make([]string, 0, len(carriers))
 	for _, m := range carriers[:min(maxAddresses, len(carriers))] {
--- a/internal/fleet/edge/tokens.go
+++ b/internal/fleet/edge/tokens.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,10 +9,8 @@
 
 	"rosevalve/internal/budget/demand"
 	"rosevalve/internal/budget/prepaid"
-	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/protocol/inner"
-	"rosevalve/internal/target/balance"
 )
 
 // tokenHomes is how many routers keep the tokens of one workspace. More lose fewer of
@@ -30,7 +27,7 @@
 		Commit:  e.commit,
 		Read:    e.read,
 		Prepaid: e.prepaid,
-		Size:    demand.SizeByShare(func() int { return min(tokenHomes, len(entry.Carriers(e.view.Members()))) }),
+		Size:    demand.SizeByShare(func() int { return min(tokenHomes, len(e.fleet.Carriers())) }),
 		Homes:   e.homes,
 		Alive:   e.alive,
 		Ask:     e.askTokens,
@@ -62,26 +59,16 @@
 // failure domain first, and tells whether this router is one of them. They are among
 // those that carry the requests; routers agree on them as far as they agree on these.
 func (e *Edge) homes(workspace string) ([]string, bool) {
-	type ranked struct {
-		member inner.Member
-		rank   uint64
-	}
-	key := balance.Hash(workspace)
-	var all []ranked
-	for _, m := range entry.Carriers(e.view.Members()) {
-		all = append(all, ranked{member: m, rank: balance.Mix(key, balance.Hash(m.InnerAddr))})
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	self := false
 	var near, far []string
-	for _, r := range all[:min(tokenHomes, len(all))] {
+	for _, m := range e.fleet.Leaders(workspace, tokenHomes) {
 		switch {
-		case r.member.InnerAddr == e.innerAddr():
+		case m.InnerAddr == e.innerAddr():
 			self = true
-		case r.member.FailureDomain == e.Settings.Router.FailureDomain:
-			near = append(near, r.member.InnerAddr)
+		case m.FailureDomain == e.Settings.Router.FailureDomain:
+			near = append(near, m.InnerAddr)
 		default:
-			far = append(far, r.member.InnerAddr)
+			far = append(far, m.InnerAddr)
 		}
 	}
 	return append(near, far...), self
--- /dev/null
+++ b/internal/fleet/entry/fleet_test.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/target/balance"
+)
+
+// view returns n routers that are ready and live.
+func view(n int) []inner.Member {
+	var out []inner.Member
+	for i := range n {
+		out = append(out, inner.Member{InnerAddr: fmt.Sprintf("10.0.%d.%d:9", i/250, i%250), Capacity: 100, Ready: true})
+	}
+	return out
+}
+
+// sorted ranks all carriers by a whole sort, as an oracle.
+func sorted(members []inner.Member, key string, n int) []inner.Member {
+	carriers := append([]inner.Member{}, Carriers(members)...)
+	rank := func(m inner.Member) uint64 { return balance.Mix(balance.Hash(key), balance.Hash(m.InnerAddr)) }
+	slices.SortFunc(carriers, func(a, b inner.Member) int { return cmp.Compare(rank(b), rank(a)) })
+	return carriers[:min(n, len(carriers))]
+}
+
+func TestLeaders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		members := view(rapid.IntRange(0, 40).Draw(rt, "routers"))
+		f := &Fleet{Members: func() []inner.Member { return members }}
+		const n = 8
+		for step := range rapid.IntRange(1, 10).Draw(rt, "steps") {
+			key := fmt.Sprint("w", rapid.IntRange(0, 3).Draw(rt, "key"))
+			assert.DeepEqual(rt, f.Leaders(key, n), sorted(members, key, n))
+			assert.Equal(rt, len(f.Carriers()), len(Carriers(members)))
+			if len(members) > 0 {
+				// The view changes as a new slice.
+				members = slices.Clone(members)
+				members[step%len(members)].State = inner.MemberState(rapid.IntRange(0, 3).Draw(rt, "state"))
+			}
+		}
+	})
+}
+
+// TestCallersStayNear tells callers of the routers of their own failure domain if there are
+// enough that can carry them.
+func TestCallersStayNear(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		near, busy int
+		want       int
+	}{
+		{name: "enough", near: 10, want: 10},
+		{name: "some are busy", near: 10, busy: 2, want: 8},
+		{name: "too few", near: 7, want: 47},
+		{name: "too few have room", near: 10, busy: 3, want: 47},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			members := view(40 + test.near)
+			for i := range members {
+				members[i].FailureDomain = "far"
+				if i < test.near {
+					members[i].FailureDomain = "near"
+					members[i].Busy = i < test.busy
+				}
+			}
+			f := &Fleet{Members: func() []inner.Member { return members }}
+			assert.Equal(t, len(f.Near("near")), test.want)
+			assert.Equal(t, len(f.Near("unknown")), 40+test.near-test.busy)
+		})
+	}
+}
+
+// TestLeadersOfAnUnchangedViewCostNothing keeps what each look at the tokens of a large
+// fleet asks for from being worked out again.
+func TestLeadersOfAnUnchangedViewCostNothing(t *testing.T) {
+	members := view(300)
+	f := &Fleet{Members: func() []inner.Member { return members }}
+	f.Leaders("w", 8)
+	allocs := testing.AllocsPerRun(100, func() {
+		f.Leaders("w", 8)
+		f.Carriers()
+	})
+	assert.Equal(t, allocs, 0.0)
+}
+
+func BenchmarkLeaders(b *testing.B) {
+	members := view(300)
+	for b.Loop() {
+		f := &Fleet{Members: func() []inner.Member { return members }}
+		for n := range 40 {
+			f.Leaders(fmt.Sprint("w", n), 8)
+		}
+	}
+}
--- a/internal/fleet/settings/edge.go
+++ b/internal/fleet/settings/edge.go
@@ -16,6 +16,8 @@
 	InnerAddress string
 	// Cores is the processor time that the VM gives this process, in cores.
 	Cores float64
+	// MemoryMB is the memory that the VM gives this process, in megabytes.
+	MemoryMB float64
 	// LinkMbps is the bandwidth of the VM's link, in megabits a second.
 	LinkMbps float64
 	// MaxAge is how long callers may keep the list of routers.
@@ -36,6 +38,7 @@
 		addrOption("edge", "metrics_listen", "127.0.0.1:7004", "address of metrics and of the state dump", &s.MetricsListen),
 		optionalAddrOption("edge", "inner_address", "address where other routers reach this one, if it is not [router] inner_listen", &s.InnerAddress),
 		numberOption("edge", "cores", "1", "processor time that the VM gives this process, in cores", 0.01, 1024, &s.Cores),
+		numberOption("edge", "memory_mb", "256", "memory that the VM gives this process, in megabytes", 32, 1e6, &s.MemoryMB),
 		numberOption("edge", "link_mbps", "1000", "bandwidth of the VM's link, in megabits a second", 0.1, 1e6, &s.LinkMbps),
 		durationOption("edge", "max_age", "1s", "how long callers may keep the list of routers", 100*time.Millisecond, time.Hour, &s.MaxAge),
 		numberOption("edge", "retry_ratio", "0.2", "repeats that each request of a service earns", 0, 1, &s.RetryRatio),
