--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -233,7 +233,7 @@
 	case w.ctx.Err() != nil:
 		return w.timedOut()
 	case w.run == answer.NotRun && errors.As(last, &paused):
-		return answer.Busy(fasthttp.StatusServiceUnavailable, "targets_paused", time.Until(paused.Until), "no target takes requests now: %v", last)
+		return answer.Busy(fasthttp.StatusServiceUnavailable, "targets_paused", max(time.Millisecond, time.Until(paused.Until)), "no target takes requests now: %v", last)
 	case w.run == answer.NotRun:
 		return answer.Busy(fasthttp.StatusServiceUnavailable, "no_target", busyRetry, "no target can take the request now: %v", last)
 	default:
@@ -266,7 +266,7 @@
 			return nil, w.reject(s, errors.New("answer bears no signature of its target"))
 		}
 		if err := w.begin(); err != nil {
-			return nil, w.reject(s, err)
+			return nil, w.giveUp(s, err)
 		}
 		w.firstEvent = time.Since(w.r.Arrived)
 		stream := newStream(w, s)
@@ -288,7 +288,7 @@
 		return nil, w.reject(s, fmt.Errorf("target answered %d and may have run the request", status))
 	}
 	if err := w.begin(); err != nil {
-		return nil, w.reject(s, err)
+		return nil, w.giveUp(s, err)
 	}
 	w.firstEvent = time.Since(w.r.Arrived)
 	var header fasthttp.ResponseHeader
@@ -330,12 +330,20 @@
 
 // reject ends an attempt whose answer is not relayed.
 func (w *work) reject(s *sent, err error) error {
-	status := s.from.Status()
-	s.from.Drop()
 	outcome := placement.Failed
 	if w.ctx.Err() != nil && !w.late() {
 		outcome = placement.Unjudged
 	}
+	return w.drop(s, outcome, err)
+}
+
+// giveUp ends an attempt whose answer came, but too late for this router's own part.
+func (w *work) giveUp(s *sent, err error) error { return w.drop(s, placement.Unjudged, err) }
+
+// drop ends an attempt with an outcome.
+func (w *work) drop(s *sent, outcome placement.Outcome, err error) error {
+	status := s.from.Status()
+	s.from.Drop()
 	s.seat.End(outcome)
 	failed := &runner.Error{Run: answer.Ran, Status: status, Err: err}
 	w.note(Decision{Event: Ended, Instance: s.seat.ID(), Addr: s.seat.Addr(), Outcome: outcome, Run: answer.Ran, Status: status, Err: err})
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -46,12 +46,13 @@
 	vanished time.Time // when it was gone from the roster; zero while it is listed
 }
 
-func newInstance(i roster.Instance, p *Placement) *instance {
+func newInstance(i roster.Instance, p *Placement, l *learner) *instance {
 	d := p.distanceTo(i.FailureDomain)
 	out := &instance{
 		Instance: i,
 		distance: d,
 		hash:     balance.Hash(i.ID),
+		learner:  l,
 		onHealth: p.OnHealth,
 		onNotice: p.OnNotice,
 		onPace:   p.OnPace,
--- a/internal/target/placement/pace_test.go
+++ b/internal/target/placement/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -88,6 +89,7 @@
 		p.services[writer].learner.began(9000, 9000, time.Second)
 	}
 	before := p.Paces()[writer]
+	p.Update(instances(0))
 	p.Update(instances(3))
 	assert.Equal(t, p.Paces()[writer], before)
 	for _, i := range p.services[writer].instances {
@@ -95,6 +97,23 @@
 	}
 }
 
+// TestUpdateBesideAnswers changes the roster while answers begin, for the race detector.
+func TestUpdateBesideAnswers(t *testing.T) {
+	p := placement(3)
+	var updates sync.WaitGroup
+	updates.Go(func() {
+		for n := range 100 {
+			p.Update(instances(3 + n%2))
+		}
+	})
+	for range 100 {
+		s := choose(t, p, prompt(7))
+		s.Answering()
+		s.End(Served)
+	}
+	updates.Wait()
+}
+
 // TestReadingAgainCostsItsPart keeps a long shared part where it was read as long as the
 // wait there is shorter than what the reading takes from others.
 func TestReadingAgainCostsItsPart(t *testing.T) {
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -114,6 +114,7 @@
 	mu        sync.RWMutex // guards the fields below
 	services  map[string]*service
 	unlisted  map[string]*instance // by ID, gone from the roster with a notice in force
+	learners  map[string]*learner  // by service, also of those that have no instance now
 	distances map[string]*distance // by failure domain
 }
 
@@ -121,7 +122,7 @@
 type service struct {
 	instances []*instance // in the order of their lanes
 	lanes     *lanes
-	learner   *learner
+	learner   *learner // of the service, whatever the roster says
 }
 
 // Seat is one attempt's place at an instance. It must be ended once.
@@ -188,20 +189,19 @@
 	for _, i := range r.Instances() {
 		state, ok := known[i.ID]
 		if !ok || !state.SameLife(i) {
-			state = newInstance(i, p)
+			state = newInstance(i, p, p.learnerOf(i.Service))
 		} else {
 			delete(known, i.ID)
 			state.list()
 		}
 		s := p.services[i.Service]
 		if s == nil {
-			s = &service{lanes: &lanes{}, learner: &learner{}}
+			s = &service{lanes: &lanes{}, learner: p.learnerOf(i.Service)}
 			if before, ok := old[i.Service]; ok {
-				s.lanes, s.learner = before.lanes, before.learner
+				s.lanes = before.lanes
 			}
 			p.services[i.Service] = s
 		}
-		state.learner = s.learner
 		s.instances = append(s.instances, state)
 	}
 	for _, s := range p.services {
@@ -212,6 +212,19 @@
 	p.unlisted = known
 }
 
+// learnerOf returns what follows the pace of a service. The caller holds mu.
+func (p *Placement) learnerOf(service string) *learner {
+	l, ok := p.learners[service]
+	if !ok {
+		if p.learners == nil {
+			p.learners = make(map[string]*learner)
+		}
+		l = &learner{}
+		p.learners[service] = l
+	}
+	return l
+}
+
 // Prune closes idle connections that are too old.
 func (p *Placement) Prune(now time.Time) {
 	p.mu.RLock()
