--- a/internal/budget/prepaid/bench_test.go
+++ b/internal/budget/prepaid/bench_test.go
@@ -26,9 +26,6 @@
 			all.Go(func() {
 				r, err := w.life("a").purse.Reserve(b.Context(), nameOf(n), 1000, time.Second)
 				if err == nil {
-					if err := r.Begin(b.Context()); err != nil {
-						b.Fatal(err)
-					}
 					r.Bill(1000)
 				}
 			})
@@ -61,9 +58,6 @@
 	for b.Loop() {
 		r, err := p.Reserve(b.Context(), "joiners", 1, time.Second)
 		assert.NilError(b, err)
-		if err := r.Begin(b.Context()); err != nil {
-			b.Fatal(err)
-		}
 		r.Bill(0)
 	}
 }
--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -135,7 +135,7 @@
 	}
 	kept := keep(h)
 	h.returning = 0
-	h.returning = max(0, h.row.Tokens-h.wanted()-h.promised-kept)
+	h.returning = max(0, h.row.Tokens-h.wanted()-kept)
 	r.free, r.closes = h.returning, kept == 0
 	if r.nothing() {
 		return r, nil
@@ -196,6 +196,5 @@
 // open then is allotted in full; what it does not use is the next holding's. The caller
 // holds mu.
 func (h *holding) startAnew() {
-	h.named, h.drawn, h.spent, h.promised, h.returning = 0, 0, 0, 0, 0
-	h.era++
+	h.named, h.drawn, h.spent, h.returning = 0, 0, 0, 0
 }
--- a/internal/budget/prepaid/directed_test.go
+++ b/internal/budget/prepaid/directed_test.go
@@ -168,7 +168,7 @@
 	n := 0
 	for range 10 * seconds {
 		r, err := w.life(vm).purse.Reserve(ctx, "joiners", tokens, 0)
-		if err == nil && r.Begin(ctx) == nil {
+		if err == nil {
 			r.Bill(tokens)
 			n++
 		}
@@ -291,7 +291,6 @@
 				r, err := w.life("c").purse.Reserve(t.Context(), "joiners", 5000+int64(n%7)*1000, 0)
 				if err == nil {
 					served.Add(1)
-					assert.Check(t, r.Begin(t.Context()))
 					time.Sleep(time.Second)
 					r.Bill(100)
 				} else {
@@ -310,9 +309,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := startedWorld(1000, vms...)
 		defer w.end()
-		r, err := w.life("a").purse.Reserve(t.Context(), "joiners", 900, 0)
+		_, err := w.life("a").purse.Reserve(t.Context(), "joiners", 900, 0)
 		assert.NilError(t, err)
-		assert.NilError(t, r.Begin(t.Context()))
 		_, err = w.life("b").purse.Reserve(t.Context(), "joiners", 500, 0)
 		assert.ErrorIs(t, err, ErrExhausted)
 		w.kill("a")
--- a/internal/budget/prepaid/holding.go
+++ b/internal/budget/prepaid/holding.go
@@ -15,14 +15,9 @@
 	mu sync.Mutex // guards the fields below; taken before the journal's lock
 	// drawn is what the store has acknowledged, in tokens.
 	drawn int64
-	// spent is what was billed, may be used by answers that have begun, or was given away,
-	// out of drawn. It stays within what the journal allows.
+	// spent is what was billed, is reserved or was given away, out of drawn. It stays
+	// within what the journal allows.
 	spent int64
-	// promised is reserved, out of drawn, for answers that have not begun: nothing of it
-	// can have been used.
-	promised int64
-	// era counts how often the holding was closed while this life went on.
-	era int
 	// gifts are free tokens that other routers have given; those count as spent there.
 	gifts int64
 	// returning are tokens that may be back in the workspace's total.
@@ -60,7 +55,7 @@
 }
 
 // free returns what may be spent besides. The caller holds mu.
-func (h *holding) free() int64 { return h.drawn - h.wanted() - h.promised - h.returning }
+func (h *holding) free() int64 { return h.drawn - h.wanted() - h.returning }
 
 // wanted returns what is spent or waited for. The caller holds mu.
 func (h *holding) wanted() int64 {
@@ -71,48 +66,26 @@
 	return wanted
 }
 
-// promise reserves n tokens, gifts first, for an answer that has not begun. It returns
-// nil if they are not there. The caller holds mu.
-func (h *holding) promise(n int64) *Reservation {
+// take reserves n tokens, gifts first. It returns nil if they are not there, and a
+// waiter if they must be covered first. The caller holds mu.
+func (h *holding) take(n, allowed int64) (*Reservation, *waiter) {
 	gift := min(n, h.gifts)
 	own := n - gift
 	if own > h.free() {
-		return nil
+		return nil, nil
 	}
 	h.gifts -= gift
-	h.promised += own
-	return &Reservation{holding: h, own: own, gift: gift, era: h.era, promised: true}
-}
-
-// begin counts the tokens of a promise as spent. It returns a waiter if they must be
-// covered first. The caller holds mu.
-func (h *holding) begin(r *Reservation, allowed int64) *waiter {
-	r.promised = false
-	if r.era != h.era {
-		// They stay allotted for good.
-		return nil
-	}
-	h.promised -= r.own
-	if r.own == 0 {
-		return nil
+	r := &Reservation{holding: h, own: own, gift: gift}
+	if own == 0 {
+		return r, nil
 	}
-	if len(h.waiting) == 0 && h.spent+r.own <= allowed {
-		h.spent += r.own
-		return nil
+	if len(h.waiting) == 0 && h.spent+own <= allowed {
+		h.spent += own
+		return r, nil
 	}
-	w := &waiter{tokens: r.own, done: make(chan struct{})}
+	w := &waiter{tokens: own, done: make(chan struct{})}
 	h.waiting = append(h.waiting, w)
-	return w
-}
-
-// take reserves n tokens that may be used as soon as they are covered. It returns nil if
-// they are not there, and a waiter if they must be covered first. The caller holds mu.
-func (h *holding) take(n, allowed int64) (*Reservation, *waiter) {
-	r := h.promise(n)
-	if r == nil {
-		return nil, nil
-	}
-	return r, h.begin(r, allowed)
+	return r, w
 }
 
 // grant counts those reservations as spent that are covered now. The caller holds mu.
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -35,10 +35,6 @@
 	heard time.Time
 	// missed tells that the last call of the store has failed.
 	missed bool
-	// writing is when the write under way was sent; zero if there is none.
-	writing time.Time
-	// took is how long the last write took.
-	took time.Duration
 	// failedAt is when writes of the row began to fail; zero if the last one went well.
 	failedAt time.Time
 	// acked is closed when a write takes effect; nil if nobody waits.
@@ -116,30 +112,6 @@
 	return j.missed
 }
 
-// prompt reports whether a write of the journal is expected to take effect at once.
-func (j *journal) prompt(now time.Time) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if !j.open || j.replaced || j.missed || j.took > coverTime {
-		return false
-	}
-	return j.writing.IsZero() || now.Sub(j.writing) < coverTime
-}
-
-// sent notes that a write of the journal is under way, and written that it has ended.
-func (j *journal) sent(now time.Time) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.writing = now
-}
-
-func (j *journal) written(now time.Time) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.took = now.Sub(j.writing)
-	j.writing = time.Time{}
-}
-
 // storeTime estimates the store's clock; it is never ahead of it. The caller holds mu.
 func (j *journal) storeTime(now time.Time) time.Duration { return j.clock + now.Sub(j.heard) }
 
@@ -228,9 +200,7 @@
 	if err != nil {
 		return err
 	}
-	p.journal.sent(time.Now())
 	stamp, err := p.Commit(ctx, c)
-	p.journal.written(time.Now())
 	p.journal.hear(stamp, time.Now())
 	return p.settleWrite(e, stamp, err, mirror, from)
 }
--- a/internal/budget/prepaid/machine_test.go
+++ b/internal/budget/prepaid/machine_test.go
@@ -67,17 +67,11 @@
 
 // play runs a history in virtual time and returns what the oracle has found.
 func play(t *testing.T, history []step, broken func(p *Purse)) error {
-	t.Helper()
-	return playIn(t, history, func(w *world) { w.broken = broken })
-}
-
-// playIn runs a history in a world that is changed before it begins.
-func playIn(t *testing.T, history []step, change func(w *world)) error {
 	t.Helper()
 	var found error
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld()
-		change(w)
+		w.broken = broken
 		w.topUp("joiners", 1000)
 		w.topUp("nurses", 3000)
 		for _, vm := range vms {
@@ -134,42 +128,6 @@
 	})
 }
 
-// TestAnswersBeginCovered shows that an answer must not begin before its tokens are
-// covered: a life that ends then has used what the next one does not know of.
-func TestAnswersBeginCovered(t *testing.T) {
-	var history []step
-	for range 12 {
-		history = append(history, repeat(4, "a", 60, 1, 200*time.Millisecond)...)
-		history = append(history, step{kind: stepKill, vm: "a", after: 90 * time.Millisecond}, step{kind: stepStart, vm: "a"})
-	}
-	assert.NilError(t, playIn(t, history, func(*world) {}))
-	assert.ErrorContains(t, playIn(t, history, func(w *world) { w.hasty = true }), "has used")
-}
-
-// TestUnbegunAnswersStrandNothing ends lives whose requests wait for their answers.
-func TestUnbegunAnswersStrandNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld()
-		w.topUp("joiners", 1000)
-		for range 5 {
-			w.start("a")
-			time.Sleep(time.Second)
-			r, err := w.life("a").purse.Reserve(t.Context(), "joiners", 600, 0)
-			assert.NilError(t, err)
-			assert.Equal(t, r.Tokens(), int64(600))
-			w.kill("a")
-			time.Sleep(500 * time.Millisecond)
-		}
-		w.start("a")
-		time.Sleep(time.Second)
-		r, err := w.life("a").purse.Reserve(t.Context(), "joiners", 900, 0)
-		assert.NilError(t, err)
-		assert.NilError(t, r.Begin(t.Context()))
-		r.Bill(900)
-		w.end()
-	})
-}
-
 // repeat returns n requests of one VM, one each interval.
 func repeat(n int, vm string, tokens int64, part float64, interval time.Duration) []step {
 	out := make([]step, n)
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -188,7 +188,6 @@
 	Workspace string `json:"workspace"`
 	Drawn     int64  `json:"drawn"`
 	Spent     int64  `json:"spent"`
-	Promised  int64  `json:"promised"`
 	Gifts     int64  `json:"gifts"`
 	Waiting   int    `json:"waiting"`
 	Allowed   int64  `json:"allowed"`
@@ -202,7 +201,7 @@
 	for _, h := range p.all() {
 		h.mu.Lock()
 		out = append(out, State{
-			Workspace: h.workspace, Drawn: h.drawn, Spent: h.spent, Promised: h.promised, Gifts: h.gifts,
+			Workspace: h.workspace, Drawn: h.drawn, Spent: h.spent, Gifts: h.gifts,
 			Waiting: len(h.waiting), Allowed: p.journal.allows(h.workspace, h.drawn, now),
 		})
 		h.mu.Unlock()
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -24,16 +24,11 @@
 // errUncovered reports that the journal was not written in time for a reservation.
 var errUncovered = errors.New("journal does not cover the reservation")
 
-// errEnded reports that a reservation has ended before its answer began.
-var errEnded = errors.New("reservation has ended")
-
 // Reservation is the most that one request can use. One goroutine at a time may use it.
 type Reservation struct {
 	purse     *Purse
 	holding   *holding
 	own, gift int64
-	era       int  // of the holding
-	promised  bool // the answer has not begun
 	ended     bool
 }
 
@@ -59,8 +54,8 @@
 // Unwrap returns the cause.
 func (e *ShortageError) Unwrap() error { return e.Err }
 
-// Reserve takes n tokens of the workspace, of which nothing may be used before Begin. It
-// waits for up to patience for tokens that are there but not covered yet.
+// Reserve takes n tokens of the workspace and returns when they may be used. It waits
+// for up to patience for tokens that are there but not covered yet.
 //
 // The error is a *ShortageError.
 func (p *Purse) Reserve(ctx context.Context, workspace string, n int64, patience time.Duration) (*Reservation, error) {
@@ -70,7 +65,7 @@
 	h.mu.Unlock()
 	var cause error
 	for range maxTries {
-		r, err := p.reserve(ctx, h, n)
+		r, err := p.take(ctx, h, n, p.coverWait())
 		if r != nil {
 			return r, nil
 		}
@@ -97,75 +92,6 @@
 	return nil, &ShortageError{Workspace: workspace, Tokens: n, After: max(0, after), Err: cause}
 }
 
-// reserve takes n tokens that are there. While the journal is written promptly they need
-// not be covered before the answer begins, so that a life that ends before that loses
-// nothing; otherwise the request is not sent at all unless they are covered now.
-func (p *Purse) reserve(ctx context.Context, h *holding, n int64) (*Reservation, error) {
-	if !p.journal.prompt(time.Now()) {
-		return p.take(ctx, h, n, p.coverWait())
-	}
-	now := time.Now()
-	h.mu.Lock()
-	r := h.promise(n)
-	refill := r != nil && p.refillDue(h, now)
-	h.mu.Unlock()
-	if r == nil {
-		return nil, nil
-	}
-	r.purse = p
-	if refill {
-		go p.refill(h)
-	}
-	return r, nil
-}
-
-// Begin returns when the reserved tokens may be used, which must be before the caller
-// gets anything. After an error the reservation has ended.
-//
-// The error tells that ctx has ended first.
-func (r *Reservation) Begin(ctx context.Context) error {
-	if r.ended {
-		return errEnded
-	}
-	if !r.promised {
-		return nil
-	}
-	p, h, now := r.purse, r.holding, time.Now()
-	h.mu.Lock()
-	w := h.begin(r, p.journal.allows(h.workspace, h.drawn, now))
-	kick := p.kicksDue(h, w, now)
-	h.mu.Unlock()
-	kick()
-	if w == nil {
-		return nil
-	}
-	select {
-	case <-w.done:
-		return nil
-	case <-ctx.Done():
-	}
-	if !h.withdraw(r, w) {
-		return nil
-	}
-	r.ended = true
-	return fmt.Errorf("wait for the journal of workspace %q: %w", h.workspace, ctx.Err())
-}
-
-// kicksDue returns what asks for the writes that a reservation or those after it need. The
-// caller holds h.mu.
-func (p *Purse) kicksDue(h *holding, w *waiter, now time.Time) func() {
-	journal := w != nil || p.uncovered(h, now)
-	mirror := w != nil || p.unmirrored(h, now)
-	return func() {
-		if journal {
-			p.journal.kick()
-		}
-		if mirror {
-			p.journal.kickMirror()
-		}
-	}
-}
-
 // obtain gets what is missing of n tokens from the store and from other routers. The
 // cause tells why a try to take them has just failed; nil stands for too few. It returns
 // nothing if another try may find them.
@@ -269,15 +195,20 @@
 	now := time.Now()
 	h.mu.Lock()
 	r, w := h.take(n, p.journal.allows(h.workspace, h.drawn, now))
+	ahead := r != nil && p.uncovered(h, now)
+	unmirrored := r != nil && (w != nil || p.unmirrored(h, now))
+	refill := r != nil && p.refillDue(h, now)
+	h.mu.Unlock()
 	if r == nil {
-		h.mu.Unlock()
 		return nil, nil
 	}
-	kick := p.kicksDue(h, w, now)
-	refill := p.refillDue(h, now)
-	h.mu.Unlock()
 	r.purse = p
-	kick()
+	if w != nil || ahead {
+		p.journal.kick()
+	}
+	if unmirrored {
+		p.journal.kickMirror()
+	}
 	if refill {
 		go p.refill(h)
 	}
@@ -332,11 +263,10 @@
 	return max(0, n-h.gifts-max(0, h.free()))
 }
 
-// Release gives back the tokens of a request whose caller got nothing.
+// Release gives back the tokens of a request that surely did not run.
 func (r *Reservation) Release() { r.Bill(0) }
 
-// Bill counts what the request has used, once; the rest is free again. Nothing is used
-// before Begin.
+// Bill counts what the request has used, once; the rest is free again.
 func (r *Reservation) Bill(used int64) {
 	if r.ended {
 		return
@@ -347,12 +277,7 @@
 	h := r.holding
 	h.mu.Lock()
 	h.gifts += r.gift - fromGift
-	switch {
-	case !r.promised:
-		h.spent = max(0, h.spent-(r.own-(used-fromGift)))
-	case r.era == h.era:
-		h.promised -= r.own
-	}
+	h.spent = max(0, h.spent-(r.own-(used-fromGift)))
 	waiting := len(h.waiting) > 0
 	if waiting {
 		h.grant(r.purse.journal.allows(h.workspace, h.drawn, time.Now()))
--- a/internal/budget/prepaid/world_test.go
+++ b/internal/budget/prepaid/world_test.go
@@ -149,8 +149,6 @@
 	found error
 	// links is how calls of mirrors by a VM fare: well, away, losing or late.
 	links map[string]weather
-	// hasty lets answers begin before their tokens may be used.
-	hasty bool
 	// askTakes is how long a question to another VM is on its way, there and back.
 	askTakes time.Duration
 }
@@ -377,8 +375,8 @@
 	}
 }
 
-// request reserves n tokens at the VM, gets the begin of its answer some time later, and
-// bills a part of them at its end. If the life ends in between, all of them count as used.
+// request reserves n tokens at the VM and bills a part of them some time later. If the
+// life ends before, all of them count as used.
 func (w *world) request(vm, workspace string, n int64, part float64, lasts time.Duration) {
 	l := w.life(vm)
 	if l == nil {
@@ -389,14 +387,8 @@
 		if err != nil || w.gone(l) {
 			return
 		}
-		time.Sleep(lasts / 3)
-		ctx, cancel := context.WithTimeout(context.Background(), callLimit/2)
-		defer cancel()
-		if !w.hasty && r.Begin(ctx) != nil || w.gone(l) {
-			return
-		}
 		w.use(workspace, n)
-		time.Sleep(lasts * 2 / 3)
+		time.Sleep(lasts)
 		if w.gone(l) {
 			return
 		}
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -265,9 +265,6 @@
 		if !w.f.Genuine(s.from.Header()) {
 			return nil, w.reject(s, errors.New("answer bears no signature of its target"))
 		}
-		if err := w.begin(); err != nil {
-			return nil, w.giveUp(s, err)
-		}
 		w.firstEvent = time.Since(w.r.Arrived)
 		stream := newStream(w, s)
 		return &Answer{Status: s.from.Status(), Header: s.from.Header(), Stream: stream, work: w}, nil
@@ -287,9 +284,6 @@
 		// Only a target that says so has not run the request.
 		return nil, w.reject(s, fmt.Errorf("target answered %d and may have run the request", status))
 	}
-	if err := w.begin(); err != nil {
-		return nil, w.giveUp(s, err)
-	}
 	w.firstEvent = time.Since(w.r.Arrived)
 	var header fasthttp.ResponseHeader
 	s.from.Header().CopyTo(&header)
@@ -298,14 +292,6 @@
 	return &Answer{Status: status, Header: &header, Body: body, work: w}, nil
 }
 
-// begin waits until the reserved tokens may be used, before the caller gets anything.
-func (w *work) begin() error {
-	if w.reservation == nil {
-		return nil
-	}
-	return w.reservation.Begin(w.ctx)
-}
-
 // canRepeatElsewhere reports whether another attempt is possible at all.
 func (w *work) canRepeatElsewhere() bool { return len(w.tried) < max(1, w.route.MaxTargets) }
 
@@ -330,20 +316,12 @@
 
 // reject ends an attempt whose answer is not relayed.
 func (w *work) reject(s *sent, err error) error {
+	status := s.from.Status()
+	s.from.Drop()
 	outcome := placement.Failed
 	if w.ctx.Err() != nil && !w.late() {
 		outcome = placement.Unjudged
 	}
-	return w.drop(s, outcome, err)
-}
-
-// giveUp ends an attempt whose answer came, but too late for this router's own part.
-func (w *work) giveUp(s *sent, err error) error { return w.drop(s, placement.Unjudged, err) }
-
-// drop ends an attempt with an outcome.
-func (w *work) drop(s *sent, outcome placement.Outcome, err error) error {
-	status := s.from.Status()
-	s.from.Drop()
 	s.seat.End(outcome)
 	failed := &runner.Error{Run: answer.Ran, Status: status, Err: err}
 	w.note(Decision{Event: Ended, Instance: s.seat.ID(), Addr: s.seat.Addr(), Outcome: outcome, Run: answer.Ran, Status: status, Err: err})
