--- a/internal/fleet/membership/network_test.go
+++ b/internal/fleet/membership/network_test.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// sent returns the bytes of all messages so far.
+func (n *network) sent() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes
+}
+
 func (n *network) killAll() {
 	n.mu.Lock()
 	var addrs []string
--- a/internal/fleet/membership/news_test.go
+++ b/internal/fleet/membership/news_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +13,9 @@
 // is allowed that the news of a whole fleet may cost.
 const newsShare = 0.6
 
+// newsTime is how long the news is counted.
+const newsTime = 20 * time.Second
+
 // TestKnownNewsIsSentLess bounds what it costs that all routers of a fleet have something
 // new to say at the same time, as after all were started again.
 func TestKnownNewsIsSentLess(t *testing.T) {
@@ -21,22 +23,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(9)
 		defer net.killAll()
-		seeds := []string{addrOf(0), addrOf(1), addrOf(2)}
-		var nodes []*node
-		for i := range n {
-			nodes = append(nodes, net.start(addrOf(i), fmt.Sprintf("r-%d", i), 1, seeds...))
-		}
-		time.Sleep(time.Minute)
-		before, began := net.bytes, time.Now()
-		time.Sleep(20 * time.Second)
-		rest := net.bytes - before
-		before = net.bytes
+		nodes := joined(net, n)
+		before := net.sent()
+		time.Sleep(newsTime)
+		rest := net.sent() - before
+		before = net.sent()
 		for _, nd := range nodes {
 			nd.view.SetReady(true)
 		}
-		time.Sleep(20 * time.Second)
-		news := float64(net.bytes-before-rest) / n
-		assert.Assert(t, allReady(nodes), "not all are known to be ready after %v", time.Since(began))
+		time.Sleep(newsTime)
+		news := float64(net.sent()-before-rest) / n
+		assert.Assert(t, allReady(nodes), "not all are known to be ready after %v", newsTime)
 		statement, err := json.Marshal(nodes[0].view.Self())
 		assert.NilError(t, err)
 		most := float64(len(statement) * (n - 1) * nodes[0].view.sends())
--- a/internal/fleet/membership/ready_test.go
+++ b/internal/fleet/membership/ready_test.go
@@ -17,12 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(9)
 		defer net.killAll()
-		seeds := []string{addrOf(0), addrOf(1), addrOf(2)}
-		var nodes []*node
-		for i := range n {
-			nodes = append(nodes, net.start(addrOf(i), fmt.Sprintf("r-%d", i), 1, seeds...))
-		}
-		time.Sleep(time.Minute)
+		nodes := joined(net, n)
 		began := time.Now()
 		for _, nd := range nodes {
 			nd.view.SetReady(true)
@@ -36,6 +31,17 @@
 	return took
 }
 
+// joined starts n routers and lets them find each other.
+func joined(net *network, n int) []*node {
+	seeds := []string{addrOf(0), addrOf(1), addrOf(2)}
+	var nodes []*node
+	for i := range n {
+		nodes = append(nodes, net.start(addrOf(i), fmt.Sprintf("r-%d", i), 1, seeds...))
+	}
+	time.Sleep(time.Minute)
+	return nodes
+}
+
 func allReady(nodes []*node) bool {
 	for _, nd := range nodes {
 		members := nd.view.Members()
