--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -197,12 +197,18 @@
 func (s *Stream) complete() {
 	s.done = true
 	s.sent.from.Keep()
+	s.tellPace()
+	s.sent.seat.End(placement.Served)
+}
+
+// tellPace tells the choice of instances how fast an engine's events came, if all came
+// from one. The first event's tokens came before the time that is measured.
+func (s *Stream) tellPace() {
 	w := s.work
-	if w.attempts == 1 {
-		// The first event's tokens came before the time that is measured.
-		s.sent.seat.Streamed((w.relayed-1)*w.service.Engine.EventTokens, time.Since(w.r.Arrived)-w.firstEvent)
+	if w.service.Engine == nil || w.attempts > 1 {
+		return
 	}
-	s.sent.seat.End(placement.Served)
+	s.sent.seat.Streamed((w.relayed-1)*w.service.Engine.EventTokens, time.Since(w.r.Arrived)-w.firstEvent)
 }
 
 // broken ends a stream whose rest does not come.
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -29,10 +29,12 @@
 // reread returns what it costs to read shared tokens again, as a part of the loss of the
 // request: the engine spends on them what it would have had for another request.
 func (d Demand) reread(tokens int64, pace Pace, places int) float64 {
-	if tokens == 0 {
+	if tokens <= 0 {
 		return 0
 	}
-	return float64(pace.read(float64(tokens))) / float64(d.work(pace, places))
+	again := pace.read(float64(tokens))
+	// A caller may have told parts that are longer than the prompt.
+	return float64(again) / float64(max(again, d.work(pace, places)))
 }
 
 // candidate is an instance with what is known of it at the moment of the choice.
--- a/internal/target/placement/pace_test.go
+++ b/internal/target/placement/pace_test.go
@@ -114,6 +114,15 @@
 	updates.Wait()
 }
 
+// TestReadingAgainCostsNoMoreThanTheRequest reads parts that are longer than the prompt, as
+// a caller may tell.
+func TestReadingAgainCostsNoMoreThanTheRequest(t *testing.T) {
+	var l learner
+	d := Demand{Parts: []Part{{ID: 7, Tokens: 1 << 40}, {ID: 8}}}
+	assert.Equal(t, d.reread(1<<40, l.pace(), 8), 1.0)
+	assert.Equal(t, d.reread(0, l.pace(), 8), 0.0)
+}
+
 // TestReadingAgainCostsItsPart keeps a long shared part where it was read as long as the
 // wait there is shorter than what the reading takes from others.
 func TestReadingAgainCostsItsPart(t *testing.T) {
