edge: a hangup while the process starts does not end it

Change: the command watches for it as soon as its name is read. What is left is the time in which the runtime and the libraries start.

--- a/internal/cmd/rosevalve/edge.go
+++ b/internal/cmd/rosevalve/edge.go
@@ -22,20 +22,27 @@
   rosevalve edge --config edge.ini
   rosevalve edge --config edge.ini --check`
 
+const edgeName = "edge"
+
 // edgeCommand runs a router for routed requests. The arguments begin with its name; they
 // are read again when the settings change.
 func edgeCommand(args []string, stdout io.Writer) subcommand {
+	var hangup <-chan os.Signal
+	if len(args) > 0 && args[0] == edgeName {
+		// A hangup ends a process that does not expect it yet, also while it starts.
+		hangup = hangups()
+	}
 	run := func(ctx context.Context, cfg settings.Settings, flags *settings.Flags) error {
 		e := &edge.Edge{
 			Settings: cfg,
 			Events:   &eventlog.Log{Out: stdout, Format: cfg.Log.Format},
 			File:     flags.File(),
 			Reload:   func() (settings.Settings, error) { return settings.Read(args[0], args[1:]) },
-			Hangup:   hangups(),
+			Hangup:   hangup,
 		}
 		return e.Run(ctx)
 	}
-	return server{name: "edge", short: "run a router for routed requests", help: edgeHelp, run: run}.subcommand(stdout)
+	return server{name: edgeName, short: "run a router for routed requests", help: edgeHelp, run: run}.subcommand(stdout)
 }
 
 // hangups returns the signals that tell of changed settings.
