--- a/internal/budget/prepaid/directed_test.go
+++ b/internal/budget/prepaid/directed_test.go
@@ -251,6 +251,21 @@
 	})
 }
 
+// TestStopDrawsNothingAhead invites a VM to draw that has begun to stop: what it drew would
+// be out of the others' reach until its next life.
+func TestStopDrawsNothingAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startedWorld(100_000, "a", "b")
+		defer w.end()
+		w.servedOf(t.Context(), "a", 1000, 1)
+		w.life("a").purse.Seal()
+		assert.NilError(t, w.life("a").purse.Shrink(t.Context(), 0))
+		w.life("a").purse.Invited("joiners")
+		time.Sleep(time.Second)
+		assert.Equal(t, w.drawn("a", "joiners"), int64(0))
+	})
+}
+
 // TestLifeThatEndsAloneInACut bounds what is lost with a life that ends while the store is
 // away from all and whose next one begins seconds later.
 func TestLifeThatEndsAloneInACut(t *testing.T) {
