Placement: what a report still counts for is worked out in one place

Second read: load and occupied each worked out the age of the last report and its weight. Behaviour is as before; the tests of placement, forward and the real edge pass.

--- a/internal/target/placement/report.go
+++ b/internal/target/placement/report.go
@@ -103,22 +103,19 @@
 // report, which counts less as it grows old and whose waiting requests leave so many
 // tokens unread. The caller holds mu.
 func (i *instance) load(now time.Time, unread float64) (running float64, reading float64) {
-	running, reading = float64(i.running), float64(i.reading)
-	age := now.Sub(i.toldAt)
-	if age >= reportFade {
-		return running, reading
-	}
-	weight := 1 - float64(age)/float64(reportFade)
-	return max(running, weight*float64(i.told.Running)), max(reading, weight*unread*float64(i.told.Waiting))
+	weight := i.reportWeight(now)
+	running = max(float64(i.running), weight*float64(i.told.Running))
+	reading = max(float64(i.reading), weight*unread*float64(i.told.Waiting))
+	return running, reading
 }
 
 // occupied returns the places that are taken or waited for, by the same two. The caller
 // holds mu.
 func (i *instance) occupied(now time.Time) float64 {
-	age := now.Sub(i.toldAt)
-	if age >= reportFade {
-		return float64(i.running)
-	}
-	weight := 1 - float64(age)/float64(reportFade)
-	return max(float64(i.running), weight*float64(i.told.Running+i.told.Waiting))
+	return max(float64(i.running), i.reportWeight(now)*float64(i.told.Running+i.told.Waiting))
+}
+
+// reportWeight is how much the last report counts, less as it grows old. The caller holds mu.
+func (i *instance) reportWeight(now time.Time) float64 {
+	return max(0, 1-float64(now.Sub(i.toldAt))/float64(reportFade))
 }
