--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -107,7 +107,13 @@
 
 func (e *Edge) connectTargets() {
 	dialer := socket.Dialer{Timeout: targetDial, Silence: targetSilent}
-	e.placement = &placement.Placement{Dial: dialer.Dial, Ask: platform.Report, OnHealth: e.noteHealth}
+	e.placement = &placement.Placement{
+		Dial:     dialer.Dial,
+		Identify: platform.Identify,
+		Ask:      platform.Report,
+		OnHealth: e.noteHealth,
+		OnNotice: e.noteNotice,
+	}
 	e.targets = e.follow(platform.TableTargets, e.takeTargets)
 	e.keeper = &roster.Keeper{Regained: e.targets.Regained, OnRoster: e.placement.Update}
 }
@@ -181,7 +187,6 @@
 		Placement:  e.placement,
 		Retries:    &forward.Retries{Terms: e.retryTerms, Window: e.Settings.Edge.RetryWindow},
 		Encode:     platform.Attempt,
-		Identify:   platform.Identify,
 		Genuine:    platform.Genuine,
 		OnDecision: e.noteDecision,
 	}
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -141,6 +141,18 @@
 	e.Events.Emit(eventlog.TargetReadmitted, "instance", h.Instance, "addr", h.Addr)
 }
 
+// noteNotice tells that an instance takes no requests, as it has said itself.
+func (e *Edge) noteNotice(n placement.Notice) {
+	if n.Leaving {
+		e.Events.Emit(eventlog.TargetLeaving, "instance", n.Instance, "addr", n.Addr, "running", n.Running)
+	}
+	if !n.Until.IsZero() {
+		e.metrics.pauses.Inc()
+		e.Events.Emit(eventlog.TargetPaused, "instance", n.Instance, "addr", n.Addr, "running", n.Running,
+			"pause_ms", time.Until(n.Until).Milliseconds())
+	}
+}
+
 // peerWatch tells of changes in the view of the other routers.
 type peerWatch struct {
 	known map[string]inner.Member // by inner address
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -29,6 +29,7 @@
 type meters struct {
 	set       *metrics.Set
 	ejections *metrics.Counter
+	pauses    *metrics.Counter
 	labels    labelBound
 }
 
@@ -61,7 +62,11 @@
 
 func newMeters() *meters {
 	set := metrics.NewSet()
-	return &meters{set: set, ejections: set.NewCounter("rosevalve_target_ejections_total")}
+	return &meters{
+		set:       set,
+		ejections: set.NewCounter("rosevalve_target_ejections_total"),
+		pauses:    set.NewCounter("rosevalve_target_pauses_total"),
+	}
 }
 
 // count adds to a counter with labels, given as names and values.
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -30,6 +30,8 @@
 	TargetUnreadable                  // target_unreadable
 	TargetEjected                     // target_ejected
 	TargetReadmitted                  // target_readmitted
+	TargetLeaving                     // target_leaving
+	TargetPaused                      // target_paused
 	JournalOpened                     // journal_opened
 	JournalFailed                     // journal_failed
 	JournalRegained                   // journal_regained
@@ -116,6 +118,8 @@
 	TargetUnreadable:     {component: Targets, failure: true, doc: "an announcement describes no instance", fields: "instance, row_version, err"},
 	TargetEjected:        {component: Targets, failure: true, doc: "an instance gets no new requests for a time", fields: "instance, addr, failing_percent, until_ms"},
 	TargetReadmitted:     {component: Targets, doc: "an ejected instance has served a request", fields: "instance, addr"},
+	TargetLeaving:        {component: Targets, doc: "an instance has said in an answer that it ends; it gets no new requests", fields: "instance, addr, running"},
+	TargetPaused:         {component: Targets, failure: true, doc: "an instance that was too busy gets nothing from this router for a time", fields: "instance, addr, running, pause_ms"},
 	JournalOpened:        {component: Tokens, doc: "this life may spend tokens"},
 	JournalFailed:        {component: Tokens, failure: true, doc: "the journal can not be written from now on; spending goes on within its bounds", fields: "err"},
 	JournalRegained:      {component: Tokens, doc: "the journal is written again", fields: "away_ms"},
--- a/internal/fleet/explain/cause.go
+++ b/internal/fleet/explain/cause.go
@@ -47,7 +47,7 @@
 // refused explains a request that got an answer of the router's own.
 func refused(request []line, last line) string {
 	switch last.str("code") {
-	case "target_failed", "no_target":
+	case "target_failed", "no_target", "targets_paused":
 		ended, ok := newest(request, "attempt_ended")
 		if !ok {
 			return fmt.Sprintf("No instance could take the request: %s.", last.str("err"))
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -11,7 +11,6 @@
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/placement"
-	"rosevalve/internal/target/upstream"
 	"rosevalve/internal/workspace/plan"
 )
 
@@ -40,8 +39,6 @@
 	Retries *Retries
 	// Encode writes a request for a target.
 	Encode func(out *fasthttp.Request, r *Request, a Attempt)
-	// Identify reads what an answer says about itself.
-	Identify func(h *fasthttp.ResponseHeader) upstream.Identity
 	// Genuine reports whether an answer bears its target's signature.
 	Genuine func(h *fasthttp.ResponseHeader) bool
 	// OnDecision is told of each decision about a request; it must not block.
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return line.Send(w.ctx, upstream.Call{Attempt: w.r.ID, Request: req, HeadBy: w.headBy(), Identify: w.f.Identify})
+	return line.Send(w.ctx, upstream.Call{Attempt: w.r.ID, Request: req, HeadBy: w.headBy()})
 }
 
 // headShare is the part of the goal that a request waits for an answer before it is
@@ -228,9 +228,12 @@
 
 // failure is the final answer to a request that no instance has answered.
 func (w *work) failure(last error) *answer.Error {
+	var paused *placement.PausedError
 	switch {
 	case w.ctx.Err() != nil:
 		return w.timedOut()
+	case w.run == answer.NotRun && errors.As(last, &paused):
+		return answer.Busy(fasthttp.StatusServiceUnavailable, "targets_paused", time.Until(paused.Until), "no target takes requests now: %v", last)
 	case w.run == answer.NotRun:
 		return answer.Busy(fasthttp.StatusServiceUnavailable, "no_target", busyRetry, "no target can take the request now: %v", last)
 	default:
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -54,8 +54,8 @@
 	return best
 }
 
-// candidates looks at the instances that the request was not sent to, from a random
-// one on, which decides between equals.
+// candidates looks at the instances that take requests and that this one was not sent
+// to, from a random one on, which decides between equals.
 func (p *Placement) candidates(s *service, d Demand, now time.Time) []candidate {
 	list := s.instances
 	out := make([]candidate, 0, len(list))
@@ -65,7 +65,7 @@
 	for n := range list {
 		at := (n + offset) % len(list)
 		i := list[at]
-		if slices.Contains(d.Exclude, i.ID) {
+		if slices.Contains(d.Exclude, i.ID) || !i.welcomes(now) {
 			continue
 		}
 		c := candidate{instance: i, view: i.look(d, now)}
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -27,29 +27,35 @@
 	distance *distance // to its failure domain
 	hash     uint64
 	onHealth func(Health) // nil if nobody listens
+	onNotice func(Notice) // nil if nobody listens
 
-	mu      sync.Mutex // guards the fields below
-	running int        // attempts of this router
-	reading int64      // prompt tokens of attempts that have not begun to answer
-	tokens  int64      // that the running attempts occupy at most
-	failing float64    // share of failures of late, at the time judged
-	judged  time.Time
-	breaker health.Breaker
-	cached  map[uint64]time.Time // prompt parts by when they were last used there
-	told    Report               // the last report, at toldAt
-	toldAt  time.Time
+	mu       sync.Mutex // guards the fields below
+	running  int        // attempts of this router
+	reading  int64      // prompt tokens of attempts that have not begun to answer
+	tokens   int64      // that the running attempts occupy at most
+	failing  float64    // share of failures of late, at the time judged
+	judged   time.Time
+	breaker  health.Breaker
+	cached   map[uint64]time.Time // prompt parts by when they were last used there
+	told     Report               // the last report, at toldAt
+	toldAt   time.Time
+	leaving  bool      // said by an answer; holds for the rest of the lifetime
+	paused   time.Time // until when nothing is sent
+	vanished time.Time // when it was gone from the roster; zero while it is listed
 }
 
 func newInstance(i roster.Instance, p *Placement) *instance {
 	d := p.distanceTo(i.FailureDomain)
-	return &instance{
+	out := &instance{
 		Instance: i,
-		pool:     &upstream.Pool{Addr: i.Addr, Dial: d.dialer(p.Dial)},
 		distance: d,
 		hash:     balance.Hash(i.ID),
 		onHealth: p.OnHealth,
+		onNotice: p.OnNotice,
 		cached:   make(map[uint64]time.Time),
 	}
+	out.pool = &upstream.Pool{Addr: i.Addr, Dial: d.dialer(p.Dial), Identify: p.Identify, OnNotice: out.heed}
+	return out
 }
 
 // view is what the choice needs of an instance.
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/target/balance"
 	"rosevalve/internal/target/roster"
@@ -96,15 +98,20 @@
 type Placement struct {
 	// Dial opens a connection to an instance.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Identify reads what the header of an answer says.
+	Identify func(h *fasthttp.ResponseHeader) upstream.Identity
 	// Ask asks an instance for its report on the line, which stays open.
 	Ask func(ctx context.Context, line *upstream.Line, by time.Time) (Report, error)
 	// OnHealth is told when an instance is ejected or readmitted; it must not block.
 	OnHealth func(h Health)
+	// OnNotice is told when an instance is found to leave or to pause; it must not block.
+	OnNotice func(n Notice)
 	// Rand returns a random number below n; nil stands for the library's.
 	Rand func(n int) int
 
 	mu        sync.RWMutex // guards the fields below
 	services  map[string]*service
+	unlisted  map[string]*instance // by ID, gone from the roster with a notice in force
 	distances map[string]*distance // by failure domain
 }
 
@@ -162,6 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := make(map[string]*instance)
+	maps.Copy(known, p.unlisted)
 	for _, s := range p.services {
 		for _, i := range s.instances {
 			known[i.ID] = i
@@ -175,6 +183,7 @@
 			state = newInstance(i, p)
 		} else {
 			delete(known, i.ID)
+			state.list()
 		}
 		s := p.services[i.Service]
 		if s == nil {
@@ -189,9 +198,9 @@
 	for _, s := range p.services {
 		s.instances = laneOrder(s.instances)
 	}
-	for _, gone := range known {
-		gone.pool.Distrust()
-	}
+	now := time.Now()
+	maps.DeleteFunc(known, func(_ string, gone *instance) bool { return !gone.vanish(now) })
+	p.unlisted = known
 }
 
 // Prune closes idle connections that are too old.
@@ -207,7 +216,7 @@
 
 // Choose takes a seat for the request at an instance of the service.
 //
-// The error is ErrNoInstance.
+// The error is ErrNoInstance, or a *PausedError where all that are left want no requests now.
 func (p *Placement) Choose(ctx context.Context, service string, d Demand) (*Seat, error) {
 	p.mu.RLock()
 	s := p.services[service]
@@ -223,7 +232,7 @@
 		seat.instance = p.choose(s, d, time.Now())
 	}
 	if seat.instance == nil {
-		return nil, ErrNoInstance
+		return nil, s.noInstance(d, time.Now())
 	}
 	seat.instance.begin(seat, d, time.Now())
 	return seat, nil
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -36,11 +36,9 @@
 	Request *fasthttp.Request
 	// HeadBy is when the head of the answer must have come; zero leaves it to the context.
 	HeadBy time.Time
-	// Identify reads what the header of an answer says about itself.
-	Identify func(h *fasthttp.ResponseHeader) Identity
 }
 
-// Identity is what an answer says about itself.
+// Identity is what an answer says about itself and its target.
 type Identity struct {
 	// Attempt is the id of the request that it answers, or empty.
 	Attempt string
@@ -48,6 +46,16 @@
 	NotRun bool
 	// Keep is how long the target keeps the idle connection; 0 if it does not say.
 	Keep time.Duration
+	// Notice is what the target wants of its callers from now on.
+	Notice Notice
+}
+
+// Notice is what a target wants of its callers; the zero value is nothing.
+type Notice struct {
+	// Leaving tells that the target ends soon and takes no new requests.
+	Leaving bool
+	// Pause is how long this router shall send nothing at all to the target.
+	Pause time.Duration
 }
 
 // Answer is a target's answer, whose body is still to be read. It must be ended by
@@ -139,7 +147,7 @@
 			return fmt.Errorf("read answer: %w", err)
 		}
 		a.body = a.resp.BodyStream()
-		a.id = c.Identify(&a.resp.Header)
+		a.id = a.pool.identify(&a.resp.Header)
 		if a.id.Attempt == "" || a.id.Attempt == c.Attempt {
 			return nil
 		}
--- a/internal/target/upstream/line.go
+++ b/internal/target/upstream/line.go
@@ -44,7 +44,7 @@
 		a.Drop()
 		return 0, nil, err
 	}
-	if err := a.readHead(Call{HeadBy: by, Identify: func(*fasthttp.ResponseHeader) Identity { return Identity{} }}); err != nil {
+	if err := a.readHead(Call{HeadBy: by}); err != nil {
 		if isTimeout(err) {
 			pool.Distrust()
 		}
--- a/internal/target/upstream/pool.go
+++ b/internal/target/upstream/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/runner"
@@ -29,6 +31,11 @@
 	Addr string
 	// Dial opens a connection.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Identify reads what the header of an answer says.
+	Identify func(h *fasthttp.ResponseHeader) Identity
+	// OnNotice is told of each notice in an answer, to whatever it was an answer; it must
+	// not block.
+	OnNotice func(n Notice)
 
 	mu   sync.Mutex // guards idle
 	idle []*conn    // the one used last is last
@@ -62,6 +69,15 @@
 	return &Line{pool: p, conn: &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBuffer)}}, nil
 }
 
+// identify reads the header of an answer and hands on the notice in it.
+func (p *Pool) identify(h *fasthttp.ResponseHeader) Identity {
+	id := p.Identify(h)
+	if id.Notice != (Notice{}) {
+		p.OnNotice(id.Notice)
+	}
+	return id
+}
+
 // take returns an idle connection on which nothing waits, or nil.
 func (p *Pool) take(now time.Time) *conn {
 	for {
