The store's era: followers, runners and the stand-in know returns from older copies

Cause: the store may come back from a copy some seconds old, and gives versions out again. A follower waited at a version that the store no longer had, and peers that knew more of the last era confirmed it; a configuration or a runner written after the return was not seen for more than 4 s. Now versions are compared within an era only, which each answer of the store tells. A new era is read as a whole; a poll that waits for a version of the last one is given up as soon as any call hears of the era. Rows that the copy lacks are kept as after an outage, lifetimes that were seen to leave stay unused while only the copy shows them, and a newer configuration than the copy's stays and is told to routers that start. Ruled out: comparing row values alone (a runner's row changes with each heartbeat). Tests failed first: returns to versions before, at and beyond the known one.

--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -44,7 +44,8 @@
 	ForgetAfter time.Duration
 	// Call sends an inner message to an address.
 	Call func(ctx context.Context, addr, method string, in, out any) error
-	// ConfigVersion returns the version of this router's configuration, which heartbeats carry.
+	// ConfigVersion returns the version of this router's configuration, which heartbeats carry;
+	// a higher one is newer.
 	ConfigVersion func() uint64
 	// OnConfigVersion is told of the version that a heartbeat or its answer carried; it must not block.
 	OnConfigVersion func(innerAddr string, version uint64)
@@ -59,24 +60,26 @@
 
 	probes sync.WaitGroup
 
-	mu       sync.Mutex // guards the fields below
-	self     inner.Member
-	members  map[string]*seen // by inner address
-	sorted   []string         // addresses of members, in order
-	pending  map[string]int   // by inner address: times that the statement is still sent
-	awake    time.Duration    // time that this process has run, without its pauses
-	lastBeat time.Time
-	beats    int
-	near     rota
-	all      rota
-	cursor   string // address after which the next page begins
-	paging   bool   // the last page brought something
-	contest  uint64 // epoch of another incarnation at this router's address
-	replaced bool
-	inFlight map[string]bool // addresses being probed
-	random   *rand.Rand
-	counts   Counts
-	snapshot []inner.Member // nil after a change
+	mu      sync.Mutex // guards the fields below
+	self    inner.Member
+	members map[string]*seen // by inner address
+	sorted  []string         // addresses of members, in order
+	// replacedIDs are the incarnations that another one at their address has replaced, by when.
+	replacedIDs map[string]time.Duration
+	pending     map[string]int // by inner address: times that the statement is still sent
+	awake       time.Duration  // time that this process has run, without its pauses
+	lastBeat    time.Time
+	beats       int
+	near        rota
+	all         rota
+	cursor      string // address after which the next page begins
+	paging      bool   // the last page brought something
+	contest     uint64 // epoch of another incarnation at this router's address
+	replaced    bool
+	inFlight    map[string]bool // addresses being probed
+	random      *rand.Rand
+	counts      Counts
+	snapshot    []inner.Member // nil after a change
 }
 
 // Counts are the events of a view since its start.
@@ -106,6 +109,7 @@
 	}
 	v.self = self
 	v.members = make(map[string]*seen)
+	v.replacedIDs = make(map[string]time.Duration)
 	v.pending = make(map[string]int)
 	v.inFlight = make(map[string]bool)
 	v.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -222,6 +226,11 @@
 	for addr, s := range v.members {
 		v.expire(addr, s)
 	}
+	for id, at := range v.replacedIDs {
+		if v.awake-at > v.ForgetAfter {
+			delete(v.replacedIDs, id)
+		}
+	}
 }
 
 // expire removes a suspect that has not refuted, and forgets old removals. The caller holds mu.
--- a/internal/fleet/membership/statement.go
+++ b/internal/fleet/membership/statement.go
@@ -73,6 +73,9 @@
 		s = &seen{}
 		v.insert(m.InnerAddr, s)
 	}
+	if known && s.member.ID != m.ID {
+		v.replacedIDs[s.member.ID] = v.awake
+	}
 	s.member = m
 	s.dead = false
 	s.since = v.awake
@@ -221,3 +224,18 @@
 	v.snapshot = slices.Insert(out, i, v.self)
 	return v.snapshot
 }
+
+// Recent returns the IDs of the other members, and of incarnations that have ended or were
+// removed and are not forgotten yet.
+func (v *View) Recent() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]string, 0, len(v.members)+len(v.replacedIDs))
+	for _, addr := range v.sorted {
+		out = append(out, v.members[addr].member.ID)
+	}
+	for id := range v.replacedIDs {
+		out = append(out, id)
+	}
+	return out
+}
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -37,8 +37,14 @@
 	Watch func(ctx context.Context, name string, since uint64, wait time.Duration) (table.Page, error)
 	// Ask asks the router at addr, or any if addr is empty.
 	Ask func(ctx context.Context, addr string, in inner.FollowRequest) (inner.FollowResponse, error)
-	// OnRows is told of the rows that changed, in the order of their versions. It must not block.
-	OnRows func(rows []table.Row)
+	// Newer reports whether the content of a row is newer than that of another, whatever
+	// their versions say; nil if only versions tell.
+	Newer func(a, b table.Row) bool
+	// OnRows is told of the rows that changed, in the order of their versions, and whether
+	// they are those of an older copy from which the store has come back. It must not block.
+	OnRows func(rows []table.Row, fromCopy bool)
+	// OnEra is told that the store has answered in an era. It must not block.
+	OnEra func(stamp table.Stamp)
 	// OnContact is told when the store is lost, with the cause, or reached again, with nil,
 	// and how long ago it had confirmed the copy before. It must not block.
 	OnContact func(err error, age time.Duration)
@@ -50,13 +56,16 @@
 	// regained is when the store was last reached after it had been lost; nil if never.
 	regained atomic.Pointer[time.Time]
 	hints    chan string // addresses of routers that know more
+	// newEra is the latest era in which the store has answered other calls.
+	newEra atomic.Uint64
+	poll   atomic.Pointer[context.CancelFunc]
 }
 
-// Newest returns the version of the newest row that is known; 0 if none is.
-func (t *Table) Newest() uint64 { return t.set.newestRow() }
-
 // Known reports whether the table was ever read as a whole, even if it was empty.
-func (t *Table) Known() bool { return t.set.knows() > 0 }
+func (t *Table) Known() bool {
+	_, version := t.set.knows()
+	return version > 0
+}
 
 // Failing reports whether the store does not answer this router.
 func (t *Table) Failing() bool { return t.failing.Load() }
@@ -122,32 +131,83 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollWait+answerTime)
 	defer cancel()
+	t.poll.Store(&cancel)
 	wait := pollWait
 	if t.failing.Load() {
 		// An answer without a change tells that the store is back.
 		wait = 0
 	}
-	page, err := t.Watch(ctx, t.Name, t.set.knows(), wait)
-	if err != nil {
+	era, since := t.set.knows()
+	page, err := t.Watch(ctx, t.Name, since, wait)
+	t.hear(page.Stamp)
+	switch {
+	case err != nil && t.passed(era):
+		return fmt.Errorf("watch table %q: %w: %w", t.Name, table.ErrHistoryLost, err)
+	case err != nil:
 		return fmt.Errorf("watch table %q: %w", t.Name, err)
+	case page.Era != era:
+		return fmt.Errorf("watch table %q: store is in era %d: %w", t.Name, page.Era, table.ErrHistoryLost)
 	}
-	t.set.merge(page.Rows, page.Version, false, t.OnRows)
+	t.merge(change{era: era, version: page.Version, rows: page.Rows})
 	return nil
 }
 
+// hear tells of the store's era, as an answer shows it.
+func (t *Table) hear(stamp table.Stamp) {
+	if t.OnEra != nil {
+		t.OnEra(stamp)
+	}
+}
+
+// EraBegan notes that the store has answered another call in an era. A poll that waits for
+// a version of an earlier one is given up.
+func (t *Table) EraBegan(era uint64) {
+	if known, _ := t.set.knows(); era <= known {
+		return
+	}
+	for {
+		last := t.newEra.Load()
+		if last >= era {
+			return
+		}
+		if t.newEra.CompareAndSwap(last, era) {
+			break
+		}
+	}
+	if cancel := t.poll.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// passed reports whether the store has answered another call in a later era.
+func (t *Table) passed(era uint64) bool { return t.newEra.Load() > era }
+
+// merge takes in a change, and hands on what is new.
+func (t *Table) merge(c change) {
+	if t.set.merge(c, t.Newer, t.OnRows) {
+		// What the copy lacks may be written again, as after an outage.
+		now := time.Now()
+		t.regained.Store(&now)
+	}
+}
+
 // load reads the whole table. Later pages may be newer than the first; what changed
 // between them comes again with the changes since the first.
 func (t *Table) load(ctx context.Context) error {
 	r := table.Range{Table: t.Name, Limit: pageRows}
 	var rows []table.Row
-	var version uint64
+	var first table.Stamp
 	for {
 		page, err := t.read(ctx, r)
+		t.hear(page.Stamp)
 		if err != nil {
 			return fmt.Errorf("read table %q: %w", t.Name, err)
 		}
-		if version == 0 {
-			version = page.Version
+		if first.Version == 0 {
+			first = page.Stamp
+		}
+		if page.Era != first.Era {
+			return fmt.Errorf("read table %q: store has begun era %d: %w", t.Name, page.Era, table.ErrUnavailable)
 		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
@@ -155,7 +215,7 @@
 		}
 		r.From = table.Behind(page.Rows[len(page.Rows)-1].Key)
 	}
-	t.set.merge(rows, version, true, t.OnRows)
+	t.merge(change{era: first.Era, version: first.Version, rows: rows, whole: true})
 	return nil
 }
 
@@ -205,9 +265,16 @@
 	}
 }
 
+// ask asks the router at an address for what this one lacks, or any if the address is
+// empty. One that is known to have newer rows is asked for all of them, since these may be
+// older by their versions.
 func (t *Table) ask(ctx context.Context, addr string) {
-	out, err := t.Ask(ctx, addr, inner.FollowRequest{Table: t.Name, Since: t.set.knows()})
-	if err != nil || out.Version == 0 || out.Version < t.set.knows() {
+	era, since := t.set.knows()
+	if addr != "" {
+		since = 0
+	}
+	out, err := t.Ask(ctx, addr, inner.FollowRequest{Table: t.Name, Era: era, Since: since})
+	if err != nil || out.Version == 0 {
 		// Another router is asked in the next round.
 		return
 	}
@@ -218,14 +285,11 @@
 			Version: r.Version, Value: r.Value, Deleted: r.Deleted,
 		}
 	}
-	t.set.merge(rows, out.Version, out.Whole, t.OnRows)
+	t.merge(change{era: out.Era, version: out.Version, rows: rows, whole: out.Whole})
 }
 
-// HeardFrom notes that the router at addr knows a row of a version.
-func (t *Table) HeardFrom(addr string, version uint64) {
-	if version <= t.Newest() {
-		return
-	}
+// HeardFrom notes that the router at addr has newer rows.
+func (t *Table) HeardFrom(addr string) {
 	select {
 	case t.hints <- addr:
 	default:
@@ -233,7 +297,9 @@
 }
 
 // Answer answers another router.
-func (t *Table) Answer(in inner.FollowRequest) inner.FollowResponse { return t.set.since(in.Since) }
+func (t *Table) Answer(in inner.FollowRequest) inner.FollowResponse {
+	return t.set.since(in.Era, in.Since)
+}
 
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex // guards the fields below
 	rows    map[string]table.Row
 	version uint64
+	era     uint64
 	kept    uint64 // changes after this version are kept
 	away    bool   // no call is answered in time
 	refuses bool   // calls are refused at once
@@ -51,6 +52,28 @@
 	s.kept = s.version
 }
 
+// comeBack makes the store what it was when it had a version, in a new era. The rows that
+// are given are what it has then.
+func (s *fakeStore) comeBack(version uint64, rows ...table.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = make(map[string]table.Row)
+	for _, r := range rows {
+		s.rows[r.Key] = r
+	}
+	s.era++
+	s.version = version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// row returns a row as it is now.
+func (s *fakeStore) row(key string) table.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key]
+}
+
 func (s *fakeStore) set(away, refuses bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,7 +101,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := table.Page{Stamp: table.Stamp{Version: s.version}}
+	page := table.Page{Stamp: table.Stamp{Era: s.era, Version: s.version}}
 	for _, r := range s.rows {
 		if !r.Deleted {
 			page.Rows = append(page.Rows, r)
@@ -95,13 +118,13 @@
 		}
 		s.mu.Lock()
 		changed := s.changed
-		page := table.Page{Stamp: table.Stamp{Version: s.version}}
+		page := table.Page{Stamp: table.Stamp{Era: s.era, Version: s.version}}
 		for _, r := range s.rows {
 			if r.Version > since {
 				page.Rows = append(page.Rows, r)
 			}
 		}
-		lost := since < s.kept
+		lost := since < s.kept || since > s.version
 		s.mu.Unlock()
 		if lost {
 			return table.Page{}, table.ErrHistoryLost
@@ -124,6 +147,8 @@
 	*Table
 	mu   sync.Mutex // guards rows
 	rows map[string]string
+	// fromCopy are the rows that came from an older copy.
+	fromCopy []string
 }
 
 func followed(t *testing.T, s *fakeStore, ask func(context.Context, string, inner.FollowRequest) (inner.FollowResponse, error)) *copyOf {
@@ -134,10 +159,13 @@
 			return inner.FollowResponse{}, table.ErrUnavailable
 		}
 	}
-	c.Table = &Table{Name: "t", Read: s.read, Watch: s.watch, Ask: ask, OnRows: func(rows []table.Row) {
+	c.Table = &Table{Name: "t", Read: s.read, Watch: s.watch, Ask: ask, OnRows: func(rows []table.Row, fromCopy bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		for _, r := range rows {
+			if fromCopy {
+				c.fromCopy = append(c.fromCopy, r.Key)
+			}
 			if r.Deleted {
 				delete(c.rows, r.Key)
 				continue
@@ -246,3 +274,113 @@
 		assert.Assert(t, !c.Failing())
 	})
 }
+
+// TestFollowsAStoreThatComesBackFromACopy lets versions be given out again, up to one that
+// is known already and beyond it.
+func TestFollowsAStoreThatComesBackFromACopy(t *testing.T) {
+	for _, writes := range []int{0, 1, 2, 3, 10} {
+		t.Run(fmt.Sprintf("%d writes at once", writes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.put("a", "1")
+				old := s.row("a")
+				c := followed(t, s, nil)
+				s.put("a", "2")
+				s.put("b", "1")
+				s.put("c", "1")
+				time.Sleep(time.Second)
+				s.comeBack(1, old)
+				want := map[string]string{"a": "1"}
+				for n := range writes {
+					s.put("d", fmt.Sprint(n))
+					want["d"] = fmt.Sprint(n)
+				}
+				c.EraBegan(1)
+				time.Sleep(time.Millisecond)
+				c.assertRows(t, want)
+				s.put("e", "1")
+				want["e"] = "1"
+				time.Sleep(time.Millisecond)
+				c.assertRows(t, want)
+				regained, ok := c.Regained()
+				assert.Assert(t, ok && time.Since(regained) < time.Second, "what the copy lacks counts as gone at once")
+			})
+		})
+	}
+}
+
+// TestPeersOfAnEarlierEraDoNotCount lets another router answer that has not heard of the
+// store's return.
+func TestPeersOfAnEarlierEraDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		behind, s := newFakeStore(), newFakeStore()
+		for _, store := range []*fakeStore{behind, s} {
+			store.put("a", "1")
+		}
+		behind.put("a", "2")
+		other := followed(t, behind, nil)
+		c := followed(t, s, func(_ context.Context, _ string, in inner.FollowRequest) (inner.FollowResponse, error) {
+			return other.Answer(in), nil
+		})
+		time.Sleep(time.Second)
+		s.comeBack(1, s.row("a"))
+		s.put("a", "3")
+		time.Sleep(time.Millisecond)
+		c.HeardFrom("other")
+		time.Sleep(time.Second)
+		c.assertRows(t, map[string]string{"a": "3"})
+	})
+}
+
+// TestPeersTellOfANewEra lets only another router reach the store after its return.
+func TestPeersTellOfANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, cut := newFakeStore(), newFakeStore()
+		for _, store := range []*fakeStore{s, cut} {
+			store.put("a", "1")
+			store.put("a", "2")
+		}
+		other := followed(t, s, nil)
+		c := followed(t, cut, func(_ context.Context, _ string, in inner.FollowRequest) (inner.FollowResponse, error) {
+			return other.Answer(in), nil
+		})
+		time.Sleep(time.Second)
+		cut.set(false, true)
+		s.comeBack(0)
+		s.put("b", "1")
+		time.Sleep(4 * pollWait)
+		c.assertRows(t, map[string]string{"b": "1"})
+	})
+}
+
+// TestNewerContentStays lets the copy show an older content of a row; a router that has
+// only seen that learns the newer one from others.
+func TestNewerContentStays(t *testing.T) {
+	newer := func(a, b table.Row) bool { return string(a.Value) > string(b.Value) }
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "1")
+		old := s.row("a")
+		c := followed(t, s, nil)
+		c.Newer = newer
+		s.put("a", "2")
+		time.Sleep(time.Second)
+		s.comeBack(1, old)
+		time.Sleep(time.Second)
+		c.assertRows(t, map[string]string{"a": "2"})
+		young := followed(t, s, func(_ context.Context, _ string, in inner.FollowRequest) (inner.FollowResponse, error) {
+			return c.Answer(in), nil
+		})
+		young.Newer = newer
+		time.Sleep(time.Second)
+		young.assertRows(t, map[string]string{"a": "1"})
+		young.HeardFrom("c")
+		time.Sleep(time.Second)
+		young.assertRows(t, map[string]string{"a": "2"})
+		s.put("a", "3")
+		time.Sleep(time.Second)
+		for _, f := range []*copyOf{c, young} {
+			f.assertRows(t, map[string]string{"a": "3"})
+		}
+	})
+}
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -130,6 +130,10 @@
 
 // Stamp is what each answer of the store carries besides its rows.
 type Stamp struct {
+	// Era counts the times that the store has come back from an older copy of itself. A
+	// version names a commit only together with its era. A stamp of a call that was refused
+	// carries nothing else.
+	Era uint64
 	// Version is the store's newest version when it answered.
 	Version uint64
 	// Clock is the store's own steady clock when it answered.
--- a/internal/protocol/inner/mirror.go
+++ b/internal/protocol/inner/mirror.go
@@ -12,6 +12,7 @@
 type MirrorBound struct {
 	Tokens int64 `json:"t"`
 	Rate   int64 `json:"r,omitempty"`
+	Past   int64 `json:"p,omitempty"`
 }
 
 // MirrorNote tells what a life of a VM may use.
@@ -19,8 +20,10 @@
 	VM   string `json:"vm"`
 	Life string `json:"life"`
 	// To is the life of the receiver that is meant; empty if only its clock is asked for.
-	To  string `json:"to,omitempty"`
-	Seq int64  `json:"seq,omitempty"`
+	To string `json:"to,omitempty"`
+	// Epoch counts the lives of the VM, and Seq the notes of this one.
+	Epoch int64 `json:"epoch,omitempty"`
+	Seq   int64 `json:"seq,omitempty"`
 	// AtMS is the receiver's clock at the sending, as estimated.
 	AtMS   int64                  `json:"at_ms,omitempty"`
 	Bounds map[string]MirrorBound `json:"bounds,omitempty"`
@@ -33,16 +36,22 @@
 	Kept    bool   `json:"kept,omitempty"`
 }
 
-// MirrorRecall asks for the last note of a life.
+// MirrorRecall asks for the last note of a life, or of the VM's last one.
 type MirrorRecall struct {
 	VM   string `json:"vm"`
-	Life string `json:"life"`
+	Life string `json:"life,omitempty"`
 }
 
 // MirrorRecallResponse is the last note of a life, if there is one.
 type MirrorRecallResponse struct {
+	// By is the life that answers.
+	By     string                 `json:"by"`
 	Found  bool                   `json:"found,omitempty"`
+	Life   string                 `json:"life,omitempty"`
+	Epoch  int64                  `json:"epoch,omitempty"`
 	Seq    int64                  `json:"seq,omitempty"`
 	AgeMS  int64                  `json:"age_ms,omitempty"`
 	Bounds map[string]MirrorBound `json:"bounds,omitempty"`
+	// Recent are the lives that run or ran a moment ago, if the VM's last life was asked for.
+	Recent []string `json:"recent,omitempty"`
 }
--- a/internal/target/roster/keeper.go
+++ b/internal/target/roster/keeper.go
@@ -11,6 +11,10 @@
 // announcement has vanished; a live one announces itself again within about that time.
 const lapseGrace = 2 * time.Second
 
+// departureAge is how long a lifetime that has left is remembered, which is longer than a
+// copy of the store may be old.
+const departureAge = time.Minute
+
 // Change is what has become of one announcement.
 type Change struct {
 	// ID names the instance.
@@ -19,6 +23,9 @@
 	Instance Instance
 	// Gone tells that there is no announcement, or none that describes an instance.
 	Gone bool
+	// FromCopy tells that the announcement is that of an older copy of the store. It may be
+	// out of date: a lifetime that was seen to leave since has left.
+	FromCopy bool
 }
 
 // Keeper makes a roster of announcements as they change.
@@ -32,6 +39,13 @@
 	mu      sync.Mutex // guards the fields below; held while a roster is handed on
 	entries map[string]Instance
 	lapsing map[string]time.Time // when instances without an announcement are dropped
+	left    map[string]departure // lifetimes that were dropped not long ago, by ID
+}
+
+// departure is a lifetime whose announcement has gone.
+type departure struct {
+	born time.Time
+	at   time.Time
 }
 
 // Update takes in changes and hands on the new roster.
@@ -41,6 +55,7 @@
 	if k.entries == nil {
 		k.entries = make(map[string]Instance)
 		k.lapsing = make(map[string]time.Time)
+		k.left = make(map[string]departure)
 	}
 	for _, c := range changes {
 		k.apply(c)
@@ -61,13 +76,34 @@
 		k.drop(c.ID)
 	case ok && c.Instance.Born.Before(known.Born):
 		// A lifetime that has ended is announced late.
+	case c.FromCopy && k.hasLeft(c.Instance):
 	default:
 		k.entries[c.ID] = c.Instance
 		delete(k.lapsing, c.ID)
+		delete(k.left, c.ID)
+	}
+}
+
+// hasLeft reports whether a lifetime was seen to leave. The caller holds mu.
+func (k *Keeper) hasLeft(i Instance) bool {
+	if known, ok := k.entries[i.ID]; ok {
+		return known.Draining && known.SameLife(i)
 	}
+	gone, ok := k.left[i.ID]
+	return ok && !i.Born.After(gone.born)
 }
 
+// drop forgets an instance, but for the lifetime that has left. The caller holds mu.
 func (k *Keeper) drop(id string) {
+	now := time.Now()
+	for other, gone := range k.left {
+		if now.Sub(gone.at) > departureAge {
+			delete(k.left, other)
+		}
+	}
+	if known, ok := k.entries[id]; ok {
+		k.left[id] = departure{born: known.Born, at: now}
+	}
 	delete(k.entries, id)
 	delete(k.lapsing, id)
 }
--- a/internal/target/roster/keeper_test.go
+++ b/internal/target/roster/keeper_test.go
@@ -78,3 +78,37 @@
 	k.Update([]Change{old})
 	assert.Equal(t, newest.Load().Service("s")[0].Addr, "10.0.0.1:80")
 }
+
+func fromCopy(c Change) Change {
+	c.FromCopy = true
+	return c
+}
+
+// TestCopyDoesNotBringBackWhatHasLeft lets the store show announcements of lifetimes that
+// were seen to drain or to go since.
+func TestCopyDoesNotBringBackWhatHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var never time.Time
+		k, newest := kept(&never, "a", "b", "c")
+		draining := announced("a")
+		draining.Instance.Draining = true
+		k.Update([]Change{draining, {ID: "b", Gone: true}})
+		k.Update([]Change{fromCopy(announced("a")), fromCopy(announced("b")), fromCopy(announced("c"))})
+		assert.Equal(t, newest.Load().Len(), 1)
+		again := announced("b")
+		again.Instance.Born = born.Add(time.Second)
+		k.Update([]Change{fromCopy(again)})
+		assert.Equal(t, newest.Load().Len(), 2)
+	})
+}
+
+// TestAnnouncementAfterTheCopyCounts lets a lifetime that lapsed announce itself again.
+func TestAnnouncementAfterTheCopyCounts(t *testing.T) {
+	var never time.Time
+	k, newest := kept(&never, "a")
+	k.Update([]Change{{ID: "a", Gone: true}})
+	k.Update([]Change{fromCopy(announced("a"))})
+	assert.Equal(t, newest.Load().Len(), 0)
+	k.Update([]Change{announced("a")})
+	assert.Equal(t, newest.Load().Len(), 1)
+}
