--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -81,6 +81,12 @@
 		return err
 	}
 	for range maxDrawTries {
+		if !p.holds(h) {
+			return nil
+		}
+		if err := p.bring(ctx, h); err != nil {
+			return fmt.Errorf("return tokens: %w", err)
+		}
 		r, err := p.planReturn(h, keep)
 		if err != nil || r.nothing() {
 			return err
@@ -114,11 +120,19 @@
 	}
 }
 
+// holds reports whether this life has a holding of the workspace.
+func (p *Purse) holds(h *holding) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.row.Life == p.Life
+}
+
 // plannedReturn is one commit that returns tokens.
 type plannedReturn struct {
+	era    uint64
 	commit table.Commit
 	free   int64
-	kept   holdingRow // empty if the holding is closed
+	kept   holdingRow
 	closes bool
 }
 
@@ -129,8 +143,8 @@
 func (p *Purse) planReturn(h *holding, keep func(h *holding) int64) (plannedReturn, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var r plannedReturn
-	if h.row.Life != p.Life {
+	r := plannedReturn{era: h.era}
+	if h.row.Life != p.Life || !h.known {
 		return r, nil
 	}
 	kept := keep(h)
@@ -140,16 +154,17 @@
 	if r.nothing() {
 		return r, nil
 	}
-	total := totalRow{Allotted: h.allotted - h.returning}
-	r.commit.RequireAt(totalPlace(h.workspace), h.totalVersion)
-	r.commit.RequireAt(p.holdingPlace(h.workspace), h.rowVersion)
-	err := r.commit.SetAt(totalPlace(h.workspace), total)
+	left := h.row.Tokens - h.returning
+	r.kept = holdingRow{Life: p.Life, Epoch: h.row.Epoch, Tokens: left, Past: h.row.Past}
 	if r.closes {
-		r.commit.RemoveAt(p.holdingPlace(h.workspace))
-	} else {
-		r.kept = holdingRow{Life: p.Life, Epoch: h.row.Epoch, Tokens: h.row.Tokens - h.returning}
-		err = errors.Join(err, r.commit.SetAt(p.holdingPlace(h.workspace), r.kept))
+		r.kept = holdingRow{Past: h.row.Past + left}
 	}
+	total, holding := totalPlace(h.workspace, h.era), p.holdingPlace(h.workspace, h.era)
+	r.commit.RequireAt(total, h.totalVersion)
+	r.commit.RequireAt(holding, h.rowVersion)
+	fence(&r.commit, h.workspace, h.era)
+	err := r.commit.SetAt(total, totalRow{Allotted: h.allotted - h.returning})
+	err = errors.Join(err, r.commit.SetAt(holding, r.kept))
 	if err != nil {
 		return r, fmt.Errorf("return tokens: %w", err)
 	}
@@ -161,6 +176,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	stamp, err := p.Commit(ctx, r.commit)
+	p.hear(stamp)
 	if err == nil {
 		p.returned(h, r, stamp)
 		return nil
@@ -176,17 +192,20 @@
 	return errConflict
 }
 
-// returned takes in a return that took effect.
+// returned takes in a return that took effect. One of an era that has passed was taken in
+// when the next one began.
 func (p *Purse) returned(h *holding, r plannedReturn, stamp table.Stamp) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.era != r.era || stamp.Era != r.era {
+		return
+	}
 	h.drawn -= r.free
 	h.returning = 0
 	h.allotted -= r.free
 	h.row = r.kept
 	h.totalVersion, h.rowVersion = stamp.Version, stamp.Version
 	if r.closes {
-		h.rowVersion = noVersion
 		h.startAnew()
 	}
 }
@@ -197,4 +216,5 @@
 // holds mu.
 func (h *holding) startAnew() {
 	h.named, h.drawn, h.spent, h.returning = 0, 0, 0, 0
+	h.closedAt = time.Now()
 }
--- a/internal/budget/prepaid/copies.go
+++ b/internal/budget/prepaid/copies.go
@@ -19,11 +19,23 @@
 type Recalled struct {
 	// Found tells that it has a note of the life.
 	Found bool
-	// Seq and Bounds are those of the note.
-	Seq    int64
-	Bounds map[string]Bound
+	// Life, Epoch, Seq and Bounds are those of the note.
+	Life       string
+	Epoch, Seq int64
+	Bounds     map[string]Bound
 	// Age is the time since the note was sent, at the most.
 	Age time.Duration
+	// Recent are the lives of other VMs that this router believes to run, or to have run a
+	// moment ago.
+	Recent []string
+}
+
+// later reports whether the note is a later one of the same VM.
+func (r Recalled) later(other Recalled) bool {
+	if r.Epoch != other.Epoch {
+		return r.Epoch > other.Epoch
+	}
+	return r.Seq > other.Seq
 }
 
 // Keep takes in a note of another VM, as its mirror.
@@ -38,7 +50,7 @@
 	defer c.mu.Unlock()
 	answer.Kept = true
 	last, ok := c.notes[note.VM]
-	if ok && last.Life == note.Life && last.Seq >= note.Seq {
+	if ok && (last.Epoch > note.Epoch || last.Epoch == note.Epoch && last.Seq >= note.Seq) {
 		return answer
 	}
 	if c.notes == nil {
@@ -58,15 +70,19 @@
 	}
 }
 
-// Recall returns what this router knows of an ended life of another VM.
+// Recall returns what this router knows of an ended life of another VM, or of its last one
+// if life is empty.
 func (p *Purse) Recall(vm, life string) Recalled {
 	p.init()
 	c := &p.others
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	out := Recalled{Recent: p.Recent()}
 	note, ok := c.notes[vm]
-	if !ok || note.Life != life {
-		return Recalled{}
+	if !ok || life != "" && note.Life != life {
+		return out
 	}
-	return Recalled{Found: true, Seq: note.Seq, Bounds: note.Bounds, Age: max(0, p.Clock()-note.At)}
+	out.Found, out.Life, out.Epoch, out.Seq, out.Bounds = true, note.Life, note.Epoch, note.Seq, note.Bounds
+	out.Age = max(0, p.Clock()-note.At)
+	return out
 }
--- a/internal/budget/prepaid/cover.go
+++ b/internal/budget/prepaid/cover.go
@@ -9,6 +9,7 @@
 // clock, which stands still while the process is suspended.
 type entry struct {
 	seq    int64
+	era    uint64 // of the store to which it was sent
 	bounds map[string]Bound
 	sent   time.Time
 }
--- a/internal/budget/prepaid/directed_test.go
+++ b/internal/budget/prepaid/directed_test.go
@@ -73,7 +73,7 @@
 		w.broken = func(p *Purse) {
 			commit := p.Commit
 			p.Commit = func(ctx context.Context, c table.Commit) (table.Stamp, error) {
-				if journalAway.Load() && c.Conditions[0].Table == tableJournal {
+				if journalAway.Load() && c.Puts[0].Table == tableJournal {
 					<-ctx.Done()
 					return table.Stamp{}, table.ErrUnknownOutcome
 				}
--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,14 +79,14 @@
 		return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, err)
 	}
 	for range maxDrawTries {
-		if err := p.name(ctx, h); err != nil {
+		if err := p.prepareDraw(ctx, h); err != nil {
 			return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, err)
 		}
 		plan, err := p.planDraw(h, need)
 		if err != nil {
 			return 0, err
 		}
-		if plan.tokens == 0 && plan.closes == "" && plan.seen {
+		if plan.tokens == 0 && plan.closes == "" {
 			return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, errNothingLeft)
 		}
 		c, err := plan.commit(p, h.workspace)
@@ -93,9 +94,11 @@
 			return 0, err
 		}
 		stamp, err := p.Commit(ctx, c)
-		p.journal.hear(stamp, time.Now())
+		p.hear(stamp)
+		if err == nil && !p.drew(h, plan, stamp) {
+			err = errors.Join(errEraPassed, table.ErrUnavailable)
+		}
 		if err == nil {
-			p.drew(h, plan, stamp)
 			if plan.tokens >= need.Least {
 				return plan.tokens, nil
 			}
@@ -109,14 +112,26 @@
 	return 0, fmt.Errorf("draw for workspace %q: %w", h.workspace, lastErr)
 }
 
+// prepareDraw names the workspace in the journal and makes its rows stand in the store's
+// era.
+func (p *Purse) prepareDraw(ctx context.Context, h *holding) error {
+	if _, settled := p.eras.current(); !settled {
+		return fmt.Errorf("%w: %w", errUnsettled, table.ErrUnavailable)
+	}
+	if err := p.name(ctx, h); err != nil {
+		return err
+	}
+	return p.bring(ctx, h)
+}
+
 // plannedDraw is one commit of a draw.
 type plannedDraw struct {
+	era      uint64
 	tokens   int64
 	allotted int64 // after the commit
 	row      holdingRow
 	closes   string // the ended life whose holding is closed, if any
 	returned int64  // what comes back by that
-	seen     bool   // the rows were read before
 
 	totalVersion, rowVersion uint64
 }
@@ -125,22 +140,26 @@
 func (p *Purse) planDraw(h *holding, need demand.Need) (plannedDraw, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !h.known {
+		return plannedDraw{}, fmt.Errorf("draw for workspace %q: %w: %w", h.workspace, errEraPassed, table.ErrUnavailable)
+	}
 	epoch := p.journal.epochOf()
 	if h.row.Epoch > epoch {
 		return plannedDraw{}, fmt.Errorf("draw for workspace %q: %w", h.workspace, errReplaced)
 	}
 	d := plannedDraw{
+		era:          h.era,
 		allotted:     h.allotted,
 		row:          h.row,
-		seen:         h.totalVersion != noVersion,
 		totalVersion: h.totalVersion,
 		rowVersion:   h.rowVersion,
 	}
 	if h.row.Life != "" && h.row.Life != p.Life {
 		d.closes = h.row.Life
-		d.returned = h.row.Tokens - p.journal.usedBy(h.row.Life, h.workspace, h.row.Tokens)
+		used := p.journal.usedBy(h.row.Life, h.workspace, h.row.Tokens)
+		d.returned = h.row.Tokens - used
 		d.allotted -= d.returned
-		d.row = holdingRow{}
+		d.row = holdingRow{Past: h.row.Past + used}
 	}
 	need.Available = max(0, p.Prepaid(h.workspace)-d.allotted)
 	d.tokens = min(p.Size(need), need.Available)
@@ -149,26 +168,33 @@
 		d.tokens = need.Available
 	}
 	d.allotted += d.tokens
-	d.row = holdingRow{Life: p.Life, Epoch: epoch, Tokens: d.row.Tokens + d.tokens}
+	d.row = holdingRow{Life: p.Life, Epoch: epoch, Tokens: d.row.Tokens + d.tokens, Past: d.row.Past}
 	return d, nil
 }
 
 func (d plannedDraw) commit(p *Purse, workspace string) (table.Commit, error) {
 	var c table.Commit
-	c.RequireAt(totalPlace(workspace), d.totalVersion)
-	c.RequireAt(p.holdingPlace(workspace), d.rowVersion)
-	if err := c.SetAt(totalPlace(workspace), totalRow{Allotted: d.allotted}); err != nil {
+	total, holding := totalPlace(workspace, d.era), p.holdingPlace(workspace, d.era)
+	c.RequireAt(total, d.totalVersion)
+	c.RequireAt(holding, d.rowVersion)
+	fence(&c, workspace, d.era)
+	if err := c.SetAt(total, totalRow{Allotted: d.allotted}); err != nil {
 		return c, fmt.Errorf("draw: %w", err)
 	}
-	if err := c.SetAt(p.holdingPlace(workspace), d.row); err != nil {
+	if err := c.SetAt(holding, d.row); err != nil {
 		return c, fmt.Errorf("draw: %w", err)
 	}
 	return c, nil
 }
 
-// drew takes in a draw that took effect.
-func (p *Purse) drew(h *holding, d plannedDraw, stamp table.Stamp) {
+// drew takes in a draw that took effect. It reports false if that was in an era that has
+// passed, with what was drawn.
+func (p *Purse) drew(h *holding, d plannedDraw, stamp table.Stamp) bool {
 	h.mu.Lock()
+	if h.era != d.era || stamp.Era != d.era {
+		h.mu.Unlock()
+		return false
+	}
 	h.totalVersion, h.rowVersion = stamp.Version, stamp.Version
 	h.allotted = d.allotted
 	h.row = d.row
@@ -181,6 +207,7 @@
 		p.journal.closed(d.closes, h.workspace)
 		p.OnEvent(Event{Kind: FormerClosed, Workspace: h.workspace, Tokens: d.returned})
 	}
+	return true
 }
 
 // left returns what the store has left of the workspace's total, as last seen.
@@ -196,7 +223,7 @@
 	var conflict *table.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		if err := p.see(h, conflict.Rows); err != nil {
+		if err := p.seeConflict(h, conflict.Rows); err != nil {
 			return err
 		}
 		// Others draw from the same total at the same time.
@@ -214,53 +241,65 @@
 	}
 }
 
-// lookUp reads the rows of the total and of this VM's holding.
+// lookUp reads the rows of the total and of this VM's holding, in whichever era they stand,
+// and those of all VMs if the total stands in an earlier one.
 func (p *Purse) lookUp(ctx context.Context, h *holding) error {
+	era := h.eraOf()
+	total := totalPlace(h.workspace, era)
+	rows, err := p.readRows(ctx, table.Range{Table: total.Table, Partition: total.Partition, From: total.Key, To: table.Behind(total.Key)})
+	if err != nil {
+		return err
+	}
+	more := inAllEras(p.holdingPlace(h.workspace, era), prefixVM+p.VM)
+	if len(rows) == 0 {
+		more = allRows(h.workspace)
+	}
+	others, err := p.readRows(ctx, more)
+	if err != nil {
+		return err
+	}
+	return p.see(h, era, append(rows, others...))
+}
+
+// readRows reads a range of a workspace's rows.
+func (p *Purse) readRows(ctx context.Context, r table.Range) ([]table.Row, error) {
 	var rows []table.Row
-	for _, at := range []table.Place{totalPlace(h.workspace), p.holdingPlace(h.workspace)} {
-		page, err := p.Read(ctx, table.Range{Table: at.Table, Partition: at.Partition, From: at.Key, To: table.Behind(at.Key)})
+	for {
+		page, err := p.Read(ctx, r)
+		p.hear(page.Stamp)
 		if err != nil {
-			return fmt.Errorf("read tokens of workspace %q: %w", h.workspace, err)
+			return nil, fmt.Errorf("read rows of partition %q: %w", r.Partition, err)
 		}
-		p.journal.hear(page.Stamp, time.Now())
 		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, nil
+		}
+		r.From = table.Behind(page.Rows[len(page.Rows)-1].Key)
 	}
-	return p.see(h, rows)
 }
 
 // see takes in the rows of the total and of this VM's holding; one that is missing
-// does not exist.
-func (p *Purse) see(h *holding, rows []table.Row) error {
-	var total totalRow
-	var row holdingRow
-	totalVersion, rowVersion := uint64(noVersion), uint64(noVersion)
-	for _, r := range rows {
-		var err error
-		switch {
-		case r.Deleted || r.Version == noVersion:
-		case r.Key == keyTotal:
-			totalVersion = r.Version
-			err = r.Decode(&total)
-		default:
-			rowVersion = r.Version
-			err = r.Decode(&row)
-		}
-		if err != nil {
-			return fmt.Errorf("tokens of workspace %q: %w", h.workspace, err)
-		}
+// does not exist. Rows that do not all stand in the era are kept to be brought into it. The
+// era is the one that was present when they were asked for.
+func (p *Purse) see(h *holding, era uint64, rows []table.Row) error {
+	f, err := p.findRows(h.workspace, era, rows)
+	if err != nil {
+		return err
 	}
 	h.mu.Lock()
-	if h.row.Life == p.Life && row.Life != p.Life {
-		// The answer of the return that closed it was lost.
-		h.startAnew()
+	if h.era != era {
+		h.mu.Unlock()
+		return fmt.Errorf("tokens of workspace %q: %w: %w", h.workspace, errEraPassed, table.ErrUnavailable)
 	}
-	h.totalVersion, h.allotted = totalVersion, total.Allotted
-	h.rowVersion, h.row = rowVersion, row
-	found := int64(0)
-	if row.Life == p.Life {
-		found = row.Tokens - h.drawn
-		h.drawn = row.Tokens
+	if !p.stands(h, &f) {
+		h.known, h.found = false, &f
+		h.mu.Unlock()
+		return nil
 	}
+	before := h.drawn
+	h.totalVersion, h.rowVersion = f.total.Version, f.row.Version
+	p.adopt(h, f.allotted, f.holding)
+	found := h.drawn - before
 	h.mu.Unlock()
 	if found > 0 {
 		// The answer of an earlier draw was lost.
@@ -269,6 +308,28 @@
 	return nil
 }
 
+// seeConflict takes in the rows of a commit that did not take effect. If the total is not
+// among them, all have to be read.
+func (p *Purse) seeConflict(h *holding, rows []table.Row) error {
+	era := h.eraOf()
+	total := totalPlace(h.workspace, era)
+	if slices.ContainsFunc(rows, func(r table.Row) bool { return r.Place == total && r.Version != noVersion }) {
+		return p.see(h, era, rows)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known, h.found = false, nil
+	return nil
+}
+
+// stands reports whether the rows need not be brought into the era. The caller holds h.mu.
+func (p *Purse) stands(h *holding, f *found) bool {
+	if !f.totalIn(h.era) {
+		return false
+	}
+	return f.rowIn(h.era) || !f.rowExists && p.truth(h, f) == holdingRow{}
+}
+
 func (j *journal) isOpen() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/budget/prepaid/event.go
+++ b/internal/budget/prepaid/event.go
@@ -1,6 +1,10 @@
 package prepaid
 
-import "time"
+import (
+	"time"
+
+	"rosevalve/internal/platform/table"
+)
 
 // Event is a change of what a life believes about its tokens.
 type Event struct {
@@ -12,8 +16,12 @@
 	Tokens int64
 	// Left is what the store has left of the workspace's total, as last seen.
 	Left int64
-	// Away is how long something has failed.
+	// Away is how long something has failed or lasted.
 	Away time.Duration
+	// From and To are what was and what is known of the store's era and version.
+	From, To table.Stamp
+	// Routers is how many routers have told of their rows, or are waited for.
+	Routers int
 	// Err is the cause of a failure.
 	Err error
 }
@@ -56,6 +64,16 @@
 	// HoldingLeft tells that a holding could not be closed and went to other routers;
 	// Tokens were taken by them.
 	HoldingLeft // holding_left
+	// EraBegan tells that the store has come back from an older copy of itself.
+	EraBegan // era_began
+	// EraSettled tells that tokens may be drawn in the store's era, after the time Away.
+	EraSettled // era_settled
+	// EraUnsettled tells that no tokens can be drawn since routers have not told of their rows
+	// for the time Away.
+	EraUnsettled // era_unsettled
+	// RestoreFailed tells that this life's rows could not be brought into the store's era;
+	// it is tried again.
+	RestoreFailed // restore_failed
 )
 
 // drawState is how the last draw of a holding has ended.
--- a/internal/budget/prepaid/exhausted.go
+++ b/internal/budget/prepaid/exhausted.go
@@ -48,12 +48,13 @@
 	if now.Sub(last.at) < verdictAge && !errors.Is(last.err, errMoreLeft) {
 		return last.err
 	}
+	era := h.eraOf()
 	rows, err := p.readAll(ctx, h)
 	if err != nil {
 		return err
 	}
 	v := verdict{at: now, ended: make(map[string]time.Time)}
-	v.err = p.judge(h, rows, last.ended, v)
+	v.err = p.judge(h, era, rows, last.ended, v)
 	h.mu.Lock()
 	h.verdict = v
 	h.mu.Unlock()
@@ -64,27 +65,18 @@
 func (p *Purse) readAll(ctx context.Context, h *holding) ([]table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictTime)
 	defer cancel()
-	at := totalPlace(h.workspace)
-	page, err := p.Read(ctx, table.Range{Table: at.Table, Partition: at.Partition, From: keyTotal, To: afterVMs})
-	p.journal.hear(page.Stamp, time.Now())
+	rows, err := p.readRows(ctx, allRows(h.workspace))
 	if err != nil {
 		return nil, fmt.Errorf("look at all holdings: %w", err)
 	}
-	if page.More {
-		return nil, fmt.Errorf("look at all holdings: more than %d rows", len(page.Rows))
-	}
-	return page.Rows, nil
+	return rows, nil
 }
 
 // judge decides by all rows of a workspace whether its tokens are used up, and notes
 // the ended lives that have holdings.
-func (p *Purse) judge(h *holding, rows []table.Row, known map[string]time.Time, v verdict) error {
-	var own []table.Row
+func (p *Purse) judge(h *holding, era uint64, rows []table.Row, known map[string]time.Time, v verdict) error {
 	var err error
 	for _, r := range rows {
-		if r.Key == keyTotal || r.Key == prefixVM+p.VM {
-			own = append(own, r)
-		}
 		if !strings.HasPrefix(r.Key, prefixVM) {
 			continue
 		}
@@ -104,9 +96,12 @@
 			err = fmt.Errorf("%w: life %q has %d tokens", errComingBack, row.Life, row.Tokens)
 		}
 	}
-	if err := p.see(h, own); err != nil {
+	if err := p.see(h, era, rows); err != nil {
 		return err
 	}
+	if _, settled := p.eras.current(); !settled {
+		return errUnsettled
+	}
 	if p.left(h) > 0 {
 		return errMoreLeft
 	}
--- a/internal/budget/prepaid/former.go
+++ b/internal/budget/prepaid/former.go
@@ -67,6 +67,13 @@
 func (p *Purse) closeFormer(ctx context.Context) {
 	pool := pond.NewPool(closeWorkers)
 	for left := p.journal.unclosed(); len(left) > 0; left = p.journal.unclosed() {
+		if _, settled := p.eras.current(); !settled {
+			// What is known of the ended lives may be too old.
+			if !sleep(ctx, retryPause) {
+				return
+			}
+			continue
+		}
 		rand.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
 		group := pool.NewGroup()
 		for _, workspace := range left {
@@ -86,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	h := p.holding(workspace)
-	err := p.lookUp(ctx, h)
+	err := p.bring(ctx, h)
 	if err == nil && !p.heldByFormer(h) {
 		p.journal.closed("", workspace)
 		return
--- a/internal/budget/prepaid/holding.go
+++ b/internal/budget/prepaid/holding.go
@@ -27,12 +27,22 @@
 	flight    *flight   // the draw that is under way, if any
 	drawing   drawState // how the last one has ended
 
-	// The rows as last seen, for the conditions of the next draw.
+	// The rows as last seen, for the conditions of the next draw. They count if known is
+	// set, which tells that they stand in the store's era.
+	era                      uint64
+	known                    bool
 	totalVersion, rowVersion uint64
 	allotted                 int64
 	row                      holdingRow
-	refillAt                 time.Time // earliest time of the next draw ahead of demand
-	inviteAt                 time.Time // earliest time of the next invitation to others
+	// truth is the VM's row as of the last era, if this life knew it; found is what the
+	// store shows in this one.
+	truth *holdingRow
+	found *found
+
+	refillAt time.Time // earliest time of the next draw ahead of demand
+	inviteAt time.Time // earliest time of the next invitation to others
+
+	closedAt time.Time // when this life last closed a holding here; zero if it has not
 
 	// named is the first write of the journal that names the workspace for the draws to
 	// come; 0 if none does.
@@ -42,6 +52,13 @@
 	verdict verdict
 }
 
+// eraOf returns the store's era to which the holding's rows belong.
+func (h *holding) eraOf() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.era
+}
+
 // waiter is a reservation that the journal does not cover yet.
 type waiter struct {
 	tokens int64
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -15,6 +15,9 @@
 const (
 	// retryPause is the pause after a write that failed.
 	retryPause = 100 * time.Millisecond
+	// copyAge is the oldest copy of itself from which the store may come back, with the time
+	// that it is away.
+	copyAge = 30 * time.Second
 )
 
 // journal is this life's row of bounds.
@@ -24,7 +27,10 @@
 
 	mu       sync.Mutex // guards the fields below; taken after a holding's lock
 	cover    cover
-	version  uint64 // of the row
+	era      uint64 // of the store, in which the next write is to stand
+	since    uint64 // era in which this life began
+	standing bool   // a write took effect in era
+	version  uint64 // of the row in era
 	seq      int64
 	epoch    int64
 	open     bool
@@ -181,11 +187,18 @@
 // boundOf returns what the next write allows of a holding. The caller holds its lock.
 func (p *Purse) boundOf(h *holding, now time.Time) Bound {
 	if p.sealed.Load() {
-		return Bound{Tokens: min(h.drawn, h.wanted())}
+		return Bound{Tokens: min(h.drawn, h.wanted()), Past: h.row.Past}
 	}
 	tokens := min(h.drawn, h.wanted()+p.headroom(h, now))
 	rate := max(rateFactor*h.asked.Rate(now), float64(h.drawn-tokens)/spread.Seconds())
-	return Bound{Tokens: tokens, Rate: int64(rate)}
+	return Bound{Tokens: tokens, Rate: int64(rate), Past: h.row.Past}
+}
+
+// toBeNamed reports whether the journal names the workspace: if tokens are held or about to
+// be, and for as long after that as a copy of the store may still show them as held. The
+// caller holds h.mu.
+func (h *holding) toBeNamed(now time.Time) bool {
+	return h.drawn > 0 || h.named > 0 || !h.closedAt.IsZero() && now.Sub(h.closedAt) < copyAge
 }
 
 // writeJournal writes the bounds once.
@@ -201,7 +214,11 @@
 		return err
 	}
 	stamp, err := p.Commit(ctx, c)
-	p.journal.hear(stamp, time.Now())
+	p.hear(stamp)
+	if stamp.Era != e.era && (err == nil || stamp.Clock != 0) {
+		// Neither a write nor a conflict of another era says anything about this one.
+		return fmt.Errorf("write journal: %w", errEraPassed)
+	}
 	return p.settleWrite(e, stamp, err, mirror, from)
 }
 
@@ -212,7 +229,7 @@
 	bounds := make(map[string]Bound, len(holdings))
 	for _, h := range holdings {
 		h.mu.Lock()
-		if h.drawn > 0 || h.named > 0 {
+		if h.toBeNamed(now) {
 			bounds[h.workspace] = boundOf(h, now)
 		}
 		h.mu.Unlock()
@@ -250,10 +267,14 @@
 func (j *journal) commit(p *Purse, e *entry, mirror string, from int64) (table.Commit, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	row := journalRow{Life: p.Life, Epoch: j.epoch, Seq: e.seq, AtMS: j.storeTime(e.sent).Milliseconds(), Bounds: e.bounds, Former: j.former, Mirror: mirror, MirrorFrom: from}
+	e.era = j.era
+	row := journalRow{
+		Life: p.Life, Epoch: j.epoch, Seq: e.seq, Since: j.since, Accounted: p.eras.isAccounted(),
+		AtMS: j.storeTime(e.sent).Milliseconds(), Bounds: e.bounds, Former: j.former, Mirror: mirror, MirrorFrom: from,
+	}
 	var c table.Commit
-	c.RequireAt(p.journalPlace(), j.version)
-	if err := c.SetAt(p.journalPlace(), row); err != nil {
+	c.RequireAt(p.journalPlace(j.era), j.version)
+	if err := c.SetAt(p.journalPlace(j.era), row); err != nil {
 		return c, fmt.Errorf("write journal: %w", err)
 	}
 	return c, nil
@@ -266,8 +287,10 @@
 	defer j.mu.Unlock()
 	var conflict *table.ConflictError
 	switch {
+	case j.era != e.era:
+		return fmt.Errorf("write journal: %w", errEraPassed)
 	case err == nil:
-		j.version = stamp.Version
+		j.version, j.standing = stamp.Version, true
 		j.ack(e)
 		j.nameMirror(mirror, from)
 		return nil
@@ -292,7 +315,7 @@
 		j.replaced = true
 		return fmt.Errorf("%w: life %q, write %d", errReplaced, row.Life, row.Seq)
 	}
-	j.version = found.Version
+	j.version, j.standing = found.Version, true
 	j.ack(e)
 	j.nameMirror(row.Mirror, row.MirrorFrom)
 	j.kick()
--- a/internal/budget/prepaid/machine_test.go
+++ b/internal/budget/prepaid/machine_test.go
@@ -25,6 +25,7 @@
 	part      float64
 	lasts     time.Duration
 	weather   weather
+	age       time.Duration // of the copy from which the store comes back
 }
 
 type stepKind int
@@ -39,6 +40,7 @@
 	stepKillAll
 	stepTopUp
 	stepLink
+	stepReturn
 )
 
 var vms = []string{"a", "b", "c"}
@@ -48,7 +50,7 @@
 	kinds := []stepKind{
 		stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest,
 		stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest, stepRequest,
-		stepKill, stepStart, stepStart, stepLeave, stepWeather, stepWeather, stepWeatherAll, stepKillAll, stepTopUp, stepLink,
+		stepKill, stepStart, stepStart, stepLeave, stepWeather, stepWeather, stepWeatherAll, stepKillAll, stepTopUp, stepLink, stepReturn,
 	}
 	one := rapid.Custom(func(t *rapid.T) step {
 		return step{
@@ -59,6 +61,7 @@
 			tokens:    rapid.Int64Range(1, 400).Draw(t, "tokens"),
 			part:      rapid.Float64Range(0, 1).Draw(t, "part"),
 			lasts:     time.Duration(rapid.IntRange(0, 3000).Draw(t, "lasts_ms")) * time.Millisecond,
+			age:       time.Duration(rapid.IntRange(0, 9000).Draw(t, "age_ms")) * time.Millisecond,
 			weather:   weather(rapid.IntRange(0, int(weathers)-1).Draw(t, "weather")),
 		}
 	})
@@ -115,6 +118,8 @@
 		}
 	case stepTopUp:
 		w.topUp(s.workspace, s.tokens)
+	case stepReturn:
+		w.store.comeBack(s.age)
 	case stepLink:
 		w.setLink(s.vm, s.weather)
 	}
@@ -161,6 +166,10 @@
 		{name: "a gift is taken twice", apply: takeTwice},
 		{name: "the mirror's clock stands still", apply: stopMirrorClock, history: spentWithoutMirror},
 		{name: "an old note of the mirror counts", apply: keepFirstNote, history: spentInACut},
+		{name: "the store's era is left out", apply: hideEra, history: spentBeforeAReturn},
+		{name: "nothing is restored", apply: forgetTruth, history: spentByOne},
+		{name: "nobody is waited for", apply: awaitNobody, history: spentElsewhere},
+		{name: "a life that ended before the return is forgotten", apply: awaitTheLiving, history: endedBeforeAReturn},
 	}
 	for _, b := range breaks {
 		t.Run(b.name, func(t *testing.T) {
@@ -189,6 +198,79 @@
 	repeat(100, "a", 20, 1, 100*time.Millisecond),
 )
 
+// spentBeforeAReturn is a life that has drawn and used most of a total when the store comes
+// back from a copy without it, and one that begins then and finds what looks free.
+var spentBeforeAReturn = slices.Concat(
+	[]step{{kind: stepKill, vm: "b"}},
+	repeat(40, "a", 20, 1, 50*time.Millisecond),
+	[]step{{kind: stepReturn, age: 3 * time.Second}, {kind: stepStart, vm: "b"}},
+	repeat(40, "a", 20, 1, 50*time.Millisecond),
+	repeat(40, "b", 20, 1, 50*time.Millisecond),
+)
+
+// spentByOne is a life that has used most of a total when the store comes back, and others
+// that live through it.
+var spentByOne = slices.Concat(
+	repeat(40, "a", 20, 1, 50*time.Millisecond),
+	[]step{{kind: stepReturn, age: 3 * time.Second}},
+	repeat(100, "b", 20, 1, 50*time.Millisecond),
+)
+
+// spentElsewhere is a life that has used most of a total, and another one that hears of the
+// store's return first.
+var spentElsewhere = slices.Concat(
+	repeat(40, "b", 20, 1, 50*time.Millisecond),
+	[]step{{kind: stepWeather, vm: "b", weather: away}, {kind: stepReturn, age: 3 * time.Second}},
+	repeat(60, "a", 20, 1, 50*time.Millisecond),
+)
+
+// endedBeforeAReturn is a life that has used most of a total and has ended when the store
+// comes back.
+var endedBeforeAReturn = slices.Concat(
+	repeat(40, "a", 20, 1, 50*time.Millisecond),
+	[]step{{kind: stepKill, vm: "a"}, {kind: stepReturn, age: 3 * time.Second}},
+	repeat(100, "b", 20, 1, 50*time.Millisecond),
+)
+
+// hideEra makes all answers of the store look as if they were of one era.
+func hideEra(p *Purse) {
+	commit, read := p.Commit, p.Read
+	p.Commit = func(ctx context.Context, c table.Commit) (table.Stamp, error) {
+		stamp, err := commit(ctx, c)
+		stamp.Era = 0
+		return stamp, err
+	}
+	p.Read = func(ctx context.Context, r table.Range) (table.Page, error) {
+		page, err := read(ctx, r)
+		page.Era = 0
+		return page, err
+	}
+}
+
+// forgetTruth makes a life believe what a copy of the store shows.
+func forgetTruth(p *Purse) {
+	p.OnEvent = func(e Event) {
+		if e.Kind != EraBegan {
+			return
+		}
+		for _, h := range p.all() {
+			h.mu.Lock()
+			h.truth = nil
+			h.mu.Unlock()
+		}
+	}
+}
+
+func awaitNobody(p *Purse) { p.Recent = nil }
+
+// awaitTheLiving leaves those out that have just ended.
+func awaitTheLiving(p *Purse) {
+	recent := p.Recent
+	p.Recent = func() []string {
+		return slices.DeleteFunc(recent(), func(life string) bool { return !p.Alive(life) })
+	}
+}
+
 // stopMirrorClock makes each copy look as if it had just been renewed.
 func stopMirrorClock(p *Purse) {
 	recall := p.RecallMirror
@@ -219,7 +301,7 @@
 func dropConditions(p *Purse) {
 	commit := p.Commit
 	p.Commit = func(ctx context.Context, c table.Commit) (table.Stamp, error) {
-		if c.Conditions[0].Table == tableTokens {
+		if c.Puts[0].Table == tableTokens {
 			c.Conditions = nil
 		}
 		return commit(ctx, c)
--- a/internal/budget/prepaid/mirror.go
+++ b/internal/budget/prepaid/mirror.go
@@ -44,8 +44,8 @@
 	VM, Life string
 	// To is the life of the mirror that is meant; empty for any.
 	To string
-	// Seq counts the notes of the life.
-	Seq int64
+	// Epoch counts the lives of the VM, and Seq the notes of the life.
+	Epoch, Seq int64
 	// At is the mirror's clock when the note was sent, as estimated; never ahead of it.
 	At time.Duration
 	// Bounds are what may be used of each workspace that is named.
@@ -73,6 +73,9 @@
 	from int64
 	seq  int64
 	told cover
+	// prior are the notes that bind until the first one is kept: those to the mirror before
+	// this one, or that there was none.
+	prior []*entry
 	// life, clock and heard are those of the mirror as last heard.
 	life  string
 	clock time.Duration
@@ -84,14 +87,25 @@
 // allows returns how many tokens of a holding the mirror's copy allows.
 func (m *mirror) allows(workspace string, drawn int64, now time.Time) int64 {
 	out := int64(math.MaxInt64)
-	for _, e := range m.told.binding() {
-		if b, named := e.bounds[workspace]; named {
-			out = min(out, b.after(drawn, now.Sub(e.sent)-mirrorGrace))
+	for _, e := range m.binding() {
+		b, named := e.bounds[workspace]
+		if !named {
+			b.Rate = drawn/int64(mirrorSpread.Seconds()) + 1
 		}
+		out = min(out, b.after(drawn, now.Sub(e.sent)-mirrorGrace))
 	}
 	return out
 }
 
+// binding returns the notes whose bounds hold. One says of a workspace that it does not name
+// that nothing of it may be used yet.
+func (m *mirror) binding() []*entry {
+	if m.told.acked != nil {
+		return m.told.binding()
+	}
+	return append(m.told.binding(), m.prior...)
+}
+
 // binding returns the writes whose bounds hold: the one that took effect, and the first
 // that may have replaced it.
 func (c *cover) binding() []*entry {
@@ -135,7 +149,11 @@
 	if m.addr == addr && m.from == from {
 		return
 	}
-	*m = mirror{addr: addr, from: from, seq: m.seq, told: cover{grace: mirrorGrace}}
+	prior := m.binding()
+	if m.addr == "" {
+		prior = []*entry{{sent: time.Now()}}
+	}
+	*m = mirror{addr: addr, from: from, seq: m.seq, told: cover{grace: mirrorGrace}, prior: prior}
 	j.kickMirror()
 }
 
@@ -152,7 +170,8 @@
 		besides = current
 	}
 	chosen := p.PickMirror(current, besides)
-	if chosen == current {
+	if chosen == current || chosen == "" {
+		// A mirror that can not be replaced goes on to bind.
 		return current, from
 	}
 	return chosen, next
@@ -246,7 +265,7 @@
 	e := p.beginBounds(func(bounds map[string]Bound) *entry {
 		j.mu.Lock()
 		defer j.mu.Unlock()
-		if j.mirror.addr != addr || j.mirror.life == "" || len(bounds) == 0 {
+		if j.mirror.addr != addr || j.mirror.life == "" {
 			return nil
 		}
 		j.mirror.seq++
@@ -258,7 +277,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	at := j.mirror.clock + e.sent.Sub(j.mirror.heard)
-	return e, MirrorNote{VM: p.VM, Life: p.Life, To: j.mirror.life, Seq: e.seq, At: at, Bounds: e.bounds}
+	return e, MirrorNote{VM: p.VM, Life: p.Life, To: j.mirror.life, Epoch: j.epoch, Seq: e.seq, At: at, Bounds: e.bounds}
 }
 
 // mirrorBound returns what the next note allows of a holding. The caller holds its lock.
@@ -269,7 +288,8 @@
 		ahead = 0
 	}
 	tokens := min(h.drawn, h.wanted()+ahead)
-	return Bound{Tokens: tokens, Rate: int64(max(rateFactor*rate, float64(h.drawn-tokens)/mirrorSpread.Seconds()))}
+	over := max(rateFactor*rate, float64(h.drawn-tokens)/mirrorSpread.Seconds())
+	return Bound{Tokens: tokens, Rate: int64(over), Past: h.row.Past}
 }
 
 // settleNote takes in how a note ended; one whose end is not known stays unsure.
@@ -288,10 +308,12 @@
 	case !answer.Kept:
 		// A new life of the mirror has kept no note, and never keeps those to the last one.
 		m.life = ""
+		m.prior = m.binding()
 		m.told = cover{grace: mirrorGrace}
 		return fmt.Errorf("tell mirror %s: %w", addr, errMirrorForgot)
 	}
 	m.told.ack(e)
+	m.prior = nil
 	m.hear(answer)
 	return nil
 }
--- a/internal/budget/prepaid/name.go
+++ b/internal/budget/prepaid/name.go
@@ -3,10 +3,25 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"rosevalve/internal/platform/table"
 )
 
+// lifeMark stands between the name of a VM and what tells its lives apart.
+const lifeMark = "#"
+
+// NameLife names a life of a VM by something that no other life of it has.
+func NameLife(vm, unique string) string { return vm + lifeMark + unique }
+
+// vmOf returns the VM of a life.
+func vmOf(life string) string {
+	if n := strings.LastIndex(life, lifeMark); n >= 0 {
+		return life[:n]
+	}
+	return life
+}
+
 // name returns once the journal names the workspace. Only then may tokens be drawn: the
 // next life finds the holdings of this one by the names in its journal.
 func (p *Purse) name(ctx context.Context, h *holding) error {
--- a/internal/budget/prepaid/open.go
+++ b/internal/budget/prepaid/open.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -31,37 +30,83 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	uptime := time.Since(p.born)
-	page, err := p.Read(ctx, table.Range{Table: tableJournal, Partition: p.VM, From: keyBook, To: table.Behind(keyBook)})
-	if err != nil {
-		return fmt.Errorf("read journal: %w", err)
+	if err := p.lookAtEra(ctx); err != nil {
+		return err
 	}
-	var row journalRow
-	version := uint64(noVersion)
-	for _, r := range page.Rows {
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			return fmt.Errorf("decode journal of VM %q: %w", p.VM, err)
-		}
-		version = r.Version
+	last, stamp, err := p.readJournal(ctx)
+	if err != nil {
+		return err
 	}
 	now := time.Now()
-	p.journal.hear(page.Stamp, now)
-	if row.Life == p.Life {
+	era, settled := p.eras.current()
+	switch {
+	case stamp.Era != era:
+		return fmt.Errorf("read journal: %w", errEraPassed)
+	case last.row.Life == p.Life && last.era == era:
 		// An earlier try whose answer was lost.
-		p.opened(version, row, now)
+		p.opened(last, now)
 		return nil
 	}
-	next := journalRow{Life: p.Life, Epoch: row.Epoch + 1, AtMS: page.Clock.Milliseconds(), Bounds: map[string]Bound{}, Former: p.formerLives(row, page.Clock-uptime)}
-	var c table.Commit
-	c.RequireAt(p.journalPlace(), version)
-	if err := c.SetAt(p.journalPlace(), next); err != nil {
+	next := journalBook{era: era, row: journalRow{
+		Life: p.Life, Epoch: last.row.Epoch + 1, Since: era, AtMS: stamp.Clock.Milliseconds(),
+		Accounted: settled || last.row.Accounted && (last.era == era || last.row.Life == p.Life),
+		Bounds:    map[string]Bound{}, Former: p.formerLives(last.row, stamp.Clock-uptime),
+	}}
+	if next.version, err = p.commitOpening(ctx, last, next); err != nil {
 		return fmt.Errorf("open journal: %w", err)
 	}
+	p.opened(next, now)
+	return nil
+}
+
+// commitOpening writes the first row of this life, and returns its version.
+func (p *Purse) commitOpening(ctx context.Context, last, next journalBook) (uint64, error) {
+	replaced := uint64(noVersion)
+	if last.era == next.era {
+		replaced = last.version
+	}
+	var c table.Commit
+	c.RequireAt(p.journalPlace(next.era), replaced)
+	if err := c.SetAt(p.journalPlace(next.era), next.row); err != nil {
+		return noVersion, err
+	}
 	stamp, err := p.Commit(ctx, c)
+	p.hear(stamp)
+	if err == nil && stamp.Era != next.era {
+		err = errEraPassed
+	}
+	return stamp.Version, err
+}
+
+// journalBook is the journal's row in an era.
+type journalBook struct {
+	era     uint64
+	version uint64 // noVersion if there is none
+	row     journalRow
+}
+
+// readJournal reads the journal's row of the latest era that has one.
+func (p *Purse) readJournal(ctx context.Context) (journalBook, table.Stamp, error) {
+	var last journalBook
+	page, err := p.Read(ctx, inAllEras(p.journalPlace(0), keyBook))
+	p.hear(page.Stamp)
 	if err != nil {
-		return fmt.Errorf("open journal: %w", err)
+		return last, page.Stamp, fmt.Errorf("read journal: %w", err)
 	}
-	p.opened(stamp.Version, next, now)
-	return nil
+	for _, r := range page.Rows {
+		_, era, err := splitKey(r.Key)
+		if err != nil {
+			return last, page.Stamp, fmt.Errorf("read journal: %w", err)
+		}
+		if last.version != noVersion && last.era > era {
+			continue
+		}
+		last = journalBook{era: era, version: r.Version}
+		if err := r.Decode(&last.row); err != nil {
+			return last, page.Stamp, fmt.Errorf("journal of VM %q: %w", p.VM, err)
+		}
+	}
+	return last, page.Stamp, nil
 }
 
 // formerLives returns what is known of the ended lives, the last of which wrote row and
@@ -69,26 +114,29 @@
 func (p *Purse) formerLives(row journalRow, ended time.Duration) map[string]formerLife {
 	former := make(map[string]formerLife, len(row.Former)+1)
 	maps.Copy(former, row.Former)
-	if row.Life != "" {
+	if row.Life != "" && row.Life != p.Life {
 		unseen := ended - time.Duration(row.AtMS)*time.Millisecond
 		former[row.Life] = formerLife{
 			claim:  claim{Bounds: row.Bounds, OverMS: max(0, (unseen - p.Grace).Milliseconds())},
+			Since:  row.Since,
 			Mirror: row.Mirror, MirrorFrom: row.MirrorFrom,
 		}
 	}
 	return former
 }
 
-func (p *Purse) opened(version uint64, row journalRow, sent time.Time) {
+func (p *Purse) opened(book journalBook, sent time.Time) {
+	p.eras.open(book.row.Accounted)
 	j := &p.journal
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.version = version
-	j.epoch = row.Epoch
-	j.former = maps.Clone(row.Former)
+	j.era, j.since, j.standing = book.era, book.row.Since, true
+	j.version = book.version
+	j.epoch = book.row.Epoch
+	j.former = maps.Clone(book.row.Former)
 	if j.former == nil {
 		j.former = make(map[string]formerLife)
 	}
-	j.ack(&entry{bounds: map[string]Bound{}, sent: sent})
+	j.ack(&entry{bounds: map[string]Bound{}, sent: sent, era: book.era})
 	j.open = true
 }
--- a/internal/budget/prepaid/purse.go
+++ b/internal/budget/prepaid/purse.go
@@ -49,7 +49,7 @@
 type Purse struct {
 	// VM names the VM; all its lives share one journal.
 	VM string
-	// Life names this life.
+	// Life names this life, as by NameLife.
 	Life string
 	// Commit applies a commit to the store, with the errors of table.Client.
 	Commit func(ctx context.Context, c table.Commit) (table.Stamp, error)
@@ -76,10 +76,15 @@
 	TellMirror func(ctx context.Context, addr string, note MirrorNote) (MirrorAnswer, error)
 	// RecallMirror asks a router for the last note of a life of this VM.
 	RecallMirror func(ctx context.Context, addr, life string) (Recalled, error)
+	// AskLife asks the router that runs as a life for the last note of this VM.
+	AskLife func(ctx context.Context, life string) (Recalled, error)
 	// Clock returns a clock that does not stand still in a suspend.
 	Clock func() time.Duration
 	// Alive reports whether a life is believed to run.
 	Alive func(life string) bool
+	// Recent lists the lives of other VMs that are believed to run, or to have run as long ago
+	// as a copy of the store may be old. It must not call the purse.
+	Recent func() []string
 	// Grace is how long after a write of the journal no more than its bounds are used.
 	Grace time.Duration
 	// OnEvent is told of what changes this life's beliefs about tokens; it must not block.
@@ -91,6 +96,7 @@
 	seed    maphash.Seed
 	shards  [shardCount]shard
 	journal journal
+	eras    eras
 	others  copies
 
 	distances distances
@@ -130,6 +136,10 @@
 		for i := range p.shards {
 			p.shards[i].holdings = make(map[string]*holding)
 		}
+		if p.Recent == nil {
+			p.Recent = func() []string { return nil }
+		}
+		p.eras.kicked = make(chan struct{}, 1)
 		p.journal.kicked = make(chan struct{}, 1)
 		p.journal.cover = cover{grace: p.Grace}
 		p.journal.mirrorKicked = make(chan struct{}, 1)
@@ -146,7 +156,8 @@
 	defer s.mu.Unlock()
 	h, ok := s.holdings[workspace]
 	if !ok {
-		h = &holding{workspace: workspace}
+		era, _ := p.eras.current()
+		h = &holding{workspace: workspace, era: era}
 		s.holdings[workspace] = h
 	}
 	return h
@@ -178,6 +189,7 @@
 		p.closeFormer(ctx)
 	})
 	parts.Go(func() { p.keepMirror(ctx) })
+	parts.Go(func() { p.keepEra(ctx) })
 	err := p.keepJournal(ctx)
 	parts.Wait()
 	return err
--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -1,6 +1,9 @@
 package prepaid
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"rosevalve/internal/platform/table"
@@ -10,11 +13,18 @@
 	tableTokens  = "prepaid"
 	tableJournal = "journal"
 
-	keyTotal  = "total"
-	keyBook   = "book"
-	prefixVM  = "vm/"
-	afterVMs  = "vm0" // behind the keys of all VMs
-	noVersion = 0     // of a row that does not exist
+	// The keys of rows end with the era of the store in which they were written, so that no
+	// condition holds by a version that was given out again.
+	keyTotal       = "total"
+	keyBook        = "book"
+	prefixVM       = "vm/"
+	prefixRestored = "restored/"
+
+	eraMark      = "@"
+	afterEraMark = "A" // sorts behind it
+	afterVMs     = "vm0"
+	afterStored  = "restored0"
+	noVersion    = 0 // of a row that does not exist
 )
 
 // totalRow is what a workspace's holdings have drawn together, with what those that
@@ -23,14 +33,21 @@
 	Allotted int64 `json:"allotted"`
 }
 
-// holdingRow is what one life of a VM has drawn of a workspace's tokens.
+// holdingRow is what one life of a VM has drawn of a workspace's tokens. It stays when the
+// holding is closed.
 type holdingRow struct {
+	// Life has drawn Tokens; it is empty if the holding is closed.
 	Life string `json:"life"`
 	// Epoch counts the lives of the VM.
 	Epoch  int64 `json:"epoch"`
 	Tokens int64 `json:"tokens"`
+	// Past is what closed holdings of the VM have used.
+	Past int64 `json:"past,omitempty"`
 }
 
+// counted returns the VM's part of what the workspace's total says is allotted.
+func (r holdingRow) counted() int64 { return r.Tokens + r.Past }
+
 // journalRow bounds what one life of a VM uses.
 type journalRow struct {
 	Life string `json:"life"`
@@ -38,6 +55,10 @@
 	Epoch int64 `json:"epoch"`
 	// Seq counts the writes of the life, so that one whose answer was lost can be recognised.
 	Seq int64 `json:"seq"`
+	// Since is the store's era in which the life began.
+	Since uint64 `json:"since"`
+	// Accounted tells that the life knows all that its VM has drawn in earlier eras.
+	Accounted bool `json:"accounted"`
 	// AtMS is the store's clock, as estimated when the row was sent, in milliseconds.
 	AtMS int64 `json:"at_ms"`
 	// Bounds are the tokens that the life may use of each workspace from this write on.
@@ -56,6 +77,8 @@
 	Tokens int64 `json:"t"`
 	// Rate is how many more may be used each second once the grace is over.
 	Rate int64 `json:"r,omitempty"`
+	// Past is what closed holdings of the VM have used.
+	Past int64 `json:"p,omitempty"`
 }
 
 // claim bounds what an ended life has used.
@@ -69,21 +92,51 @@
 // mirror, if it has answered.
 type formerLife struct {
 	claim
+	// Since is the store's era in which the life began.
+	Since      uint64 `json:"since"`
 	Mirror     string `json:"mirror,omitempty"`
 	MirrorFrom int64  `json:"mirror_from,omitempty"`
 	Mirrored   *claim `json:"mirrored,omitempty"`
 }
 
-func totalPlace(workspace string) table.Place {
-	return table.Place{Table: tableTokens, Partition: workspace, Key: keyTotal}
+func totalPlace(workspace string, era uint64) table.Place {
+	return table.Place{Table: tableTokens, Partition: workspace, Key: keyIn(keyTotal, era)}
+}
+
+func (p *Purse) holdingPlace(workspace string, era uint64) table.Place {
+	return table.Place{Table: tableTokens, Partition: workspace, Key: keyIn(prefixVM+p.VM, era)}
+}
+
+func (p *Purse) journalPlace(era uint64) table.Place {
+	return table.Place{Table: tableJournal, Partition: p.VM, Key: keyIn(keyBook, era)}
+}
+
+// keyIn returns the key of a row in an era.
+func keyIn(name string, era uint64) string {
+	return name + eraMark + strconv.FormatUint(era, 10)
+}
+
+// splitKey returns the name of a row and its era.
+func splitKey(key string) (name string, era uint64, err error) {
+	n := strings.LastIndex(key, eraMark)
+	if n < 0 {
+		return "", 0, fmt.Errorf("key %q names no era", key)
+	}
+	era, err = strconv.ParseUint(key[n+len(eraMark):], 10, 64)
+	if err != nil {
+		return "", 0, fmt.Errorf("era of key %q: %w", key, err)
+	}
+	return key[:n], era, nil
 }
 
-func (p *Purse) holdingPlace(workspace string) table.Place {
-	return table.Place{Table: tableTokens, Partition: workspace, Key: prefixVM + p.VM}
+// inAllEras names the rows that a place's name has in any era.
+func inAllEras(at table.Place, name string) table.Range {
+	return table.Range{Table: at.Table, Partition: at.Partition, From: name + eraMark, To: name + afterEraMark}
 }
 
-func (p *Purse) journalPlace() table.Place {
-	return table.Place{Table: tableJournal, Partition: p.VM, Key: keyBook}
+// allRows names the rows of a workspace.
+func allRows(workspace string) table.Range {
+	return table.Range{Table: tableTokens, Partition: workspace, From: keyTotal, To: afterVMs}
 }
 
 // used bounds what an ended life has used of a holding. A mirror says nothing about a
--- a/internal/budget/prepaid/world_test.go
+++ b/internal/budget/prepaid/world_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -38,9 +42,28 @@
 	mu      sync.Mutex // guards the fields below
 	rows    map[table.Place]table.Row
 	version uint64
+	era     uint64
+	copies  []storeCopy
 	weather map[string]weather // by VM
 }
 
+// storeCopy is the store as it was at a time.
+type storeCopy struct {
+	at      time.Time
+	rows    map[table.Place]table.Row
+	version uint64
+}
+
+// begun reports whether a router has found the store before the copy was made.
+func (c storeCopy) begun() bool {
+	for at := range c.rows {
+		if strings.HasPrefix(at.Key, prefixRestored) {
+			return true
+		}
+	}
+	return false
+}
+
 func newFakeStore() *fakeStore {
 	return &fakeStore{began: time.Now(), rows: make(map[table.Place]table.Row), weather: make(map[string]weather)}
 }
@@ -58,7 +81,7 @@
 }
 
 func (s *fakeStore) stamp() table.Stamp {
-	return table.Stamp{Version: s.version, Clock: time.Since(s.began) + time.Hour}
+	return table.Stamp{Era: s.era, Version: s.version, Clock: time.Since(s.began) + time.Hour}
 }
 
 // apply performs the commit if its conditions hold.
@@ -77,6 +100,7 @@
 	if failed {
 		return s.stamp(), &table.ConflictError{Rows: current}
 	}
+	s.copies = append(s.copies, storeCopy{at: time.Now(), rows: maps.Clone(s.rows), version: s.version})
 	s.version++
 	for _, p := range c.Puts {
 		if p.Delete {
@@ -88,6 +112,38 @@
 	return s.stamp(), nil
 }
 
+func (s *fakeStore) eraNow() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// eraFor returns the era that a VM hears of; 0 if the store does not answer it.
+func (s *fakeStore) eraFor(vm string) uint64 {
+	if s.now(vm) == away {
+		return 0
+	}
+	return s.eraNow()
+}
+
+// comeBack makes the store what it was some time ago, in a new era.
+func (s *fakeStore) comeBack(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	then := time.Now().Add(-age)
+	n, _ := slices.BinarySearchFunc(s.copies, then, func(c storeCopy, at time.Time) int { return c.at.Compare(at) })
+	// A copy from before the fleet's first start can not be told from that start.
+	for n < len(s.copies) && !s.copies[n].begun() {
+		n++
+	}
+	if n == len(s.copies) {
+		return
+	}
+	s.rows, s.version = maps.Clone(s.copies[n].rows), s.copies[n].version
+	s.copies = s.copies[:n]
+}
+
 func (s *fakeStore) commit(ctx context.Context, vm string, c table.Commit) (table.Stamp, error) {
 	unknown := fmt.Errorf("commit: %w", table.ErrUnknownOutcome)
 	switch s.now(vm) {
@@ -95,7 +151,7 @@
 		<-ctx.Done()
 		return table.Stamp{}, unknown
 	case refusing:
-		return table.Stamp{}, table.ErrUnavailable
+		return table.Stamp{Era: s.eraNow()}, table.ErrUnavailable
 	case losing:
 		_, _ = s.apply(c)
 		<-ctx.Done()
@@ -145,6 +201,7 @@
 	total map[string]int64
 	used  map[string]int64 // billed, or reserved and not ended yet
 	lives map[string]*life
+	ended map[string]time.Time // when lives ended
 	count int
 	found error
 	// links is how calls of mirrors by a VM fare: well, away, losing or late.
@@ -168,6 +225,7 @@
 		total: make(map[string]int64),
 		used:  make(map[string]int64),
 		lives: make(map[string]*life),
+		ended: make(map[string]time.Time),
 		links: make(map[string]weather),
 
 		askTakes: time.Millisecond,
@@ -186,7 +244,7 @@
 	}
 	l.purse = &Purse{
 		VM:   vm,
-		Life: fmt.Sprintf("%s#%d", vm, w.count),
+		Life: NameLife(vm, strconv.Itoa(w.count)),
 		Commit: func(ctx context.Context, c table.Commit) (table.Stamp, error) {
 			if w.gone(l) {
 				<-ctx.Done()
@@ -209,6 +267,7 @@
 		Size:       demand.SizeByShare(func() int { return 3 }),
 		Homes:      func(string) ([]string, bool) { return w.homes(vm) },
 		Alive:      w.alive,
+		Recent:     w.recent,
 		PickMirror: func(current, avoid string) string { return w.pickMirror(vm, current, avoid) },
 		TellMirror: func(ctx context.Context, addr string, note MirrorNote) (MirrorAnswer, error) {
 			if w.gone(l) {
@@ -218,6 +277,7 @@
 		},
 		RecallMirror: func(ctx context.Context, addr, life string) (Recalled, error) { return w.recall(ctx, vm, addr, life) },
 		Clock:        func() time.Duration { return time.Since(w.store.began) + time.Minute },
+		AskLife:      func(ctx context.Context, life string) (Recalled, error) { return w.askLife(ctx, vm, life) },
 		Ask:          w.ask,
 		Invite: func(addr, workspace string) {
 			if l := w.life(addr); l != nil {
@@ -235,6 +295,8 @@
 		for ctx.Err() == nil {
 			sleep(ctx, time.Second)
 			l.purse.Tidy(ctx)
+			// As the followers of the platform's tables do.
+			l.purse.HearEra(table.Stamp{Era: w.store.eraFor(vm)})
 		}
 	}()
 }
@@ -247,7 +309,24 @@
 		l.dead = true
 		l.stop()
 		delete(w.lives, vm)
+		w.ended[l.purse.Life] = time.Now()
+	}
+}
+
+// recent lists the lives that run, or ran a moment ago.
+func (w *world) recent() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, l := range w.lives {
+		out = append(out, l.purse.Life)
+	}
+	for life, at := range w.ended {
+		if time.Since(at) < copyAge {
+			out = append(out, life)
+		}
 	}
+	return out
 }
 
 func (w *world) life(vm string) *life {
@@ -344,6 +423,17 @@
 	return l.purse.Recall(vm, life), nil
 }
 
+// askLife asks a life for the last note of a VM.
+func (w *world) askLife(ctx context.Context, vm, life string) (Recalled, error) {
+	time.Sleep(time.Millisecond)
+	l := w.life(vmOf(life))
+	if l == nil || l.purse.Life != life || w.link(vm) != well {
+		<-ctx.Done()
+		return Recalled{}, ctx.Err()
+	}
+	return l.purse.Recall(vm, ""), nil
+}
+
 func (w *world) link(vm string) weather {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -442,7 +532,7 @@
 	w.store.mu.Lock()
 	defer w.store.mu.Unlock()
 	var total totalRow
-	assert.NilError(t, w.store.rows[totalPlace(workspace)].Decode(&total))
+	assert.NilError(t, w.store.rows[totalPlace(workspace, w.store.era)].Decode(&total))
 	return total.Allotted
 }
 
@@ -464,7 +554,10 @@
 
 // end stops all lives and lets what is under way come to an end.
 func (w *world) end() {
-	for _, vm := range []string{"a", "b", "c"} {
+	w.mu.Lock()
+	running := slices.Collect(maps.Keys(w.lives))
+	w.mu.Unlock()
+	for _, vm := range running {
 		w.kill(vm)
 	}
 	time.Sleep(callLimit)
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -65,13 +65,14 @@
 }
 
 // follow returns a follower of one of the platform's tables.
-func (e *Edge) follow(name string, onRows func([]table.Row)) *follow.Table {
+func (e *Edge) follow(name string, onRows func(rows []table.Row, fromCopy bool)) *follow.Table {
 	t := &follow.Table{
 		Name:   name,
 		Read:   e.read,
 		Watch:  e.store.Watch,
 		Ask:    e.askRows,
 		OnRows: onRows,
+		OnEra:  e.hearEra,
 		OnContact: func(err error, age time.Duration) {
 			if err != nil {
 				e.Events.Emit(eventlog.StoreLost, "table", name, "age_ms", age.Milliseconds(), "err", err)
@@ -84,10 +85,35 @@
 	return t
 }
 
-func (e *Edge) connectPlan() { e.config = e.follow(platform.TableOperator, e.takePlan) }
+// hearEra tells all that hold versions of the store in which era it has answered.
+func (e *Edge) hearEra(stamp table.Stamp) {
+	e.purse.HearEra(stamp)
+	e.config.EraBegan(stamp.Era)
+	e.targets.EraBegan(stamp.Era)
+}
+
+func (e *Edge) connectPlan() {
+	e.config = e.follow(platform.TableOperator, e.takePlan)
+	e.config.Newer = platform.NewerConfig
+}
+
+// planVersion returns the version of the configuration in force; 0 if there is none.
+func (e *Edge) planVersion() uint64 {
+	if p := e.plan.Load(); p != nil {
+		return p.Version()
+	}
+	return 0
+}
+
+// hearPlanVersion notes that the router at an address has a configuration of a version.
+func (e *Edge) hearPlanVersion(addr string, version uint64) {
+	if version > e.planVersion() {
+		e.config.HeardFrom(addr)
+	}
+}
 
 // takePlan takes over a configuration that is newer than the one in force.
-func (e *Edge) takePlan(rows []table.Row) {
+func (e *Edge) takePlan(rows []table.Row, _ bool) {
 	for _, r := range rows {
 		if !platform.IsConfig(r) || r.Deleted {
 			continue
@@ -121,10 +147,11 @@
 }
 
 // takeTargets takes over what targets have announced.
-func (e *Edge) takeTargets(rows []table.Row) {
+func (e *Edge) takeTargets(rows []table.Row, fromCopy bool) {
 	changes := make([]roster.Change, len(rows))
 	for n, r := range rows {
 		changes[n] = e.targetChange(r)
+		changes[n].FromCopy = fromCopy
 	}
 	e.keeper.Update(changes)
 }
@@ -157,8 +184,8 @@
 		Interval:        cfg.Fleet.HeartbeatInterval,
 		SuspectAfter:    cfg.Fleet.SuspectAfter,
 		Call:            e.links.Call,
-		ConfigVersion:   e.config.Newest,
-		OnConfigVersion: e.config.HeardFrom,
+		ConfigVersion:   e.planVersion,
+		OnConfigVersion: e.hearPlanVersion,
 	}
 	e.fleet = &entry.Fleet{Members: e.view.Members}
 	e.links.Self = e.view.Self
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -72,7 +72,7 @@
 // Run serves until ctx ends, then drains and returns.
 func (e *Edge) Run(ctx context.Context) error {
 	e.began = time.Now()
-	e.life = e.Settings.Edge.VM + "#" + rand.Text()[:8]
+	e.life = prepaid.NameLife(e.Settings.Edge.VM, rand.Text()[:8])
 	e.current.Store(&e.Settings)
 	e.metrics = newMeters()
 	defer e.collectRarely()()
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -30,11 +30,19 @@
 	prepaid.GiftTaken:       eventlog.GiftTaken,
 	prepaid.HoldingReturned: eventlog.HoldingReturned,
 	prepaid.HoldingLeft:     eventlog.HoldingPassedOn,
+	prepaid.EraBegan:        eventlog.StoreEraBegan,
+	prepaid.EraSettled:      eventlog.StoreEraSettled,
+	prepaid.EraUnsettled:    eventlog.StoreEraUnsettled,
+	prepaid.RestoreFailed:   eventlog.RestoreFailed,
 }
 
 // noteTokens tells of a change of what this life believes about tokens.
 func (e *Edge) noteTokens(ev prepaid.Event) {
 	e.metrics.tokens(ev)
+	if ev.Kind == prepaid.EraBegan {
+		e.config.EraBegan(ev.To.Era)
+		e.targets.EraBegan(ev.To.Era)
+	}
 	var pairs []any
 	if ev.Workspace != "" {
 		pairs = append(pairs, "workspace", ev.Workspace, "tokens", ev.Tokens)
@@ -42,6 +50,14 @@
 	switch ev.Kind {
 	case prepaid.Drawn, prepaid.DrawFailed, prepaid.StoreEmpty:
 		pairs = append(pairs, "left_tokens", ev.Left, "prepaid_tokens", e.prepaid(ev.Workspace))
+	case prepaid.EraBegan:
+		pairs = append(pairs, "era", ev.To.Era, "version", ev.To.Version, "last_era", ev.From.Era, "last_version", ev.From.Version)
+	case prepaid.EraSettled:
+		pairs = append(pairs, "era", ev.To.Era, "took_ms", ev.Away.Milliseconds(), "routers", ev.Routers)
+	case prepaid.EraUnsettled:
+		pairs = append(pairs, "era", ev.To.Era, "for_ms", ev.Away.Milliseconds(), "routers", ev.Routers)
+	case prepaid.RestoreFailed:
+		pairs = append(pairs, "era", ev.To.Era)
 	case prepaid.JournalRegained:
 		pairs = append(pairs, "away_ms", ev.Away.Milliseconds())
 	}
--- a/internal/fleet/edge/mirror.go
+++ b/internal/fleet/edge/mirror.go
@@ -49,7 +49,7 @@
 
 func (e *Edge) tellMirror(ctx context.Context, addr string, note prepaid.MirrorNote) (prepaid.MirrorAnswer, error) {
 	in := inner.MirrorNote{
-		VM: note.VM, Life: note.Life, To: note.To, Seq: note.Seq,
+		VM: note.VM, Life: note.Life, To: note.To, Epoch: note.Epoch, Seq: note.Seq,
 		AtMS: note.At.Milliseconds(), Bounds: wireBounds(note.Bounds),
 	}
 	var out inner.MirrorNoteResponse
@@ -63,7 +63,7 @@
 		return nil, fmt.Errorf("decode note to a mirror: %w", err)
 	}
 	answer := e.purse.Keep(prepaid.MirrorNote{
-		VM: in.VM, Life: in.Life, To: in.To, Seq: in.Seq,
+		VM: in.VM, Life: in.Life, To: in.To, Epoch: in.Epoch, Seq: in.Seq,
 		At: time.Duration(in.AtMS) * time.Millisecond, Bounds: boundsOf(in.Bounds),
 	})
 	return inner.MirrorNoteResponse{Life: answer.Life, ClockMS: answer.Clock.Milliseconds(), Kept: answer.Kept}, nil
@@ -86,18 +86,48 @@
 }
 
 func (e *Edge) recallMirror(ctx context.Context, addr, life string) (prepaid.Recalled, error) {
+	_, r, err := e.recallFrom(ctx, addr, life)
+	return r, err
+}
+
+// recallFrom asks the router at an address for the last note of a life of this VM, or of
+// its last one if life is empty. It returns the life that answers.
+func (e *Edge) recallFrom(ctx context.Context, addr, life string) (by string, r prepaid.Recalled, err error) {
 	var out inner.MirrorRecallResponse
-	err := e.links.Call(ctx, addr, inner.MethodMirrorRecall, inner.MirrorRecall{VM: e.Settings.Edge.VM, Life: life}, &out)
-	return prepaid.Recalled{
-		Found: out.Found, Seq: out.Seq, Bounds: boundsOf(out.Bounds), Age: time.Duration(out.AgeMS) * time.Millisecond,
+	err = e.links.Call(ctx, addr, inner.MethodMirrorRecall, inner.MirrorRecall{VM: e.Settings.Edge.VM, Life: life}, &out)
+	return out.By, prepaid.Recalled{
+		Found: out.Found, Life: out.Life, Epoch: out.Epoch, Seq: out.Seq, Bounds: boundsOf(out.Bounds),
+		Age: time.Duration(out.AgeMS) * time.Millisecond, Recent: out.Recent,
 	}, err
 }
 
+// askLife asks the router that runs as a life for the last note of this VM.
+func (e *Edge) askLife(ctx context.Context, life string) (prepaid.Recalled, error) {
+	for _, m := range e.view.Members() {
+		if m.ID != life {
+			continue
+		}
+		by, r, err := e.recallFrom(ctx, m.InnerAddr, "")
+		if err == nil && by != life {
+			err = fmt.Errorf("life %q answers in place of %q", by, life)
+		}
+		return r, err
+	}
+	return prepaid.Recalled{}, fmt.Errorf("life %q does not run", life)
+}
+
 func (e *Edge) handleMirrorRecall(_ context.Context, params json.RawMessage) (any, error) {
 	var in inner.MirrorRecall
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("decode question to a mirror: %w", err)
 	}
 	r := e.purse.Recall(in.VM, in.Life)
-	return inner.MirrorRecallResponse{Found: r.Found, Seq: r.Seq, AgeMS: r.Age.Milliseconds() + 1, Bounds: wireBounds(r.Bounds)}, nil
+	out := inner.MirrorRecallResponse{
+		By: e.life, Found: r.Found, Life: r.Life, Epoch: r.Epoch, Seq: r.Seq,
+		AgeMS: r.Age.Milliseconds() + 1, Bounds: wireBounds(r.Bounds),
+	}
+	if in.Life == "" {
+		out.Recent = r.Recent
+	}
+	return out, nil
 }
--- a/internal/fleet/edge/side.go
+++ b/internal/fleet/edge/side.go
@@ -29,6 +29,8 @@
 	Leaving     bool            `json:"leaving"`
 	InFlight    int64           `json:"in_flight"`
 	Tokens      []prepaid.State `json:"tokens"`
+	// Era tells which era of the store the tokens belong to.
+	Era prepaid.EraState `json:"era"`
 	// Paces are what answers show of the engines, by service.
 	Paces   map[string]placement.Pace `json:"paces"`
 	Members []inner.Member            `json:"members"`
@@ -81,6 +83,7 @@
 		Leaving:  e.leaving.Load(),
 		InFlight: e.ingress.InFlight(),
 		Tokens:   e.purse.State(),
+		Era:      e.purse.EraState(),
 		Paces:    e.placement.Paces(),
 		Members:  e.view.Members(),
 	}
--- a/internal/fleet/edge/tokens.go
+++ b/internal/fleet/edge/tokens.go
@@ -30,6 +30,7 @@
 		Size:    demand.SizeByShare(func() int { return min(tokenHomes, len(e.fleet.Carriers())) }),
 		Homes:   e.homes,
 		Alive:   e.alive,
+		Recent:  func() []string { return e.view.Recent() },
 		Ask:     e.askTokens,
 		Offer:   e.offerTokens,
 		Invite:  func(addr, workspace string) { go e.inviteToDraw(addr, workspace) },
@@ -38,6 +39,7 @@
 		PickMirror:   e.pickMirror,
 		TellMirror:   e.tellMirror,
 		RecallMirror: e.recallMirror,
+		AskLife:      e.askLife,
 		Clock:        e.bootClock,
 	}
 }
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -18,6 +18,9 @@
 	LoadUnknown                       // load_unknown
 	StoreLost                         // store_lost
 	StoreRegained                     // store_regained
+	StoreEraBegan                     // store_era_began
+	StoreEraSettled                   // store_era_settled
+	StoreEraUnsettled                 // store_era_unsettled
 	PeerFound                         // peer_found
 	PeerSuspected                     // peer_suspected
 	PeerLost                          // peer_lost
@@ -52,6 +55,7 @@
 	TokensMayBeLost                   // tokens_may_be_lost
 	InvitationLost                    // invitation_lost
 	TokensKept                        // tokens_kept
+	RestoreFailed                     // restore_failed
 	RequestUnreadable                 // request_unreadable
 	ConnectionFailed                  // connection_failed
 	RequestRefused                    // request_refused
@@ -107,6 +111,9 @@
 	LoadUnknown:          {component: Process, failure: true, doc: "the used processor time can not be read; the router counts as before", fields: "err"},
 	StoreLost:            {component: Store, failure: true, doc: "the store does not answer the poll of a table", fields: "table, age_ms, err"},
 	StoreRegained:        {component: Store, doc: "the store answers again", fields: "table, away_ms"},
+	StoreEraBegan:        {component: Store, failure: true, doc: "the store has come back from an older copy; what was written since that is gone", fields: "era, version, last_era, last_version"},
+	StoreEraSettled:      {component: Store, doc: "all routers have brought their tokens into the store's era; tokens are drawn", fields: "era, took_ms, routers"},
+	StoreEraUnsettled:    {component: Store, failure: true, doc: "no tokens are drawn, since routers that may have drawn some before the store came back have not told; err names their lives", fields: "era, for_ms, routers, err"},
 	PeerFound:            {component: Peers, doc: "another router is believed to live", fields: "peer, id, failure_domain"},
 	PeerSuspected:        {component: Peers, failure: true, doc: "another router does not answer", fields: "peer, id"},
 	PeerLost:             {component: Peers, failure: true, doc: "another router is believed to be gone", fields: "peer, id"},
@@ -141,6 +148,7 @@
 	TokensMayBeLost:      {component: Tokens, failure: true, doc: "tokens went to another router, which did not answer", fields: "workspace, tokens, peer, err"},
 	InvitationLost:       {component: Tokens, ordinary: true, failure: true, doc: "another router could not be told that a workspace is in demand; it draws later", fields: "workspace, peer, err"},
 	TokensKept:           {component: Tokens, failure: true, doc: "a router that ends could not return the tokens that it does not need any more; its next life will", fields: "err"},
+	RestoreFailed:        {component: Tokens, failure: true, doc: "this router's tokens could not be brought into the store's era; it tries again", fields: "era, err"},
 	RequestUnreadable:    {component: Requests, ordinary: true, failure: true, doc: "a request could not be read and was refused", fields: "status, err"},
 	ConnectionFailed:     {component: Requests, ordinary: true, failure: true, doc: "a caller's connection ended with an error", fields: "err"},
 	RequestRefused:       {component: Requests, failure: true, doc: "a request got an answer of the router's own", fields: requestFields + ", run, status, code, retry_after_ms, err"},
