--- a/internal/cmd/rosevalve/ctl.go
+++ b/internal/cmd/rosevalve/ctl.go
@@ -20,7 +20,8 @@
 router. Commands that destroy something ask for confirmation, or need --yes.
 
 The command explain asks no router: it reads the saved logs of edge processes and
-tells what became of a request, what was believed then, and the cause.
+tells what became of a request, what was believed then, and the cause. The command
+account tells from the same logs where a workspace's tokens went, life by life.
 
 EXAMPLES
   rosevalve ctl --router 10.0.0.1:7001,10.0.0.2:7001 'show budgets'
@@ -28,6 +29,7 @@
   rosevalve ctl --file commands.txt
   rosevalve ctl --output json 'show bills where tokens > 1000'
   rosevalve ctl explain 2c1954a9aaceaa1a edge-1.log edge-2.log
+  rosevalve ctl account gorenjska edge-1.log edge-2.log
   rosevalve ctl help`
 
 // ctl is the operators' command line.
@@ -76,6 +78,9 @@
 	if len(args) > 0 && args[0] == "explain" {
 		return c.explain(args[1:])
 	}
+	if len(args) > 0 && args[0] == "account" {
+		return c.account(args[1:])
+	}
 	for addr := range strings.SplitSeq(c.routers, ",") {
 		c.client.addrs = append(c.client.addrs, strings.TrimSpace(addr))
 	}
--- a/internal/cmd/rosevalve/ctl_explain.go
+++ b/internal/cmd/rosevalve/ctl_explain.go
@@ -28,6 +28,24 @@
 	return err
 }
 
+// account tells where a workspace's tokens went.
+func (c *ctl) account(args []string) error {
+	if len(args) == 0 {
+		return fmt.Errorf("%w: account needs the name of a workspace", errUsage)
+	}
+	logs, closeAll, err := c.openLogs(args[1:])
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	a, err := explain.Settle(args[0], logs)
+	if err != nil {
+		return fmt.Errorf("account: %w", err)
+	}
+	_, err = a.WriteTo(c.stdout)
+	return err
+}
+
 func (c *ctl) openLogs(names []string) (logs []explain.Log, closeAll func(), err error) {
 	var files []io.Closer
 	closeAll = func() {
