Bodies and streams without end take bounded memory

Cause: a body of no stated end was held up to 16 MB a request, 155 to 173 MB for twelve, on VMs of 184 MB; a stream of comments or of events without a number was relayed up to its deadline. Now whole answers share a part of the VM's memory, one takes an eighth of it at most, and grows without leaving copies behind; a large one counts until it was written. Bytes without a numbered event bring a stream no further: after 64 KB it ends, and they put off no stall. The store's answers, calls beside requests and the settings file have bounds too. Ruled out: a smaller bound for each answer alone (many at once still end a router).

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -28,7 +28,9 @@
 )
 
 const (
-	storeConns   = 16
+	storeConns = 16
+	// storeAnswer bounds one answer of the store, in bytes. A page of rows is far smaller.
+	storeAnswer  = 4 << 20
 	storeDial    = 300 * time.Millisecond
 	targetDial   = 250 * time.Millisecond
 	targetSilent = time.Second
@@ -56,6 +58,7 @@
 	e.store = &platform.Store{HTTP: &fasthttp.HostClient{
 		Addr:                      e.Settings.Platform.Addr,
 		MaxConns:                  storeConns,
+		MaxResponseBodySize:       storeAnswer,
 		NoDefaultUserAgentHeader:  true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -216,6 +219,7 @@
 		Purse:      e.purse,
 		Placement:  e.placement,
 		Retries:    &forward.Retries{Terms: e.retryTerms, Window: e.Settings.Edge.RetryWindow},
+		Bodies:     forward.Bodies{Bytes: e.bodyMemory()},
 		Encode:     platform.Attempt,
 		Genuine:    platform.Genuine,
 		OnDecision: e.noteDecision,
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -32,6 +32,8 @@
 	housekeeping = 250 * time.Millisecond
 	// tidyInterval is the time between looks for tokens that others should keep.
 	tidyInterval = 500 * time.Millisecond
+	// sideBody bounds the body of a call that is no request of a caller, in bytes; none needs one.
+	sideBody = 4 << 10
 )
 
 // Edge is one router process.
@@ -219,6 +221,7 @@
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		IdleTimeout:           sideIdle,
+		MaxRequestBodySize:    sideBody,
 		ReduceMemoryUsage:     true,
 	}
 }
--- a/internal/fleet/settings/load.go
+++ b/internal/fleet/settings/load.go
@@ -8,6 +8,9 @@
 	"gopkg.in/ini.v1"
 )
 
+// maxFile bounds a settings file, in bytes.
+const maxFile = 1 << 20
+
 const envPrefix = "ROSEVALVE"
 
 // Flags is a flag set with a flag for each option.
@@ -75,10 +78,13 @@
 
 // parseINI hands the keys of an INI file to the flags and collects the unknown ones.
 func (f *Flags) parseINI(r io.Reader, set func(name, value string) error) error {
-	text, err := io.ReadAll(r)
+	text, err := io.ReadAll(io.LimitReader(r, maxFile+1))
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
+	if len(text) > maxFile {
+		return fmt.Errorf("settings file is larger than %d bytes", maxFile)
+	}
 	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, SpaceBeforeInlineComment: true}, text)
 	if err != nil {
 		return fmt.Errorf("parse settings: %w", err)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -23,8 +23,6 @@
 	tokensRetry = 2 * time.Second
 	// tokensShare is the part of the goal that a request waits for tokens that are there.
 	tokensShare = 0.4
-	// maxBody bounds the body of an answer that is not a stream.
-	maxBody = 16 << 20
 )
 
 // Forwarder serves routed requests.
@@ -39,6 +37,8 @@
 	Retries *Retries
 	// Encode writes a request for a target.
 	Encode func(out *fasthttp.Request, r *Request, a Attempt)
+	// Bodies bounds the memory of whole answers.
+	Bodies Bodies
 	// Genuine reports whether an answer bears its target's signature.
 	Genuine func(h *fasthttp.ResponseHeader) bool
 	// OnDecision is told of each decision about a request; it must not block.
@@ -56,13 +56,15 @@
 	Stream *Stream
 
 	work *work
+	held held // the memory of Body
 }
 
-// Close ends the answer and settles what it has used.
+// Close ends the answer and settles what it has used. Its body must not be used any more.
 func (a *Answer) Close() {
 	if a.Stream != nil {
 		a.Stream.close()
 	}
+	a.held.end()
 	a.work.finish(a)
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -18,8 +18,8 @@
 	stallFactor = 2.5
 	// eventSpace is the first size of the buffer of a stream.
 	eventSpace = 1024
-	// maxEvent bounds one event.
-	maxEvent = 1 << 20
+	// maxIdleBytes is how many bytes a stream may send that bring it no further.
+	maxIdleBytes = 64 << 10
 )
 
 var (
@@ -27,8 +27,12 @@
 	eventID  = []byte("id:")
 )
 
-// errGap reports that events of a stream are missing.
-var errGap = errors.New("events are missing")
+var (
+	// errGap reports that events of a stream are missing.
+	errGap = errors.New("events are missing")
+	// errIdle reports that a stream sends, but no events.
+	errIdle = errors.New("stream goes on without an event")
+)
 
 // Stream relays the events of a streamed answer, whole and in order, and goes on at
 // another instance where the route allows it.
@@ -39,6 +43,11 @@
 	buf  []byte
 	err  error // how the stream has ended; nil if it was complete
 	done bool
+
+	// idle and waited are the bytes that came, and the time that was waited for them, since
+	// the last event with a number.
+	idle   int
+	waited time.Duration
 }
 
 func newStream(w *work, s *sent) *Stream {
@@ -77,20 +86,23 @@
 	s.buf = s.buf[:copy(s.buf, s.buf[s.consumed():])]
 	for {
 		if len(s.buf) == cap(s.buf) {
-			if len(s.buf) >= maxEvent {
-				return nil, fmt.Errorf("event is larger than %d bytes", maxEvent)
-			}
 			s.buf = append(s.buf, 0)[:len(s.buf)]
 		}
 		if err := s.sent.from.SetReadDeadline(s.stalledBy()); err != nil {
 			return nil, fmt.Errorf("bound the wait for an event: %w", err)
 		}
+		began := time.Now()
 		n, err := s.sent.from.Read(s.buf[len(s.buf):cap(s.buf)])
+		s.waited += time.Since(began)
+		s.idle += n
 		s.buf = s.buf[:len(s.buf)+n]
 		events, orderErr := s.take()
 		if orderErr != nil {
 			return events, orderErr
 		}
+		if s.idle > maxIdleBytes {
+			return events, fmt.Errorf("%w for %d bytes", errIdle, s.idle)
+		}
 		if errors.Is(err, io.EOF) && len(events) < len(s.buf) {
 			err = io.ErrUnexpectedEOF
 		}
@@ -100,13 +112,14 @@
 	}
 }
 
-// stalledBy is when a stream that can go on elsewhere counts as stalled.
+// stalledBy is when a stream that can go on elsewhere counts as stalled. What comes without
+// an event does not put that off.
 func (s *Stream) stalledBy() time.Time {
 	w := s.work
 	if !w.route.Resumable || !w.canRepeatElsewhere() || w.route.EventGap == 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(time.Duration(stallFactor * float64(w.route.EventGap)))
+	return time.Now().Add(time.Duration(stallFactor*float64(w.route.EventGap)) - s.waited)
 }
 
 // consumed returns how much of the buffer has been relayed.
@@ -131,11 +144,13 @@
 		if ok && number != s.last+1 {
 			return s.buf[:end], fmt.Errorf("%w: event %d follows event %d", errGap, number, s.last)
 		}
-		if ok {
-			s.last = number
+		end += size
+		if !ok {
+			continue
 		}
+		s.last = number
 		s.work.relayed++
-		end += size
+		s.idle, s.waited = len(s.buf)-end, 0
 	}
 }
 
@@ -179,6 +194,7 @@
 	}
 	s.sent = next
 	s.buf = s.buf[:0]
+	s.idle, s.waited = 0, 0
 	return nil
 }
 
--- a/internal/request/forward/work.go
+++ b/internal/request/forward/work.go
@@ -269,10 +269,23 @@
 		stream := newStream(w, s)
 		return &Answer{Status: s.from.Status(), Header: s.from.Header(), Stream: stream, work: w}, nil
 	}
-	body, err := s.from.Body(maxBody)
+	memory := held{bodies: &w.f.Bodies}
+	body, err := s.from.Body(w.f.Bodies.largest(), memory.grow)
 	if err != nil {
+		memory.end()
 		return nil, w.reject(s, err)
 	}
+	a, err := w.judgeWhole(s, body)
+	if err != nil {
+		memory.end()
+		return nil, err
+	}
+	a.held = memory
+	return a, nil
+}
+
+// judgeWhole decides whether an answer that was read as a whole is relayed.
+func (w *work) judgeWhole(s *sent, body []byte) (*Answer, error) {
 	status := s.from.Status()
 	if !w.f.Genuine(s.from.Header()) && status < fasthttp.StatusMultipleChoices {
 		return nil, w.reject(s, errors.New("answer bears no signature of its target"))
@@ -319,7 +332,7 @@
 	status := s.from.Status()
 	s.from.Drop()
 	outcome := placement.Failed
-	if w.ctx.Err() != nil && !w.late() {
+	if w.ctx.Err() != nil && !w.late() || errors.Is(err, errNoRoom) {
 		outcome = placement.Unjudged
 	}
 	s.seat.End(outcome)
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -28,6 +28,9 @@
 	// maxHeaderBytes bounds the header whatever the plan says.
 	maxHeaderBytes = 64 << 10
 	writeBuffer    = 2048
+	// copiedBody is the size in bytes up to which a body is copied and its answer ended
+	// before it is written. The memory of a larger one counts until it was written.
+	copiedBody = 16 << 10
 )
 
 // Server serves routed requests over HTTP.
@@ -196,16 +199,24 @@
 	s.Relay(&ctx.Response, a.Status, a.Header)
 	if a.Stream == nil {
 		s.OnBytes(2 * len(a.Body))
+	}
+	if a.Stream == nil && len(a.Body) <= copiedBody {
 		ctx.Response.SetBody(a.Body)
 		a.Close()
 		leave()
 		return
 	}
 	ended = true
-	ctx.SetBodyStream(&body{answer: a, onBytes: s.OnBytes, close: func() {
+	end := func() {
+		a.Close()
 		leave()
 		s.inFlight.Add(-1)
-	}}, -1)
+	}
+	if a.Stream == nil {
+		ctx.SetBodyStream(&wholeBody{Reader: bytes.NewReader(a.Body), close: end}, len(a.Body))
+		return
+	}
+	ctx.SetBodyStream(&body{answer: a, onBytes: s.OnBytes, close: end}, -1)
 }
 
 // framedTwice reports whether the header tells the end of the body in two ways, which
@@ -251,7 +262,18 @@
 
 // Close ends the answer, whether it was relayed as a whole or not.
 func (b *body) Close() error {
-	b.answer.Close()
+	b.close()
+	return nil
+}
+
+// wholeBody is a large body that was read as a whole.
+type wholeBody struct {
+	*bytes.Reader
+	close func()
+}
+
+// Close ends the answer.
+func (b *wholeBody) Close() error {
 	b.close()
 	return nil
 }
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -199,21 +199,32 @@
 // Reused reports whether the connection had carried an exchange before.
 func (a *Answer) Reused() bool { return a.conn.reused }
 
-// Body reads the whole body, of at most limit bytes.
-func (a *Answer) Body(limit int64) ([]byte, error) {
+// Body reads the whole body, of at most limit bytes. Before its memory grows, grow is asked
+// for that many bytes; nil stands for one that always agrees.
+func (a *Answer) Body(limit int64, grow func(n int64) error) ([]byte, error) {
 	if a.body == nil {
 		a.whole = true
 		return nil, nil
 	}
-	b, err := io.ReadAll(io.LimitReader(a.body, limit+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("read body: %w", errors.Join(a.ended(), err))
-	case int64(len(b)) > limit:
-		return nil, fmt.Errorf("read body: larger than %d bytes", limit)
+	if length := int64(a.resp.Header.ContentLength()); length > limit {
+		return nil, fmt.Errorf("read body: %d bytes are more than %d", length, limit)
+	}
+	b := pieces{limit: limit, grow: grow}
+	for {
+		space, err := b.space()
+		if err != nil {
+			return nil, fmt.Errorf("read body: %w", err)
+		}
+		n, err := a.body.Read(space)
+		b.took(n)
+		if errors.Is(err, io.EOF) {
+			a.whole = true
+			return b.join()
+		}
+		if err != nil {
+			return nil, fmt.Errorf("read body: %w", errors.Join(a.ended(), err))
+		}
 	}
-	a.whole = true
-	return b, nil
 }
 
 // Read reads the next part of the body.
@@ -263,7 +274,7 @@
 	}
 	if !a.whole && a.body != nil {
 		// A refusal has at most a short body.
-		if _, err := a.Body(readBuffer); err != nil {
+		if _, err := a.Body(readBuffer, nil); err != nil {
 			a.Drop()
 			return
 		}
--- a/internal/target/upstream/line.go
+++ b/internal/target/upstream/line.go
@@ -52,11 +52,19 @@
 		return 0, nil, fmt.Errorf("ask %s: %w", uri, err)
 	}
 	status := a.Status()
-	body, err := a.Body(maxReport)
+	if err := a.SetReadDeadline(by); err != nil {
+		a.Drop()
+		return 0, nil, fmt.Errorf("ask %s: bound the wait for an answer: %w", uri, err)
+	}
+	body, err := a.Body(maxReport, nil)
 	if err != nil {
 		a.Drop()
 		return 0, nil, fmt.Errorf("ask %s: %w", uri, err)
 	}
+	if err := a.SetReadDeadline(time.Time{}); err != nil {
+		a.Drop()
+		return 0, nil, fmt.Errorf("ask %s: lift the bound of the wait: %w", uri, err)
+	}
 	l.conn = a.detach()
 	return status, body, nil
 }
--- a/internal/target/upstream/upstream_test.go
+++ b/internal/target/upstream/upstream_test.go
@@ -108,7 +108,7 @@
 func assertBody(t *testing.T, a *Answer, err error, want string) {
 	t.Helper()
 	assert.NilError(t, err)
-	got, err := a.Body(1 << 20)
+	got, err := a.Body(1<<20, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), want)
 	a.Keep()
@@ -232,7 +232,7 @@
 			})
 			a, err := tg.send(t.Context(), "a", "")
 			assert.NilError(t, err)
-			_, err = a.Body(100)
+			_, err = a.Body(100, nil)
 			assert.Assert(t, err != nil)
 			a.Drop()
 		})
@@ -247,7 +247,7 @@
 			return err
 		},
 		"as a whole": func(a *Answer) error {
-			_, err := a.Body(100)
+			_, err := a.Body(100, nil)
 			return err
 		},
 	} {
@@ -279,7 +279,7 @@
 		assertRun(t, err, answer.Unknown)
 		return
 	}
-	_, err = a.Body(100)
+	_, err = a.Body(100, nil)
 	assert.Assert(t, err != nil)
 	a.Drop()
 }
