A stop answers what was accepted: the listener's queue is emptied before it closes

Cause: connections that were established but not accepted yet, and kept ones on which a request had just come, were reset as the listener and the idle connections closed. Now closing a listener first accepts what is established, and an idle connection on which bytes have come stays open for their request. TestEstablishedConnectionsOutliveTheListener and TestIdleConnectionWithARequestStaysOpen show both without load.

--- a/internal/request/ingress/conn.go
+++ b/internal/request/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,26 +15,12 @@
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
-// listener wraps the connections that it accepts.
-type listener struct {
-	net.Listener
-	limits func() (header, idle time.Duration)
-}
-
-// Accept returns the next caller's connection.
-func (l listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{LingerConn: &socket.LingerConn{Conn: raw}, limits: l.limits}, nil
-}
-
 // conn is a caller's connection. While a request is served on it, it reads ahead one
 // byte to notice that the caller has left.
 type conn struct {
 	*socket.LingerConn
-	limits func() (header, idle time.Duration)
+	limits   func() (header, idle time.Duration)
+	stopping *atomic.Bool // the server closes idle connections
 
 	mu       sync.Mutex // guards the fields below
 	active   bool       // a request is being read or served
@@ -132,8 +119,12 @@
 	_ = c.SetReadDeadline(time.Time{})
 }
 
-// Close ends the watch and closes the connection.
+// Close ends the watch and closes the connection. One that the server closes as idle while
+// a request is coming stays open for that.
 func (c *conn) Close() error {
+	if c.stopping.Load() && !c.isActive() && socket.Readable(c.LingerConn) {
+		return nil
+	}
 	c.unwatch()
 	return c.LingerConn.Close()
 }
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -57,6 +57,7 @@
 	once     sync.Once
 	http     *fasthttp.Server
 	inFlight atomic.Int64
+	stopping atomic.Bool // idle connections are closed
 }
 
 func (s *Server) init() {
@@ -83,7 +84,8 @@
 // Serve accepts callers until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.init()
-	if err := s.http.Serve(listener{Listener: l, limits: s.times}); err != nil {
+	accepting := &listener{Listener: l, limits: s.times, log: s.Log, stopping: &s.stopping, closed: make(chan struct{})}
+	if err := s.http.Serve(accepting); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/internal/request/ingress/listener_test.go
@@ -0,0 +1,93 @@
+package ingress
+
+import (
+	"log"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/protocol/socket"
+)
+
+func noLimits() (header, idle time.Duration) { return 0, 0 }
+
+// newListener returns a listener that nothing accepts from yet.
+func newListener(t *testing.T) *listener {
+	t.Helper()
+	raw, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = raw.Close() })
+	return &listener{
+		Listener: raw, limits: noLimits, log: log.Default(),
+		stopping: &atomic.Bool{}, closed: make(chan struct{}),
+	}
+}
+
+func dial(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// TestEstablishedConnectionsOutliveTheListener closes a listener with connections in its
+// queue.
+func TestEstablishedConnectionsOutliveTheListener(t *testing.T) {
+	const waiting = 20
+	l := newListener(t)
+	var callers []net.Conn
+	for range waiting {
+		callers = append(callers, dial(t, l))
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- l.Close() }()
+	accepted := 0
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		assert.NilError(t, err)
+		accepted++
+		_, err = c.Write([]byte("x"))
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+	}
+	assert.NilError(t, <-ended)
+	assert.Equal(t, accepted, waiting)
+	for _, c := range callers {
+		_, err := c.Read(make([]byte, 1))
+		assert.NilError(t, err)
+	}
+	_, err := net.Dial("tcp4", l.Addr().String())
+	assert.Assert(t, err != nil, "the listener is still open")
+}
+
+// TestIdleConnectionWithARequestStaysOpen closes an idle connection on which a request has
+// come, as a server does that stops.
+func TestIdleConnectionWithARequestStaysOpen(t *testing.T) {
+	l := newListener(t)
+	for _, sent := range []bool{false, true} {
+		caller := dial(t, l)
+		raw, err := l.Listener.Accept()
+		assert.NilError(t, err)
+		c := &conn{LingerConn: &socket.LingerConn{Conn: raw}, limits: noLimits, stopping: l.stopping}
+		l.stopping.Store(true)
+		if sent {
+			_, err := caller.Write([]byte("GET"))
+			assert.NilError(t, err)
+			for !socket.Readable(c) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		assert.NilError(t, c.Close())
+		_, err = c.Write([]byte("x"))
+		assert.Equal(t, err == nil, sent)
+		_ = raw.Close()
+	}
+}
