--- a/internal/budget/prepaid/return_test.go
+++ b/internal/budget/prepaid/return_test.go
@@ -19,13 +19,18 @@
 // comes back from a copy that has seen none of it.
 func returnedWorld(total int64, lives ...string) *world {
 	w := startedWorld(total, lives...)
+	w.load(total, lives...)
+	time.Sleep(time.Second)
+	w.store.comeBack(3500 * time.Millisecond)
+	return w
+}
+
+// load lets VMs use 60 in 100 of a total within 3 s.
+func (w *world) load(total int64, lives ...string) {
 	for n := range 60 {
 		w.request(lives[n%len(lives)], "joiners", total/100, 1, 10*time.Millisecond)
 		time.Sleep(50 * time.Millisecond)
 	}
-	time.Sleep(time.Second)
-	w.store.comeBack(3500 * time.Millisecond)
-	return w
 }
 
 // deliver lets all VMs use what they can get within a time, and returns how much was used
@@ -79,10 +84,7 @@
 		const total = 100_000
 		w := startedWorld(total, "a", "b")
 		defer w.end()
-		for range 60 {
-			w.request("a", "joiners", total/100, 1, 10*time.Millisecond)
-			time.Sleep(50 * time.Millisecond)
-		}
+		w.load(total, "a")
 		w.store.set("a", away)
 		w.store.comeBack(4 * time.Second)
 		time.Sleep(5 * time.Second)
@@ -103,10 +105,7 @@
 		const total = 100_000
 		w := startedWorld(total, "a", "b", "c")
 		defer w.end()
-		for range 60 {
-			w.request("a", "joiners", total/100, 1, 10*time.Millisecond)
-			time.Sleep(50 * time.Millisecond)
-		}
+		w.load(total, "a")
 		w.kill("a")
 		w.store.comeBack(3500 * time.Millisecond)
 		time.Sleep(time.Second)
@@ -127,10 +126,7 @@
 		const total = 100_000
 		w := startedWorld(total, "a", "b", "c")
 		defer w.end()
-		for range 60 {
-			w.request("a", "joiners", total/100, 1, 10*time.Millisecond)
-			time.Sleep(50 * time.Millisecond)
-		}
+		w.load(total, "a")
 		w.kill("a")
 		w.kill("b")
 		w.store.comeBack(3500 * time.Millisecond)
