--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -151,7 +151,7 @@
 	fromCopy []string
 }
 
-func followed(t *testing.T, s *fakeStore, ask func(context.Context, string, inner.FollowRequest) (inner.FollowResponse, error)) *copyOf {
+func followed(t *testing.T, s *fakeStore, ask func(context.Context, string, inner.FollowRequest) (inner.FollowResponse, error), set ...func(*Table)) *copyOf {
 	t.Helper()
 	c := &copyOf{rows: make(map[string]string)}
 	if ask == nil {
@@ -173,6 +173,9 @@
 			c.rows[r.Key] = string(r.Value)
 		}
 	}}
+	for _, f := range set {
+		f(c.Table)
+	}
 	c.Prepare()
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
@@ -356,13 +359,14 @@
 // TestNewerContentStays lets the copy show an older content of a row; a router that has
 // only seen that learns the newer one from others.
 func TestNewerContentStays(t *testing.T) {
-	newer := func(a, b table.Row) bool { return string(a.Value) > string(b.Value) }
+	byValue := func(t *Table) {
+		t.Newer = func(a, b table.Row) bool { return string(a.Value) > string(b.Value) }
+	}
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		s.put("a", "1")
 		old := s.row("a")
-		c := followed(t, s, nil)
-		c.Newer = newer
+		c := followed(t, s, nil, byValue)
 		s.put("a", "2")
 		time.Sleep(time.Second)
 		s.comeBack(1, old)
@@ -370,8 +374,7 @@
 		c.assertRows(t, map[string]string{"a": "2"})
 		young := followed(t, s, func(_ context.Context, _ string, in inner.FollowRequest) (inner.FollowResponse, error) {
 			return c.Answer(in), nil
-		})
-		young.Newer = newer
+		}, byValue)
 		time.Sleep(time.Second)
 		young.assertRows(t, map[string]string{"a": "1"})
 		young.HeardFrom("c")
