Tokens: a VM that left between two returns of the store is not waited for

Cause: the lives that ran when an era began were kept into the next one, also when all of them had been accounted for; one that left for good in between was waited for without end. Found by reading the diff. The test failed before (50,000 of 100,000 tokens within reach after the second return, those in holdings) and passes (97,000 and more).

--- a/internal/budget/prepaid/era.go
+++ b/internal/budget/prepaid/era.go
@@ -78,6 +78,10 @@
 	case stamp.Era > s.now:
 		s.now, s.since = stamp.Era, time.Now()
 		s.version = 0
+		if s.settled {
+			// All that ran before the last era were accounted for.
+			s.recent = nil
+		}
 		s.restored, s.settled, s.warned, s.vouched = false, false, false, false
 		s.recent = append(s.recent, recent()...)
 		changed = true
--- a/internal/budget/prepaid/return_test.go
+++ b/internal/budget/prepaid/return_test.go
@@ -172,3 +172,21 @@
 		assert.NilError(t, w.result())
 	})
 }
+
+// TestVMThatLeftBetweenReturnsIsNotWaitedFor takes a VM away for good between two returns,
+// long before the second.
+func TestVMThatLeftBetweenReturnsIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 100_000
+		w := startedWorld(total, "a", "b", "c")
+		defer w.end()
+		w.store.comeBack(0)
+		time.Sleep(5 * time.Second)
+		w.leave("c")
+		time.Sleep(2 * copyAge)
+		w.store.comeBack(0)
+		used := w.deliver(total, 10*time.Second, "a", "b")
+		assert.NilError(t, w.result())
+		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
+	})
+}
