--- a/internal/budget/prepaid/open.go
+++ b/internal/budget/prepaid/open.go
@@ -118,6 +118,7 @@
 		unseen := ended - time.Duration(row.AtMS)*time.Millisecond
 		former[row.Life] = formerLife{
 			claim:  claim{Bounds: row.Bounds, OverMS: max(0, (unseen - p.Grace).Milliseconds())},
+			Epoch:  row.Epoch,
 			Since:  row.Since,
 			Mirror: row.Mirror, MirrorFrom: row.MirrorFrom,
 		}
--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -92,7 +92,8 @@
 // mirror, if it has answered.
 type formerLife struct {
 	claim
-	// Since is the store's era in which the life began.
+	// Epoch counts the lives of the VM, and Since is the store's era in which this one began.
+	Epoch      int64  `json:"epoch"`
 	Since      uint64 `json:"since"`
 	Mirror     string `json:"mirror,omitempty"`
 	MirrorFrom int64  `json:"mirror_from,omitempty"`
--- a/internal/budget/prepaid/vouch.go
+++ b/internal/budget/prepaid/vouch.go
@@ -133,7 +133,7 @@
 	for life, f := range j.former {
 		switch {
 		case f.Since >= era:
-		case life != last.Life && len(f.Bounds) > 0:
+		case life != last.Life && (len(f.Bounds) > 0 || f.Epoch > last.Epoch):
 			return fmt.Errorf("%w: it is not known whether life %q had ended", errNotVouched, life)
 		default:
 			before++
@@ -142,6 +142,6 @@
 	if _, known := j.former[last.Life]; !known && (before > 0 || last.Epoch != 1) {
 		return fmt.Errorf("%w: the store's copy does not know it", errNotVouched)
 	}
-	j.former[last.Life] = formerLife{claim: claim{Bounds: last.Bounds}}
+	j.former[last.Life] = formerLife{claim: claim{Bounds: last.Bounds}, Epoch: last.Epoch}
 	return nil
 }
