--- a/internal/budget/prepaid/bring.go
+++ b/internal/budget/prepaid/bring.go
@@ -129,6 +129,8 @@
 	commit   table.Commit
 	allotted int64
 	holding  holdingRow
+	// corrected is by how much the VM's part of the total differs from what the store showed.
+	corrected int64
 	// setsHolding tells that the VM's row is written, which else does not exist.
 	setsHolding bool
 }
@@ -142,7 +144,8 @@
 	}
 	f := h.found
 	b := bringing{planned: true, era: h.era, holding: p.truth(h, f)}
-	b.allotted = f.allotted + b.holding.counted() - f.holding.counted()
+	b.corrected = b.holding.counted() - f.holding.counted()
+	b.allotted = f.allotted + b.corrected
 	err := b.setTotal(h.workspace, f)
 	if f.rowExists || b.holding != (holdingRow{}) {
 		b.setsHolding = true
@@ -232,6 +235,7 @@
 		h.rowVersion = stamp.Version
 	}
 	p.adopt(h, b.allotted, b.holding)
+	p.eras.correct(b.era, b.corrected)
 	return true
 }
 
--- a/internal/budget/prepaid/era.go
+++ b/internal/budget/prepaid/era.go
@@ -31,9 +31,10 @@
 	// accounted tells that this life knows all that its VM has drawn before this era, or
 	// that others need not wait for it.
 	accounted bool
-	vouched   bool // it knows from others
-	restored  bool // this VM has told in the store that its rows stand in this era
-	settled   bool // all have that are waited for
+	vouched   bool  // it knows from others
+	corrected int64 // tokens by which this VM's rows differed from what the store showed
+	restored  bool  // this VM has told in the store that its rows stand in this era
+	settled   bool  // all have that are waited for
 	// awaited are the lives that were waited for when the last look at the store was taken,
 	// and recent those that ran when this life heard of the era, or a moment before.
 	awaited, recent []string
@@ -77,7 +78,7 @@
 		changed = stamp.Era > 0
 	case stamp.Era > s.now:
 		s.now, s.since = stamp.Era, time.Now()
-		s.version = 0
+		s.version, s.corrected = 0, 0
 		if s.settled {
 			// All that ran before the last era were accounted for.
 			s.recent = nil
@@ -92,6 +93,22 @@
 	return from, changed
 }
 
+// correct notes that the VM's part of a total differed from what the store showed.
+func (s *eras) correct(era uint64, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now == era {
+		s.corrected += tokens
+	}
+}
+
+// correction returns by how much the VM's rows differed from what the store showed.
+func (s *eras) correction() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.corrected
+}
+
 // kick asks for a look at whether the era is settled.
 func (s *eras) kick() {
 	select {
--- a/internal/budget/prepaid/event.go
+++ b/internal/budget/prepaid/event.go
@@ -20,6 +20,8 @@
 	Away time.Duration
 	// From and To are what was and what is known of the store's era and version.
 	From, To table.Stamp
+	// Workspaces is how many workspaces' rows were written.
+	Workspaces int
 	// Routers is how many routers have told of their rows, or are waited for.
 	Routers int
 	// Err is the cause of a failure.
@@ -66,6 +68,9 @@
 	HoldingLeft // holding_left
 	// EraBegan tells that the store has come back from an older copy of itself.
 	EraBegan // era_began
+	// EraRestored tells that this life has brought the rows of Workspaces into the store's era,
+	// which differed by Tokens from what the store showed, and waits for Routers.
+	EraRestored // era_restored
 	// EraSettled tells that tokens may be drawn in the store's era, after the time Away.
 	EraSettled // era_settled
 	// EraUnsettled tells that no tokens can be drawn since routers have not told of their rows
--- a/internal/budget/prepaid/eventkind_string.go
+++ b/internal/budget/prepaid/eventkind_string.go
@@ -24,14 +24,15 @@
 	_ = x[HoldingReturned-13]
 	_ = x[HoldingLeft-14]
 	_ = x[EraBegan-15]
-	_ = x[EraSettled-16]
-	_ = x[EraUnsettled-17]
-	_ = x[RestoreFailed-18]
+	_ = x[EraRestored-16]
+	_ = x[EraSettled-17]
+	_ = x[EraUnsettled-18]
+	_ = x[RestoreFailed-19]
 }
 
-const _EventKind_name = "journal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentdrawndraw_failedstore_emptyformer_closedgift_givengift_takenholding_returnedholding_leftera_beganera_settledera_unsettledrestore_failed"
+const _EventKind_name = "journal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentdrawndraw_failedstore_emptyformer_closedgift_givengift_takenholding_returnedholding_leftera_beganera_restoredera_settledera_unsettledrestore_failed"
 
-var _EventKind_index = [...]uint8{0, 14, 28, 44, 60, 71, 86, 99, 104, 115, 126, 139, 149, 159, 175, 187, 196, 207, 220, 234}
+var _EventKind_index = [...]uint8{0, 14, 28, 44, 60, 71, 86, 99, 104, 115, 126, 139, 149, 159, 175, 187, 196, 208, 219, 232, 246}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/internal/budget/prepaid/settle.go
+++ b/internal/budget/prepaid/settle.go
@@ -189,7 +189,8 @@
 	}
 	pool := pond.NewPool(bringWorkers)
 	group := pool.NewGroup()
-	for _, h := range p.remembered() {
+	remembered := p.remembered()
+	for _, h := range remembered {
 		group.SubmitErr(func() error { return p.bring(ctx, h) })
 	}
 	if err := group.Wait(); err != nil {
@@ -209,6 +210,10 @@
 		return err
 	}
 	p.eras.tell(era)
+	p.OnEvent(Event{
+		Kind: EraRestored, To: table.Stamp{Era: era}, Tokens: p.eras.correction(),
+		Workspaces: len(remembered), Routers: len(row.Awaits),
+	})
 	return nil
 }
 
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -31,6 +31,7 @@
 	prepaid.HoldingReturned: eventlog.HoldingReturned,
 	prepaid.HoldingLeft:     eventlog.HoldingPassedOn,
 	prepaid.EraBegan:        eventlog.StoreEraBegan,
+	prepaid.EraRestored:     eventlog.StoreEraRestored,
 	prepaid.EraSettled:      eventlog.StoreEraSettled,
 	prepaid.EraUnsettled:    eventlog.StoreEraUnsettled,
 	prepaid.RestoreFailed:   eventlog.RestoreFailed,
@@ -52,6 +53,8 @@
 		pairs = append(pairs, "left_tokens", ev.Left, "prepaid_tokens", e.prepaid(ev.Workspace))
 	case prepaid.EraBegan:
 		pairs = append(pairs, "era", ev.To.Era, "version", ev.To.Version, "last_era", ev.From.Era, "last_version", ev.From.Version)
+	case prepaid.EraRestored:
+		pairs = append(pairs, "era", ev.To.Era, "workspaces", ev.Workspaces, "corrected_tokens", ev.Tokens, "awaited", ev.Routers)
 	case prepaid.EraSettled:
 		pairs = append(pairs, "era", ev.To.Era, "took_ms", ev.Away.Milliseconds(), "routers", ev.Routers)
 	case prepaid.EraUnsettled:
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -19,6 +19,7 @@
 	StoreLost                         // store_lost
 	StoreRegained                     // store_regained
 	StoreEraBegan                     // store_era_began
+	StoreEraRestored                  // store_era_restored
 	StoreEraSettled                   // store_era_settled
 	StoreEraUnsettled                 // store_era_unsettled
 	PeerFound                         // peer_found
@@ -112,6 +113,7 @@
 	StoreLost:            {component: Store, failure: true, doc: "the store does not answer the poll of a table", fields: "table, age_ms, err"},
 	StoreRegained:        {component: Store, doc: "the store answers again", fields: "table, away_ms"},
 	StoreEraBegan:        {component: Store, failure: true, doc: "the store has come back from an older copy; what was written since that is gone", fields: "era, version, last_era, last_version"},
+	StoreEraRestored:     {component: Store, doc: "this router has written what it holds into the store's new era; corrected_tokens tells how far the older copy was off", fields: "era, workspaces, corrected_tokens, awaited"},
 	StoreEraSettled:      {component: Store, doc: "all routers have brought their tokens into the store's era; tokens are drawn", fields: "era, took_ms, routers"},
 	StoreEraUnsettled:    {component: Store, failure: true, doc: "no tokens are drawn, since routers that may have drawn some before the store came back have not told; err names their lives", fields: "era, for_ms, routers, err"},
 	PeerFound:            {component: Peers, doc: "another router is believed to live", fields: "peer, id, failure_domain"},
