--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -242,8 +242,7 @@
 }
 
 // lookUp reads the rows of the total and of this VM's holding, in whichever era they stand,
-// and those of all VMs if the total stands in an earlier one. The first life of a VM has no
-// row where the total stands.
+// and those of all VMs if the total stands in an earlier one.
 func (p *Purse) lookUp(ctx context.Context, h *holding) error {
 	era := h.eraOf()
 	total := totalPlace(h.workspace, era)
@@ -252,11 +251,8 @@
 		return err
 	}
 	more := inAllEras(p.holdingPlace(h.workspace, era), prefixVM+p.VM)
-	switch {
-	case len(rows) == 0:
+	if len(rows) == 0 {
 		more = allRows(h.workspace)
-	case p.journal.isFirst(era) && !p.remembers(h):
-		return p.see(h, era, rows)
 	}
 	others, err := p.readRows(ctx, more)
 	if err != nil {
@@ -340,13 +336,6 @@
 	return j.open && !j.replaced
 }
 
-// isFirst reports whether this is the VM's first life and it has begun in the era.
-func (j *journal) isFirst(era uint64) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.epoch == 1 && j.since == era
-}
-
 func (j *journal) epochOf() int64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/budget/prepaid/era.go
+++ b/internal/budget/prepaid/era.go
@@ -32,6 +32,7 @@
 	// that others need not wait for it.
 	accounted bool
 	vouched   bool  // it knows from others
+	witness   bool  // it heard the era begin, and knew all before
 	corrected int64 // tokens by which this VM's rows differed from what the store showed
 	restored  bool  // this VM has told in the store that its rows stand in this era
 	settled   bool  // all have that are waited for
@@ -84,6 +85,7 @@
 			s.recent = nil
 		}
 		s.restored, s.settled, s.warned, s.vouched = false, false, false, false
+		s.witness = s.accounted
 		s.recent = append(s.recent, recent()...)
 		changed = true
 	}
--- a/internal/budget/prepaid/return_test.go
+++ b/internal/budget/prepaid/return_test.go
@@ -190,3 +190,28 @@
 		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
 	})
 }
+
+// TestReturnWhileTheFirstLivesBegin takes everything from the store again after the first
+// routers have told that they are the first, and before they have opened their journals.
+func TestReturnWhileTheFirstLivesBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 100_000
+		w := newWorld()
+		defer w.end()
+		w.topUp("joiners", total)
+		w.start("a")
+		w.start("b")
+		time.Sleep(txTime/3 + txTime + time.Millisecond)
+		w.store.mu.Lock()
+		told := len(w.store.rows)
+		w.store.rows = make(map[table.Place]table.Row)
+		w.store.version = 0
+		w.store.era++
+		w.store.mu.Unlock()
+		assert.Equal(t, told, 2)
+		time.Sleep(time.Second)
+		used := w.deliver(total, 10*time.Second, "a", "b")
+		assert.NilError(t, w.result())
+		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
+	})
+}
--- a/internal/budget/prepaid/settle.go
+++ b/internal/budget/prepaid/settle.go
@@ -111,11 +111,12 @@
 	}
 }
 
-// isVouched reports whether others have told what the last life of this VM has used.
-func (s *eras) isVouched() bool {
+// knowledge tells how this life knows what its VM has drawn before the era: as a witness of
+// its begin, or from others.
+func (s *eras) knowledge() (witness, vouched bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.vouched
+	return s.witness, s.vouched
 }
 
 // open takes in what the journal says of this life's knowledge.
@@ -203,8 +204,9 @@
 	// An earlier life may have told of the same era.
 	row := rows[era][p.VM]
 	row.Whole, row.Life = true, p.Life
-	row.Witness = row.Witness || !p.journal.hasBegunIn(era)
-	row.Vouched = row.Vouched || p.eras.isVouched()
+	witness, vouched := p.eras.knowledge()
+	row.Witness = row.Witness || witness
+	row.Vouched = row.Vouched || vouched
 	row.Awaits = append(row.Awaits, p.awaits(era, rows)...)
 	if err := p.tellRestored(ctx, era, row, rows); err != nil {
 		return err
@@ -263,13 +265,6 @@
 	return append(slices.Clone(s.awaited), s.recent...)
 }
 
-// hasBegunIn reports whether this life began in the era.
-func (j *journal) hasBegunIn(era uint64) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.since == era
-}
-
 // begunIn returns the lives that began in the era: this one and those just before it.
 func (j *journal) begunIn(own string, era uint64) []string {
 	j.mu.Lock()
