--- a/internal/budget/prepaid/era.go
+++ b/internal/budget/prepaid/era.go
@@ -31,11 +31,14 @@
 	// accounted tells that this life knows all that its VM has drawn before this era, or
 	// that others need not wait for it.
 	accounted bool
-	vouched   bool  // it knows from others
-	witness   bool  // it heard the era begin, and knew all before
-	corrected int64 // tokens by which this VM's rows differed from what the store showed
-	restored  bool  // this VM has told in the store that its rows stand in this era
-	settled   bool  // all have that are waited for
+	vouched   bool // it knows from others
+	witness   bool // it heard the era begin, and knew all before
+	// opened tells that this life has taken the journal of its VM over, and first that there
+	// was nothing in the store before it. Without either it does not know what came before.
+	opened, first bool
+	corrected     int64 // tokens by which this VM's rows differed from what the store showed
+	restored      bool  // this VM has told in the store that its rows stand in this era
+	settled       bool  // all have that are waited for
 	// awaited are the lives that were waited for when the last look at the store was taken,
 	// and recent those that ran when this life heard of the era, or a moment before.
 	awaited, recent []string
@@ -85,6 +88,7 @@
 			s.recent = nil
 		}
 		s.restored, s.settled, s.warned, s.vouched = false, false, false, false
+		s.accounted = s.accounted && (s.opened || s.first)
 		s.witness = s.accounted
 		s.recent = append(s.recent, recent()...)
 		changed = true
--- a/internal/budget/prepaid/return_test.go
+++ b/internal/budget/prepaid/return_test.go
@@ -215,3 +215,20 @@
 		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
 	})
 }
+
+// TestReturnBeforeTheJournalIsRead lets the store come back while the next life of a VM
+// that has used most of a total begins. That life has not read what the last one has left.
+func TestReturnBeforeTheJournalIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 100_000
+		w := startedWorld(total, "a", "b")
+		defer w.end()
+		w.load(total, "b")
+		w.kill("b")
+		w.start("b")
+		time.Sleep(txTime/3 + time.Millisecond)
+		w.store.comeBack(3500 * time.Millisecond)
+		w.deliver(total, 10*time.Second, "a", "b")
+		assert.NilError(t, w.result())
+	})
+}
--- a/internal/budget/prepaid/settle.go
+++ b/internal/budget/prepaid/settle.go
@@ -41,6 +41,7 @@
 		if err := p.tellRestored(ctx, era, row, rows); err != nil {
 			return err
 		}
+		p.eras.begin()
 		rows = restoredRows{era: {p.VM: row}}
 	}
 	p.judgeEra(era, rows)
@@ -124,6 +125,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.accounted = s.accounted || accounted
+	s.opened = true
+}
+
+// begin notes that there was nothing in the store before this life.
+func (s *eras) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = true
 }
 
 // keepEra settles each era that begins, until ctx ends.
