--- a/internal/budget/prepaid/return_test.go
+++ b/internal/budget/prepaid/return_test.go
@@ -47,6 +47,15 @@
 	return w.used["joiners"]
 }
 
+// assertWithinReach checks that the VMs can use 97 in 100 of a total within a time, and
+// that nothing was overspent.
+func assertWithinReach(t *testing.T, w *world, total int64, within time.Duration, lives ...string) {
+	t.Helper()
+	used := w.deliver(total, within, lives...)
+	assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
+	assert.NilError(t, w.result())
+}
+
 // TestTokensAreWithinReachAfterAReturn lets all routers live through the return.
 func TestTokensAreWithinReachAfterAReturn(t *testing.T) {
 	for _, fleet := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c", "d", "e", "f", "g"}} {
@@ -55,9 +64,7 @@
 				const total = 100_000
 				w := returnedWorld(total, fleet...)
 				defer w.end()
-				used := w.deliver(total, 5*time.Second, fleet...)
-				assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
-				assert.NilError(t, w.result())
+				assertWithinReach(t, w, total, 5*time.Second, fleet...)
 			})
 		})
 	}
@@ -71,9 +78,7 @@
 		defer w.end()
 		time.Sleep(30 * time.Millisecond)
 		w.store.comeBack(20 * time.Millisecond)
-		used := w.deliver(total, 5*time.Second, "a", "b", "c")
-		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
-		assert.NilError(t, w.result())
+		assertWithinReach(t, w, total, 5*time.Second, "a", "b", "c")
 	})
 }
 
@@ -92,9 +97,7 @@
 		assert.Assert(t, errors.Is(err, ErrUnavailable), "%v", err)
 		w.store.set("a", well)
 		time.Sleep(5 * time.Second)
-		used := w.deliver(total, 5*time.Second, "a", "b")
-		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
-		assert.NilError(t, w.result())
+		assertWithinReach(t, w, total, 5*time.Second, "a", "b")
 	})
 }
 
@@ -185,9 +188,7 @@
 		w.leave("c")
 		time.Sleep(2 * copyAge)
 		w.store.comeBack(0)
-		used := w.deliver(total, 10*time.Second, "a", "b")
-		assert.NilError(t, w.result())
-		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
+		assertWithinReach(t, w, total, 10*time.Second, "a", "b")
 	})
 }
 
@@ -210,9 +211,7 @@
 		w.store.mu.Unlock()
 		assert.Equal(t, told, 2)
 		time.Sleep(time.Second)
-		used := w.deliver(total, 10*time.Second, "a", "b")
-		assert.NilError(t, w.result())
-		assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
+		assertWithinReach(t, w, total, 10*time.Second, "a", "b")
 	})
 }
 
