A stop answers requests on kept connections and handshakes in progress

Callers on kept connections got no answer and no close, or a reset, when their next request came as the router stopped; callers that were just connecting were reset.

(1) The HTTP library claims an idle connection before it closes it, and drops a request that comes behind the claim. Now the router itself ends connections without a request, by a bound on their read: what has come before the bound is served. The library is told to shut down once none is open. (2) A handshake that ended between the last accept and the close was reset.

The chat API's listener is not changed: it refuses new requests truly while it drains, but a kept connection can be closed in the instant in which a request comes.

--- a/internal/protocol/socket/rest.go
+++ b/internal/protocol/socket/rest.go
@@ -56,17 +56,3 @@
 	}
 	return out, failed
 }
-
-// Readable reports whether bytes have come on a connection that nobody has read.
-func Readable(c syscall.Conn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
-}
--- a/internal/request/ingress/conn.go
+++ b/internal/request/ingress/conn.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,8 +18,8 @@
 // byte to notice that the caller has left.
 type conn struct {
 	*socket.LingerConn
-	limits   func() (header, idle time.Duration)
-	stopping *atomic.Bool // the server closes idle connections
+	limits  func() (header, idle time.Duration)
+	callers *callers // of the server
 
 	mu       sync.Mutex // guards the fields below
 	active   bool       // a request is being read or served
@@ -36,17 +35,44 @@
 	if taken, n, err := c.takeAhead(p); taken {
 		return n, err
 	}
-	header, idle := c.limits()
-	limit := idle
-	if c.isActive() {
-		limit = header
+	if err := c.boundRead(); err != nil {
+		return 0, err
 	}
-	if limit > 0 {
-		if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
-			return 0, err
+	n, err := c.LingerConn.Read(p)
+	if n == 0 && isTimeout(err) && !c.isActive() && c.callers.isStopping() {
+		// The server ends it, and the library answers nothing then.
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// boundRead bounds the next read.
+func (c *conn) boundRead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit, idle := c.limits()
+	if !c.active {
+		limit = idle
+		if c.callers.isStopping() {
+			limit = stopIdle
 		}
 	}
-	return c.LingerConn.Read(p)
+	var by time.Time
+	if limit > 0 {
+		by = time.Now().Add(limit)
+	}
+	return c.SetReadDeadline(by)
+}
+
+// boundIdle bounds a read that waits for a request, as the server begins to stop.
+func (c *conn) boundIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active {
+		return
+	}
+	// A connection that is closed already has no use for it.
+	_ = c.SetReadDeadline(time.Now().Add(stopIdle))
 }
 
 // takeAhead returns what the watch has read, if there was one.
@@ -119,13 +145,10 @@
 	_ = c.SetReadDeadline(time.Time{})
 }
 
-// Close ends the watch and closes the connection. One that the server closes as idle while
-// a request is coming stays open for that.
+// Close ends the watch and closes the connection.
 func (c *conn) Close() error {
-	if c.stopping.Load() && !c.isActive() && socket.Readable(c.LingerConn) {
-		return nil
-	}
 	c.unwatch()
+	c.callers.remove(c)
 	return c.LingerConn.Close()
 }
 
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -54,10 +54,11 @@
 	// Log receives what the HTTP library tells of connections.
 	Log fasthttp.Logger
 
-	once     sync.Once
-	http     *fasthttp.Server
-	inFlight atomic.Int64
-	stopping atomic.Bool // idle connections are closed
+	once      sync.Once
+	http      *fasthttp.Server
+	inFlight  atomic.Int64
+	callers   callers
+	listening atomic.Pointer[listener]
 }
 
 func (s *Server) init() {
@@ -84,17 +85,25 @@
 // Serve accepts callers until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.init()
-	accepting := &listener{Listener: l, limits: s.times, log: s.Log, stopping: &s.stopping, closed: make(chan struct{})}
+	accepting := &listener{Listener: l, limits: s.times, log: s.Log, callers: &s.callers, closed: make(chan struct{})}
+	s.listening.Store(accepting)
 	if err := s.http.Serve(accepting); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
 }
 
-// Shutdown closes the listener and the idle connections, and waits for the others until ctx ends.
+// Shutdown closes the listener, and waits until no connection is open or ctx ends. Those
+// without a request are closed in a moment.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.init()
-	return s.http.ShutdownWithContext(ctx)
+	var closeErr error
+	if l := s.listening.Load(); l != nil {
+		closeErr = l.Close()
+	}
+	// The library would close connections on which a request has just come.
+	s.callers.stop(ctx)
+	return errors.Join(closeErr, s.http.ShutdownWithContext(ctx))
 }
 
 // InFlight returns the number of requests that are being served.
@@ -169,7 +178,7 @@
 			s.inFlight.Add(-1)
 		}
 	}()
-	if s.Leaving() {
+	if s.Leaving() || s.callers.isStopping() {
 		ctx.SetConnectionClose()
 	}
 	if len(ctx.Request.Header.RawHeaders()) > s.limits().HeaderBytes {
--- a/internal/request/ingress/listener.go
+++ b/internal/request/ingress/listener.go
@@ -11,16 +11,20 @@
 	"rosevalve/internal/protocol/socket"
 )
 
-// closeTime bounds the closing of a listener that nothing accepts from.
-const closeTime = 500 * time.Millisecond
+const (
+	// handshakeTime is how long a handshake that has begun may take as the listener closes.
+	handshakeTime = 100 * time.Millisecond
+	// closeTime bounds the closing of a listener that nothing accepts from.
+	closeTime = 500 * time.Millisecond
+)
 
 // listener accepts callers' connections. Closing it first accepts those that are
 // established, since they would be reset with whatever they have sent.
 type listener struct {
 	net.Listener
-	limits   func() (header, idle time.Duration)
-	log      fasthttp.Logger
-	stopping *atomic.Bool
+	limits  func() (header, idle time.Duration)
+	log     fasthttp.Logger
+	callers *callers
 
 	closing atomic.Bool
 	once    sync.Once
@@ -46,12 +50,15 @@
 	if len(l.rest) == 0 {
 		return nil, net.ErrClosed
 	}
-	raw, l.rest = l.rest[0], l.rest[1:]
-	return l.wrap(raw), nil
+	c := l.rest[0]
+	l.rest = l.rest[1:]
+	return c, nil
 }
 
 func (l *listener) wrap(raw net.Conn) net.Conn {
-	return &conn{LingerConn: &socket.LingerConn{Conn: raw}, limits: l.limits, stopping: l.stopping}
+	c := &conn{LingerConn: &socket.LingerConn{Conn: raw}, limits: l.limits, callers: l.callers}
+	l.callers.add(c)
+	return c
 }
 
 // end accepts what is established and closes the socket right behind it, once.
@@ -60,7 +67,9 @@
 		defer close(l.closed)
 		rest, err := socket.AcceptRest(l.Listener)
 		closeErr := l.Listener.Close()
-		l.rest = rest
+		for _, raw := range rest {
+			l.rest = append(l.rest, l.wrap(raw))
+		}
 		if err != nil {
 			l.log.Printf("accept what is established: %v", err)
 		}
@@ -70,14 +79,22 @@
 	})
 }
 
-// Close closes the listener.
+// Close closes the listener; further calls do nothing.
 func (l *listener) Close() error {
-	l.stopping.Store(true)
+	if l.closing.Swap(true) {
+		return nil
+	}
 	bounded, ok := l.Listener.(deadliner)
-	if !ok || l.closing.Swap(true) {
+	if !ok {
 		return l.Listener.Close()
 	}
-	if err := bounded.SetDeadline(past); err != nil {
+	last := time.Now().Add(handshakeTime)
+	if err := socket.DropHandshakes(l.Listener); err != nil {
+		// A handshake that ends as the socket closes is reset.
+		l.log.Printf("take no new connections: %v", err)
+		last = past
+	}
+	if err := bounded.SetDeadline(last); err != nil {
 		l.log.Printf("end the wait for connections: %v", err)
 		return l.Listener.Close()
 	}
