Log the crash of an engine and the parts of the prompts that it took along

A router whose connection to an engine breaks now dials it; if its host refuses, target_crashed names the engine and the shared parts of prompts whose answers had not begun, and rosevalve_target_crashes_total counts it.

No decision changes yet.

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -21,6 +21,7 @@
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/ingress"
+	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/roster"
 	"rosevalve/internal/workspace/plan"
@@ -220,7 +221,9 @@
 }
 
 func (e *Edge) connectRequests() {
+	e.crashes = &crash.Detector{Refuses: e.refusesConnections, OnCrash: e.recordCrash}
 	e.forwarder = &forward.Forwarder{
+		Crashes:      e.crashes,
 		Plan:         e.plan.Load,
 		Tokens:       e.tokens,
 		Placement:    e.placement,
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -22,6 +22,7 @@
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/ingress"
+	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/roster"
 	"rosevalve/internal/workspace/plan"
@@ -62,6 +63,7 @@
 	roster          *roster.Tracker
 	placement       *placement.Placement
 	tokens          *prepaid.Manager // prepaid tokens held by this router
+	crashes         *crash.Detector
 	forwarder       *forward.Forwarder
 	ingress         *ingress.Server
 	view            *membership.View
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -30,6 +30,7 @@
 	set       *metrics.Set
 	ejections *metrics.Counter
 	pauses    *metrics.Counter
+	crashes   *metrics.Counter
 	labels    labelLimiter
 }
 
@@ -66,6 +67,7 @@
 		set:       set,
 		ejections: set.NewCounter("rosevalve_target_ejections_total"),
 		pauses:    set.NewCounter("rosevalve_target_pauses_total"),
+		crashes:   set.NewCounter("rosevalve_target_crashes_total"),
 	}
 }
 
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -36,6 +36,7 @@
 	TargetReadmitted                  // target_readmitted
 	TargetLeaving                     // target_leaving
 	TargetPaused                      // target_paused
+	TargetCrashed                     // target_crashed
 	EngineSpeedChanged                // service_pace
 	JournalOpened                     // journal_opened
 	JournalFailed                     // journal_failed
@@ -134,6 +135,7 @@
 	TargetReadmitted:     {component: Targets, doc: "an ejected instance served a request and gets requests again", fields: "instance, addr"},
 	TargetLeaving:        {component: Targets, doc: "an instance announced in a response that it is shutting down; it gets no new requests", fields: "instance, addr, running"},
 	TargetPaused:         {component: Targets, warning: true, doc: "an instance responded that it is overloaded; this router sends it no requests for pause_ms", fields: "instance, addr, running, pause_ms"},
+	TargetCrashed:        {component: Targets, warning: true, doc: "an instance closed its connections and refuses new ones; parts are the shared parts of the prompts whose answers it had not begun", fields: "instance, addr, service, lost_attempts, parts"},
 	EngineSpeedChanged:   {component: Targets, doc: "the measured speed of a service's engines has changed", fields: "service, tokens_per_ms, base_ms, step_us, stay_ms, samples"},
 	JournalOpened:        {component: Tokens, doc: "this process has opened the token journal and may spend tokens"},
 	JournalFailed:        {component: Tokens, warning: true, doc: "the token journal cannot be written; spending continues up to the limits already written", fields: "err"},
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -110,6 +110,9 @@
 	ar.runState = max(ar.runState, runner.RunStateOf(err))
 	if err != nil {
 		outcome := ar.outcomeOf(err)
+		if outcome == placement.Failed {
+			ar.reportBrokenOff(slot, err, false)
+		}
 		slot.End(outcome)
 		ar.report(Decision{Kind: AttemptFailed, Instance: slot.ID(), Addr: slot.Addr(), Outcome: outcome, Run: runner.RunStateOf(err), Err: err})
 		return nil, err
@@ -281,6 +284,7 @@
 	body, err := sent.resp.ReadBody(ar.f.BodyMemory.maxBody(), memory.grow)
 	if err != nil {
 		memory.release()
+		ar.reportBrokenOff(sent.slot, err, false)
 		return nil, ar.reject(sent, err)
 	}
 	a, err := ar.acceptBuffered(sent, body)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/workspace/plan"
 )
@@ -34,6 +35,8 @@
 	Tokens *prepaid.Manager
 	// Placement chooses the instance for each attempt.
 	Placement *placement.Placement
+	// Crashes is informed of attempts whose connection broke; nil if crashes are not detected.
+	Crashes *crash.Detector
 	// RetryBudget limits the attempts beyond the first of each request.
 	RetryBudget *RetryBudget
 	// Encode writes attempt a of request r to out in the targets' wire format.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -22,6 +22,9 @@
 	// maxBytesWithoutEvent is the number of bytes that a stream may send without a numbered
 	// event.
 	maxBytesWithoutEvent = 64 << 10
+	// soundAfter is how long after its first event an answer must still be running to show that
+	// its prompt does not crash engines, which it would do at the first event.
+	soundAfter = 500 * time.Millisecond
 )
 
 var (
@@ -50,6 +53,8 @@
 	// since the last numbered event.
 	bytesSinceEvent int
 	waitSinceEvent  time.Duration
+
+	attemptEventAt time.Time // when the first event of the current attempt arrived; zero before that
 }
 
 func newStream(ar *activeRequest, sent *sentAttempt) *Stream {
@@ -76,6 +81,7 @@
 			s.complete()
 			return written, nil
 		case err != nil:
+			s.request.reportBrokenOff(s.attempt.slot, err, s.provedSound())
 			if resumeErr := s.resume(err); resumeErr != nil {
 				return written, s.fail(resumeErr)
 			}
@@ -115,6 +121,11 @@
 	}
 }
 
+// provedSound reports whether the current attempt shows that the prompt does not crash engines.
+func (s *Stream) provedSound() bool {
+	return !s.attemptEventAt.IsZero() && time.Since(s.attemptEventAt) >= soundAfter
+}
+
 // stallDeadline returns the time at which a stream that can be resumed at another instance
 // counts as stalled, or the zero time for other streams. Data without a numbered event does
 // not extend it.
@@ -157,6 +168,9 @@
 		s.lastEvent = number
 		s.request.relayedEvents++
 		s.bytesSinceEvent, s.waitSinceEvent = len(s.buf)-end, 0
+		if s.attemptEventAt.IsZero() {
+			s.attemptEventAt = time.Now()
+		}
 	}
 }
 
@@ -202,6 +216,7 @@
 	s.attempt = next
 	s.buf = s.buf[:0]
 	s.bytesSinceEvent, s.waitSinceEvent = 0, 0
+	s.attemptEventAt = time.Time{}
 	return nil
 }
 
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -340,3 +340,11 @@
 
 // isTimeout reports whether err is caused by a deadline of the connection.
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// BrokenOff reports whether an exchange that failed with err may have ended because the target
+// closed or reset the connection, rather than by a timeout or the end of the caller's context.
+func BrokenOff(err error) bool {
+	var timeout net.Error
+	return err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) &&
+		(!errors.As(err, &timeout) || !timeout.Timeout())
+}
