Keep prompts away that crash engines: find the part, tell all routers, store it

Cause: a router rated only the engine that had crashed and sent the next such request to another one. No router saw more than its own share of the crashes, and nothing linked a crash to what the lost requests had in common.

Fix: routers tell each other of each crash, with the shared parts of the prompts whose answers had not begun. A part is blamed after five crashes in three episodes without a sound answer between them; failing machines are told apart by the episodes, by sound answers and by the rate at which other requests are lost. Parts that come together are blocked together until one is answered alone. A block is a row of the store, so that routers that start, join or were cut off learn of it; crashes without a cause yet are rows too. Refused requests get 503 at once, with the time at which the block may end.

--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -34,6 +34,35 @@
 	// EngineSpeeds are the measured speeds of the engines, by service.
 	EngineSpeeds map[string]placement.EngineSpeed `json:"paces"`
 	Members      []inner.Member                   `json:"members"`
+	// Blocks are the prompts that are kept from the engines.
+	Blocks []BlockState `json:"blocks,omitempty"`
+}
+
+// BlockState describes prompts that are kept from the engines, and why.
+type BlockState struct {
+	Parts     string   `json:"parts"` // names of the parts that a prompt must hold, separated by spaces
+	Service   string   `json:"service"`
+	Crashes   int      `json:"crashes"`
+	Addrs     []string `json:"addrs"` // of some engines that crashed
+	DecidedBy string   `json:"decided_by"`
+	SinceMS   int64    `json:"since_ms"` // Unix time
+	Trials    int      `json:"trials"`
+	Saved     bool     `json:"saved"` // the store holds the block
+	// RetryAfterMS is the time until the block may end at the earliest.
+	RetryAfterMS int64 `json:"retry_after_ms"`
+}
+
+// blockStates returns the blocks of the quarantine.
+func (e *Edge) blockStates() []BlockState {
+	var out []BlockState
+	for _, b := range e.quarantine.Blocks() {
+		r := b.Record()
+		out = append(out, BlockState{
+			Parts: b.PartNames(), Service: r.Service, Crashes: r.Crashes, Addrs: r.Addrs, DecidedBy: r.Router,
+			SinceMS: r.Since.UnixMilli(), Trials: r.Trials, Saved: b.Saved(), RetryAfterMS: b.RetryAfter(time.Now()).Milliseconds(),
+		})
+	}
+	return out
 }
 
 // handleAux serves the auxiliary endpoints.
@@ -87,6 +116,7 @@
 		Era:          e.tokens.EraState(),
 		EngineSpeeds: e.placement.EngineSpeeds(),
 		Members:      e.view.Members(),
+		Blocks:       e.blockStates(),
 	}
 	if p := e.plan.Load(); p != nil {
 		s.PlanVersion = p.Version()
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -47,6 +47,7 @@
 	e.connectStore()
 	e.connectConfig()
 	e.connectTargets()
+	e.connectQuarantine()
 	e.connectTokens()
 	e.connectFleet()
 	e.connectRequests()
@@ -98,6 +99,7 @@
 	e.tokens.ObserveEra(stamp)
 	e.configTable.ObserveEra(stamp.Era)
 	e.targetTable.ObserveEra(stamp.Era)
+	e.blockTable.ObserveEra(stamp.Era)
 }
 
 func (e *Edge) connectConfig() {
@@ -207,6 +209,8 @@
 		inner.MethodTransfer:        e.handleTransfer,
 		inner.MethodDrawHint:        e.handleDrawHint,
 
+		inner.MethodQuarantine: e.handleQuarantineNews,
+
 		inner.MethodMirrorNote:   e.handleMirrorNote,
 		inner.MethodMirrorRecall: e.handleMirrorRecall,
 	}
@@ -221,9 +225,9 @@
 }
 
 func (e *Edge) connectRequests() {
-	e.crashes = &crash.Detector{Refuses: e.refusesConnections, OnCrash: e.recordCrash}
 	e.forwarder = &forward.Forwarder{
-		Crashes:      e.crashes,
+		Quarantine:   e.quarantine,
+		Crashes:      &crash.Detector{Refuses: e.refusesConnections, OnCrash: e.recordCrash},
 		Plan:         e.plan.Load,
 		Tokens:       e.tokens,
 		Placement:    e.placement,
@@ -291,7 +295,7 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("decode follow request: %w", err)
 	}
-	for _, t := range []*follow.Table{e.configTable, e.targetTable} {
+	for _, t := range []*follow.Table{e.configTable, e.targetTable, e.blockTable} {
 		if t.Name == in.Table {
 			return t.ChangesSince(in), nil
 		}
--- a/internal/fleet/edge/crash.go
+++ b/internal/fleet/edge/crash.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +10,7 @@
 
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/crash"
 )
 
@@ -29,11 +30,16 @@
 
 // recordCrash logs and counts the crash of a target.
 func (e *Edge) recordCrash(c crash.Crash) {
+	e.quarantine.ObserveCrash(c)
 	e.metrics.crashes.Inc()
 	var parts []string
-	for _, part := range c.Parts[:min(len(c.Parts), maxLoggedParts)] {
-		parts = append(parts, strconv.FormatUint(part.ID, 16))
+	for _, prompt := range c.Prompts {
+		for _, part := range prompt {
+			parts = append(parts, quarantine.PartName(part.ID))
+		}
 	}
+	slices.Sort(parts)
+	parts = slices.Compact(parts)
 	e.Events.Emit(eventlog.TargetCrashed, "instance", c.Instance, "addr", c.Addr, "service", c.Service,
-		"lost_attempts", c.LostAttempts, "parts", strings.Join(parts, " "))
+		"lost_attempts", c.LostAttempts, "parts", strings.Join(parts[:min(len(parts), maxLoggedParts)], " "))
 }
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -22,7 +22,7 @@
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/ingress"
-	"rosevalve/internal/target/crash"
+	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/roster"
 	"rosevalve/internal/workspace/plan"
@@ -63,7 +63,8 @@
 	roster          *roster.Tracker
 	placement       *placement.Placement
 	tokens          *prepaid.Manager // prepaid tokens held by this router
-	crashes         *crash.Detector
+	quarantine      *quarantine.Quarantine
+	blockTable      *follow.Table // local copy of the store's table of blocks of the quarantine
 	forwarder       *forward.Forwarder
 	ingress         *ingress.Server
 	view            *membership.View
@@ -116,6 +117,8 @@
 		func() error { return e.view.Run(ctx) },
 		func() error { return e.configTable.Run(ctx) },
 		func() error { return e.targetTable.Run(ctx) },
+		func() error { return e.blockTable.Run(ctx) },
+		func() error { return e.quarantine.Run(ctx) },
 		func() error { return e.tokens.Run(ctx) },
 		func() error { return e.watchSettings(ctx) },
 		func() error { return every(ctx, maintenanceInterval, e.maintain) },
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -44,6 +44,7 @@
 	if ev.Kind == prepaid.StoreRolledBack {
 		e.configTable.ObserveEra(ev.To.Era)
 		e.targetTable.ObserveEra(ev.To.Era)
+		e.blockTable.ObserveEra(ev.To.Era)
 	}
 	var pairs []any
 	if ev.Workspace != "" {
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -38,6 +38,14 @@
 	TargetPaused                      // target_paused
 	TargetCrashed                     // target_crashed
 	EngineSpeedChanged                // service_pace
+	PromptBlocked                     // prompt_blocked
+	BlockLearned                      // block_learnt
+	BlockNarrowed                     // block_narrowed
+	BlockEnded                        // block_ended
+	BlockTrialSent                    // block_trial
+	BlockUnwritten                    // block_unwritten
+	BlockUnreadable                   // block_unreadable
+	BlockNewsLost                     // block_news_lost
 	JournalOpened                     // journal_opened
 	JournalFailed                     // journal_failed
 	JournalRecovered                  // journal_regained
@@ -137,6 +145,14 @@
 	TargetPaused:         {component: Targets, warning: true, doc: "an instance responded that it is overloaded; this router sends it no requests for pause_ms", fields: "instance, addr, running, pause_ms"},
 	TargetCrashed:        {component: Targets, warning: true, doc: "an instance closed its connections and refuses new ones; parts are the shared parts of the prompts whose answers it had not begun", fields: "instance, addr, service, lost_attempts, parts"},
 	EngineSpeedChanged:   {component: Targets, doc: "the measured speed of a service's engines has changed", fields: "service, tokens_per_ms, base_ms, step_us, stay_ms, samples"},
+	PromptBlocked:        {component: Targets, warning: true, doc: "this router has decided that prompts with all of parts crash engines; requests with them are refused", fields: "parts, service, crashes, addrs, decided_by"},
+	BlockLearned:         {component: Targets, warning: true, doc: "this router has learnt of such a decision from the store or another router", fields: "parts, service, crashes, addrs, decided_by"},
+	BlockNarrowed:        {component: Targets, doc: "an engine has answered a prompt with a part of the block, so that the remaining parts are blocked", fields: "parts, service"},
+	BlockEnded:           {component: Targets, doc: "prompts with the parts are sent to engines again; reason is answered (an engine answered one), not_needed (none arrived for 10 minutes), removed (from the store) or replaced (by another block)", fields: "parts, service, reason"},
+	BlockTrialSent:       {component: Targets, warning: true, doc: "one request is sent in spite of the block, to find out whether that is still needed", fields: "parts, service, trials"},
+	BlockUnwritten:       {component: Targets, lowPriority: true, warning: true, doc: "a change of a block could not be written to the store; it holds here, is told to other routers and written again", fields: "parts, service, err"},
+	BlockUnreadable:      {component: Targets, warning: true, doc: "a row of the store is no block and is ignored; reason is its key", fields: "parts, service, reason, err"},
+	BlockNewsLost:        {component: Targets, lowPriority: true, warning: true, doc: "another router could not be told about a crash or a block; it learns of blocks from the store", fields: "peer, err"},
 	JournalOpened:        {component: Tokens, doc: "this process has opened the token journal and may spend tokens"},
 	JournalFailed:        {component: Tokens, warning: true, doc: "the token journal cannot be written; spending continues up to the limits already written", fields: "err"},
 	JournalRecovered:     {component: Tokens, doc: "the token journal can be written again", fields: "away_ms"},
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -31,6 +31,8 @@
 
 	reservation    *prepaid.Reservation // nil if the request is not metered
 	attempts       int
+	sharedParts    []uint64        // ids of the parts of the prompt that other requests may share
+	trial          bool            // the next attempt is sent although its prompt is blocked
 	triedInstances []string        // ids of the instances that the request was sent to
 	runState       answer.RunState // of all attempts together
 	relayedEvents  int64           // events relayed to the caller
@@ -45,6 +47,9 @@
 
 // serve reserves tokens and sends attempts until one is answered or no other is allowed.
 func (ar *activeRequest) serve() (*Answer, *answer.Error) {
+	if refusal := ar.checkQuarantine(); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := ar.reserve(); refusal != nil {
 		return nil, refusal
 	}
@@ -92,6 +97,10 @@
 	if err != nil {
 		return nil, &runner.Error{RunState: answer.NotRun, Err: err}
 	}
+	if err := ar.recheckQuarantine(); err != nil {
+		slot.End(placement.Inconclusive)
+		return nil, err
+	}
 	ar.attempts++
 	ar.report(Decision{Kind: AttemptSent, Instance: slot.ID(), Addr: slot.Addr(), Reason: slot.InstanceState(), TokenCount: ar.reserved()})
 	req := fasthttp.AcquireRequest()
@@ -214,7 +223,8 @@
 	if ar.ctx.Err() != nil || state != answer.NotRun && !ar.route.Retryable() {
 		return false
 	}
-	if errors.Is(err, placement.ErrNoInstance) {
+	var blocked *blockedError
+	if errors.Is(err, placement.ErrNoInstance) || errors.As(err, &blocked) {
 		return false
 	}
 	if !reachedTarget(err) {
@@ -239,9 +249,12 @@
 // error of the last attempt.
 func (ar *activeRequest) failure(lastErr error) *answer.Error {
 	var paused *placement.PausedError
+	var blocked *blockedError
 	switch {
 	case ar.ctx.Err() != nil:
 		return ar.timeoutError()
+	case ar.runState == answer.NotRun && errors.As(lastErr, &blocked):
+		return blocked.refusal()
 	case ar.runState == answer.NotRun && errors.As(lastErr, &paused):
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "targets_paused", max(time.Millisecond, time.Until(paused.Until)), "no target takes requests now: %v", lastErr)
 	case ar.runState == answer.NotRun:
@@ -280,6 +293,7 @@
 		stream := newStream(ar, sent)
 		return &Answer{Status: sent.resp.Status(), Header: sent.resp.Header(), Stream: stream, request: ar}, nil
 	}
+	began := time.Now()
 	memory := bodyMemory{total: &ar.f.BodyMemory}
 	body, err := sent.resp.ReadBody(ar.f.BodyMemory.maxBody(), memory.grow)
 	if err != nil {
@@ -293,6 +307,9 @@
 		return nil, err
 	}
 	a.memory = memory
+	if a.Status == fasthttp.StatusOK {
+		ar.reportSound(began)
+	}
 	return a, nil
 }
 
--- a/internal/request/forward/crash.go
+++ b/internal/request/forward/crash.go
@@ -1,31 +1,87 @@
 package forward
 
 import (
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
+	"rosevalve/internal/target/runner"
 	"rosevalve/internal/target/upstream"
 )
 
-// sharedParts returns the parts of the prompt that other requests may share: all but the last.
-// It is empty for requests that do not go to a model engine.
-func (ar *activeRequest) sharedParts() []Part {
-	if ar.r.Prompt == nil || ar.service.Engine == nil || len(ar.r.Prompt.Parts) == 0 {
+// blockedError reports that a prompt is kept from the engines.
+type blockedError struct{ block *quarantine.Block }
+
+// Error names the parts of the prompt and the crashes that are the reason.
+func (e *blockedError) Error() string {
+	r := e.block.Record()
+	return fmt.Sprintf("prompts with the parts %s crashed %d engines of service %q", e.block.PartNames(), r.Crashes, r.Service)
+}
+
+// refusal returns the answer to a request that has not been sent because of the block.
+func (e *blockedError) refusal() *answer.Error {
+	return answer.Retryable(fasthttp.StatusServiceUnavailable, "prompt_blocked", e.block.RetryAfter(time.Now()), "the request is not sent: %v", e)
+}
+
+// findSharedParts sets sharedParts for a request to a model engine: all parts but the last.
+func (ar *activeRequest) findSharedParts() {
+	if ar.r.Prompt == nil || ar.service.Engine == nil {
+		return
+	}
+	for n, part := range ar.r.Prompt.Parts {
+		if n < len(ar.r.Prompt.Parts)-1 {
+			ar.sharedParts = append(ar.sharedParts, part.ID)
+		}
+	}
+}
+
+// checkQuarantine refuses a request that has just arrived if its prompt is blocked.
+func (ar *activeRequest) checkQuarantine() *answer.Error {
+	block, trial := ar.f.Quarantine.Admit(ar.ctx, ar.sharedParts)
+	ar.trial = trial
+	if block == nil {
+		return nil
+	}
+	return (&blockedError{block: block}).refusal()
+}
+
+// recheckQuarantine returns an error if the prompt was blocked since the request arrived or was
+// last sent. A trial is sent once all the same.
+func (ar *activeRequest) recheckQuarantine() error {
+	if ar.trial {
+		ar.trial = false
 		return nil
 	}
-	return ar.r.Prompt.Parts[:len(ar.r.Prompt.Parts)-1]
+	block := ar.f.Quarantine.Find(ar.sharedParts)
+	if block == nil {
+		return nil
+	}
+	return &runner.Error{RunState: answer.NotRun, Err: &blockedError{block: block}}
+}
+
+// reportSound reports that an engine began to answer the request at a time and did not crash.
+func (ar *activeRequest) reportSound(began time.Time) {
+	if ar.service.Engine != nil {
+		ar.f.Quarantine.ObserveSound(ar.sharedParts, began)
+	}
 }
 
 // reportBrokenOff reports an attempt that failed with err to the crash detector if its connection
-// may have broken because the target crashed. provedSound is set if the answer shows that the
+// may have broken because the target crashed. shownSound is set if the answer shows that the
 // request did not cause that.
-func (ar *activeRequest) reportBrokenOff(slot *placement.Slot, err error, provedSound bool) {
-	if ar.f.Crashes == nil || ar.service.Engine == nil || ar.ctx.Err() != nil || !upstream.BrokenOff(err) {
+func (ar *activeRequest) reportBrokenOff(slot *placement.Slot, err error, shownSound bool) {
+	if ar.service.Engine == nil || ar.ctx.Err() != nil || !upstream.BrokenOff(err) {
 		return
 	}
-	lost := crash.Lost{Service: ar.service.Name, Instance: slot.ID(), Addr: slot.Addr()}
-	if !provedSound {
-		for n, part := range ar.sharedParts() {
-			lost.Parts = append(lost.Parts, crash.Part{ID: part.ID, Position: n})
+	lost := crash.Lost{Service: ar.service.Name, Instance: slot.ID(), Addr: slot.Addr(), Incarnation: slot.Incarnation()}
+	if !shownSound {
+		for n, part := range ar.sharedParts {
+			lost.Parts = append(lost.Parts, crash.Part{ID: part, Position: n})
 		}
 	}
 	ar.f.Crashes.ConnectionLost(lost)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/workspace/plan"
@@ -35,7 +36,9 @@
 	Tokens *prepaid.Manager
 	// Placement chooses the instance for each attempt.
 	Placement *placement.Placement
-	// Crashes is informed of attempts whose connection broke; nil if crashes are not detected.
+	// Quarantine keeps prompts that crash engines away from them.
+	Quarantine *quarantine.Quarantine
+	// Crashes is informed of attempts at engines whose connection broke.
 	Crashes *crash.Detector
 	// RetryBudget limits the attempts beyond the first of each request.
 	RetryBudget *RetryBudget
@@ -130,6 +133,7 @@
 		timeout = r.Timeout
 	}
 	ar.deadline = r.Arrived.Add(timeout)
+	ar.findSharedParts()
 	return ar, nil
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -55,6 +55,7 @@
 	waitSinceEvent  time.Duration
 
 	attemptEventAt time.Time // when the first event of the current attempt arrived; zero before that
+	shownSound     bool      // the answer has shown that the prompt does not crash engines
 }
 
 func newStream(ar *activeRequest, sent *sentAttempt) *Stream {
@@ -70,6 +71,7 @@
 	for {
 		events, err := s.readEvents()
 		if len(events) > 0 {
+			s.checkSound(false)
 			n, writeErr := w.Write(events)
 			written += int64(n)
 			if writeErr != nil {
@@ -81,7 +83,7 @@
 			s.complete()
 			return written, nil
 		case err != nil:
-			s.request.reportBrokenOff(s.attempt.slot, err, s.provedSound())
+			s.request.reportBrokenOff(s.attempt.slot, err, s.shownSound)
 			if resumeErr := s.resume(err); resumeErr != nil {
 				return written, s.fail(resumeErr)
 			}
@@ -121,9 +123,13 @@
 	}
 }
 
-// provedSound reports whether the current attempt shows that the prompt does not crash engines.
-func (s *Stream) provedSound() bool {
-	return !s.attemptEventAt.IsZero() && time.Since(s.attemptEventAt) >= soundAfter
+// checkSound reports the prompt as harmless to engines once the current attempt shows that.
+func (s *Stream) checkSound(complete bool) {
+	if s.shownSound || s.attemptEventAt.IsZero() || !complete && time.Since(s.attemptEventAt) < soundAfter {
+		return
+	}
+	s.shownSound = true
+	s.request.reportSound(s.attemptEventAt)
 }
 
 // stallDeadline returns the time at which a stream that can be resumed at another instance
@@ -216,7 +222,7 @@
 	s.attempt = next
 	s.buf = s.buf[:0]
 	s.bytesSinceEvent, s.waitSinceEvent = 0, 0
-	s.attemptEventAt = time.Time{}
+	s.attemptEventAt, s.shownSound = time.Time{}, false
 	return nil
 }
 
@@ -234,6 +240,7 @@
 // complete ends a stream that was relayed to its end.
 func (s *Stream) complete() {
 	s.done = true
+	s.checkSound(true)
 	s.attempt.resp.Release()
 	s.reportTokenRate()
 	s.attempt.slot.End(placement.Served)
--- a/internal/target/crash/detector.go
+++ b/internal/target/crash/detector.go
@@ -23,8 +23,9 @@
 
 // Lost describes an attempt whose connection broke before its answer was complete.
 type Lost struct {
-	// Service, Instance and Addr identify the target.
-	Service, Instance, Addr string
+	// Service, Instance and Addr identify the target, and Incarnation its current process; it is
+	// empty if the targets do not tell.
+	Service, Instance, Addr, Incarnation string
 	// Parts are the shared parts of the prompt if they may have caused the crash; empty if the
 	// answer shows that they did not.
 	Parts []Part
@@ -32,12 +33,12 @@
 
 // Crash is the crash of a target, as far as this router's attempts show it.
 type Crash struct {
-	// Service, Instance and Addr identify the target.
-	Service, Instance, Addr string
+	// Service, Instance, Addr and Incarnation are those of the lost attempts.
+	Service, Instance, Addr, Incarnation string
 	// LostAttempts is the number of this router's attempts that were lost.
 	LostAttempts int
-	// Parts are the distinct parts of the prompts that may have caused the crash.
-	Parts []Part
+	// Prompts are the shared parts of each prompt that may have caused the crash.
+	Prompts [][]Part
 }
 
 // Detector reports crashes. A target has crashed if a connection to it breaks and its host then
@@ -83,14 +84,11 @@
 
 // merge returns the crash that lost the attempts, of which there is at least one.
 func merge(lost []Lost) Crash {
-	c := Crash{Service: lost[0].Service, Instance: lost[0].Instance, Addr: lost[0].Addr, LostAttempts: len(lost)}
-	seen := make(map[uint64]bool)
+	first := lost[0]
+	c := Crash{Service: first.Service, Instance: first.Instance, Addr: first.Addr, Incarnation: first.Incarnation, LostAttempts: len(lost)}
 	for _, l := range lost {
-		for _, part := range l.Parts {
-			if !seen[part.ID] {
-				seen[part.ID] = true
-				c.Parts = append(c.Parts, part)
-			}
+		if len(l.Parts) > 0 {
+			c.Prompts = append(c.Prompts, l.Parts)
 		}
 	}
 	return c
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -149,6 +150,11 @@
 // ID returns the ID of the instance.
 func (s *Slot) ID() string { return s.instance.ID }
 
+// Incarnation returns the ID and the start time of the instance, which change when it restarts.
+func (s *Slot) Incarnation() string {
+	return fmt.Sprintf("%s@%d", s.instance.ID, s.instance.StartedAt.UnixMilli())
+}
+
 // Addr returns the IP address and port of the instance.
 func (s *Slot) Addr() string { return s.instance.Addr }
 
