ctl explain blocks: what is kept from the engines, and why

On call, an operator gets from the logs of the routers to the blocked parts of prompts, the crashes that they had a share in and the number of refused requests. ctl explain of a refused request names the block.

--- a/internal/cmd/rosevalve/ctl.go
+++ b/internal/cmd/rosevalve/ctl.go
@@ -20,7 +20,8 @@
 router. Commands that destroy something ask for confirmation, or need --yes.
 
 The command explain asks no router: it reads the saved logs of edge processes and
-tells what became of a request, what was believed then, and the cause. The command
+tells what became of a request, what was believed then, and the cause; explain blocks
+tells which prompts are kept from the engines, and why. The command
 account tells from the same logs where a workspace's tokens went, life by life.
 
 EXAMPLES
@@ -29,6 +30,7 @@
   rosevalve ctl --file commands.txt
   rosevalve ctl --output json 'show bills where tokens > 1000'
   rosevalve ctl explain 2c1954a9aaceaa1a edge-1.log edge-2.log
+  rosevalve ctl explain blocks edge-1.log edge-2.log
   rosevalve ctl account gorenjska edge-1.log edge-2.log
   rosevalve ctl help`
 
--- a/internal/cmd/rosevalve/ctl_explain.go
+++ b/internal/cmd/rosevalve/ctl_explain.go
@@ -9,17 +9,24 @@
 	"rosevalve/internal/fleet/explain"
 )
 
-// explain prints the history of a request as reconstructed from saved logs. The arguments
-// are its id and the log files; without files a log is read from standard input.
+// explainBlocks is the argument of explain that stands for the blocked prompts in place of a request.
+const explainBlocks = "blocks"
+
+// explain prints the history of a request, or of the blocked prompts, as reconstructed from saved
+// logs. The arguments are the request's id, or explainBlocks, and the log files; without files a log
+// is read from standard input.
 func (c *ctl) explain(args []string) error {
 	if len(args) == 0 {
-		return fmt.Errorf("%w: explain needs the id of a request", errUsage)
+		return fmt.Errorf("%w: explain needs the id of a request, or %q", errUsage, explainBlocks)
 	}
 	logs, closeAll, err := c.openLogs(args[1:])
 	if err != nil {
 		return err
 	}
 	defer closeAll()
+	if args[0] == explainBlocks {
+		return c.explainBlocks(logs)
+	}
 	found, err := explain.FindRequest(args[0], logs)
 	if err != nil {
 		return fmt.Errorf("explain: %w", err)
@@ -28,6 +35,16 @@
 	return err
 }
 
+// explainBlocks prints which prompts are kept from the engines, and why.
+func (c *ctl) explainBlocks(logs []explain.Log) error {
+	blocks, err := explain.ReadBlocks(logs)
+	if err != nil {
+		return fmt.Errorf("explain blocks: %w", err)
+	}
+	_, err = blocks.WriteTo(c.stdout)
+	return err
+}
+
 // account prints what each router process did with the tokens of a workspace, according
 // to saved logs. The arguments are its name and the log files, as for explain.
 func (c *ctl) account(args []string) error {
--- a/internal/fleet/explain/cause.go
+++ b/internal/fleet/explain/cause.go
@@ -54,6 +54,8 @@
 		}
 		return fmt.Sprintf("Attempt %s at instance %s %s: %s%s.",
 			ended.str("attempt"), ended.str("instance"), ended.str("outcome"), ended.str("err"), whyNotRetried(request))
+	case "prompt_blocked":
+		return fmt.Sprintf("The request was not sent to protect the engines: %s; such requests are refused for %s ms at least.", last.str("err"), last.str("retry_after_ms"))
 	case "deadline_exceeded":
 		return fmt.Sprintf("The request's deadline expired after %s ms; %s.", last.str("took_ms"), describeProgress(request))
 	}
--- a/internal/fleet/explain/explain_test.go
+++ b/internal/fleet/explain/explain_test.go
@@ -35,6 +35,10 @@
 		log: sent + failed + logLine("02.000000", "repeat_denied", "requests", `,"request_id":"r1"`) +
 			logLine("02.000000", "request_refused", "requests", `,"request_id":"r1","code":"target_failed","status":502`),
 		want: "Attempt 1 at instance i-1 failed: read answer: EOF; the retry budget allowed no further attempt.",
+	}, {
+		name: "blocked prompt",
+		log:  logLine("01.000000", "request_refused", "requests", `,"request_id":"r1","code":"prompt_blocked","retry_after_ms":600000,"err":"prompts with the parts d crashed 5 engines"`),
+		want: "The request was not sent to protect the engines: prompts with the parts d crashed 5 engines; such requests are refused for 600000 ms at least.",
 	}, {
 		name: "late",
 		log:  sent + logLine("03.000000", "request_refused", "requests", `,"request_id":"r1","code":"deadline_exceeded","took_ms":2000`),
--- a/internal/fleet/explain/state.go
+++ b/internal/fleet/explain/state.go
@@ -32,6 +32,9 @@
 	case "peers":
 		return "peer " + l.str("peer")
 	case "targets":
+		if parts := l.str("parts"); parts != "" && l.event != "target_crashed" {
+			return "block " + parts
+		}
 		if strings.HasPrefix(l.event, "target_ejected") || strings.HasPrefix(l.event, "target_readmitted") {
 			return "health " + l.str("instance")
 		}
@@ -60,7 +63,7 @@
 	for subject, l := range s {
 		isStore := strings.HasPrefix(subject, "store ")
 		peerUnreachable := l.event == "peer_suspected" || l.event == "peer_lost"
-		if relevant[subject] || isStore || peerUnreachable {
+		if relevant[subject] || isStore || peerUnreachable || strings.HasPrefix(subject, "block ") && refusedByBlock(request) {
 			out = append(out, l)
 		}
 	}
@@ -68,4 +71,10 @@
 	return out
 }
 
+// refusedByBlock reports whether the request was refused because its prompt is blocked.
+func refusedByBlock(request []line) bool {
+	last, ok := lastOf(request, "request_refused")
+	return ok && last.str("code") == "prompt_blocked"
+}
+
 func byTime(a, b line) int { return a.at.Compare(b.at) }
