--- a/internal/standin/fault/listener.go
+++ b/internal/standin/fault/listener.go
@@ -1,9 +1,12 @@
 package fault
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Listener accepts connections that can be made silent.
@@ -24,6 +27,19 @@
 	}
 }
 
+// Crash closes all open connections and, if the listener is Restartable, refuses others for a time.
+func (l *Listener) Crash(downtime time.Duration) {
+	if r, ok := l.Listener.(*Restartable); ok {
+		r.RefuseFor(downtime)
+	}
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
 // Accept waits for the next connection and registers it for Silence.
 func (l *Listener) Accept() (net.Conn, error) {
 	netConn, err := l.Listener.Accept()
--- a/internal/standin/fault/restartable.go
+++ b/internal/standin/fault/restartable.go
@@ -1,4 +1,4 @@
-package standin
+package fault
 
 import (
 	"net"
@@ -11,9 +11,9 @@
 // relistenInterval is the time between attempts to listen again at an address.
 const relistenInterval = 5 * time.Millisecond
 
-// Listener is a TCP listener that can refuse connections for a time, like a host on which no
+// Restartable is a TCP listener that can refuse connections for a time, like a host on which no
 // process is running.
-type Listener struct {
+type Restartable struct {
 	addr net.Addr
 
 	mu      sync.Mutex    // guards the fields below
@@ -23,19 +23,19 @@
 }
 
 // Listen returns a listener at a TCP address.
-func Listen(addr string) (*Listener, error) {
+func Listen(addr string) (*Restartable, error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{addr: l.Addr(), current: l}, nil
+	return &Restartable{addr: l.Addr(), current: l}, nil
 }
 
 // Addr returns the address, which stays the same.
-func (l *Listener) Addr() net.Addr { return l.addr }
+func (l *Restartable) Addr() net.Addr { return l.addr }
 
 // Accept waits for a connection, also while connections are refused.
-func (l *Listener) Accept() (net.Conn, error) {
+func (l *Restartable) Accept() (net.Conn, error) {
 	for {
 		l.mu.Lock()
 		current, resumed, closed := l.current, l.resumed, l.closed
@@ -55,7 +55,7 @@
 }
 
 // RefuseFor refuses connections for a time. It has no effect while they are refused already.
-func (l *Listener) RefuseFor(d time.Duration) {
+func (l *Restartable) RefuseFor(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || l.resumed != nil {
@@ -67,14 +67,14 @@
 }
 
 // resume accepts connections again. It retries until the address is free.
-func (l *Listener) resume() {
+func (l *Restartable) resume() {
 	for !l.tryResume() {
 		time.Sleep(relistenInterval)
 	}
 }
 
 // tryResume listens at the address again and reports whether nothing is left to do.
-func (l *Listener) tryResume() bool {
+func (l *Restartable) tryResume() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -91,7 +91,7 @@
 }
 
 // Close closes the listener.
-func (l *Listener) Close() error {
+func (l *Restartable) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
