Chat side: keep messages away that crash engines

The parts of a chat prompt are its messages but the last. Routers of the chat side tell each other, write blocks to the table and poll it; show blocks lists them.

--- a/internal/fleet/router/request_tables.go
+++ b/internal/fleet/router/request_tables.go
@@ -21,6 +21,7 @@
 	r.peers.Handlers[inner.MethodRequests] = r.handleRequests
 	r.peers.Handlers[inner.MethodCancelRequest] = r.handleCancelRequest
 	r.executor.Requests = r.requestTable
+	r.executor.Blocks = r.blockTable
 	r.executor.CancelRequest = r.cancelRequest
 	r.executor.ExplainRequest = r.explainRequest
 	vms := &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: r.platformHTTP}
--- a/internal/fleet/router/requests.go
+++ b/internal/fleet/router/requests.go
@@ -33,6 +33,9 @@
 			Resume:  targetClient.Resume,
 			Cancel:  targetClient.Cancel,
 			Call:    targetClient.CallService,
+
+			Quarantine: r.quarantine,
+			Crashes:    r.crashes,
 		},
 		Claims:      &claim.Registry{Commit: r.table.Commit, Get: r.table.Get},
 		Entries:     r.entriesForCaller,
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -24,8 +24,10 @@
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/platform/vmlist"
 	"rosevalve/internal/request/gateway"
+	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/request/queue"
 	"rosevalve/internal/request/register"
+	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/pool"
 	"rosevalve/internal/target/report"
 	"rosevalve/internal/workspace/catalogue"
@@ -45,27 +47,30 @@
 	// Log receives the log messages of the process.
 	Log *log.Logger
 
-	id           string               // of this incarnation: the inner address, "#" and a random text
-	leaving      atomic.Bool          // set when this router has announced that it leaves; callers are sent to others
-	draining     atomic.Bool          // set when new requests are refused
-	platformHTTP *fasthttp.Client     // calls the platform's services
-	table        *relay.Table         // the platform's table, directly or through a peer
-	catalogue    *catalogue.Catalogue // the configuration
-	ledger       *ledger.Ledger       // the rows of budgets in the table
-	allotments   *allotment.Manager   // the tokens that this router has drawn from budgets
-	witness      *witness.Books       // the books that this router keeps as a witness for other routers
-	reclaimer    *reclaim.Reclaimer   // closes the holdings of dead routers
-	targets      *pool.Pool           // chooses a target for each attempt
-	queues       *queue.Queues        // requests that wait for a target
-	reports      *report.Poller       // reads the load and cache reports of targets
-	registry     *register.Registry   // the runs that this router knows
-	runLocator   *register.Directory  // finds which router runs a request
-	view         *membership.View     // the membership view of the fleet
-	vmWatcher    *vmlist.Watcher      // the platform's VM list
-	peers        *peer.Transport      // the connections to other routers
-	directory    *entry.Directory     // the routers that callers may use
-	gateway      *gateway.Gateway     // processes callers' requests
-	executor     *operator.Executor   // executes operator commands
+	id           string                 // of this incarnation: the inner address, "#" and a random text
+	leaving      atomic.Bool            // set when this router has announced that it leaves; callers are sent to others
+	draining     atomic.Bool            // set when new requests are refused
+	platformHTTP *fasthttp.Client       // calls the platform's services
+	table        *relay.Table           // the platform's table, directly or through a peer
+	catalogue    *catalogue.Catalogue   // the configuration
+	ledger       *ledger.Ledger         // the rows of budgets in the table
+	allotments   *allotment.Manager     // the tokens that this router has drawn from budgets
+	witness      *witness.Books         // the books that this router keeps as a witness for other routers
+	reclaimer    *reclaim.Reclaimer     // closes the holdings of dead routers
+	targets      *pool.Pool             // chooses a target for each attempt
+	queues       *queue.Queues          // requests that wait for a target
+	reports      *report.Poller         // reads the load and cache reports of targets
+	registry     *register.Registry     // the runs that this router knows
+	runLocator   *register.Directory    // finds which router runs a request
+	view         *membership.View       // the membership view of the fleet
+	vmWatcher    *vmlist.Watcher        // the platform's VM list
+	peers        *peer.Transport        // the connections to other routers
+	directory    *entry.Directory       // the routers that callers may use
+	quarantine   *quarantine.Quarantine // keeps prompts that crash engines away from them
+	blockPoller  *quarantine.Poller     // reads the blocks of other routers
+	crashes      *crash.Detector        // tells crashes of engines from broken connections
+	gateway      *gateway.Gateway       // processes callers' requests
+	executor     *operator.Executor     // executes operator commands
 }
 
 // Run serves callers, operators and other routers until ctx ends, then drains and
@@ -84,12 +89,14 @@
 	server := r.server()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 8)
+	failed := make(chan error, 10)
 	start := func(f func() error) {
 		go func() { failed <- f() }()
 	}
 	start(func() error { return r.catalogue.Run(background) })
 	start(func() error { return r.view.Run(background) })
+	start(func() error { return r.blockPoller.Run(background) })
+	start(func() error { return r.quarantine.Run(background) })
 	start(func() error { return r.runTargets(background) })
 	start(func() error { return r.vmWatcher.Run(background) })
 	start(func() error { return r.allotments.Run(background) })
@@ -113,6 +120,7 @@
 	r.buildBudgets()
 	r.buildFleet()
 	r.buildRunLocator()
+	r.buildQuarantine()
 	r.buildRequests()
 	r.addRequestCommands()
 }
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -56,6 +56,7 @@
 	body          []byte // as sent to the engine
 	bodyHash      uint64
 	prefix        uint64
+	sharedParts   []uint64
 }
 
 // Workspace returns the workspace that is charged for the request.
@@ -78,6 +79,9 @@
 // PrefixHash returns the hash of the beginning of the prompt, or zero for a short prompt.
 func (r *Request) PrefixHash() uint64 { return r.prefix }
 
+// SharedParts returns the ids of the parts of the prompt that other requests may share.
+func (r *Request) SharedParts() []uint64 { return r.sharedParts }
+
 // Stream reports whether the caller has requested a streamed answer.
 func (r *Request) Stream() bool { return r.stream }
 
@@ -144,6 +148,7 @@
 		urgent:        in.Priority != chat.PriorityLong,
 		bodyHash:      HashBody(body),
 		prefix:        chat.PrefixHash(in.Messages),
+		sharedParts:   chat.SharedParts(in.Messages),
 	}
 	engineBody, err := encodeForEngine(fields, r.maxCompletion)
 	if err != nil {
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -10,7 +10,9 @@
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/request/queue"
+	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/pool"
 	"rosevalve/internal/target/runner"
 )
@@ -38,6 +40,10 @@
 	// MayRetry reports whether a failed call to a plain service may be retried. If it is nil,
 	// calls that are idempotent or provably did not run may be.
 	MayRetry func(runState answer.RunState, idempotent bool) bool
+	// Quarantine keeps prompts that crash engines away from them, and Crashes is informed of
+	// attempts at engines that broke off; nil disables both.
+	Quarantine *quarantine.Quarantine
+	Crashes    *crash.Detector
 	// Retries limits the attempts beyond the first of each request.
 	Retries RetryBudget
 }
@@ -53,6 +59,8 @@
 	RunID string
 	// Body is the request body for the engine.
 	Body []byte
+	// SharedParts are the ids of the parts of the prompt that other requests may share.
+	SharedParts []uint64
 	// MaxPromptTokens is the largest number of tokens in the prompt. It is billed if the engine
 	// reports no usage.
 	MaxPromptTokens int64
@@ -85,6 +93,9 @@
 func (d *Dispatcher) Complete(ctx context.Context, c Completion) Outcome {
 	d.Retries.Deposit()
 	s := newRequestState(c)
+	if s.refusal = d.checkQuarantine(ctx, s); s.refusal != nil {
+		return s.failure(ctx)
+	}
 	if c.TakenOver.Target != "" {
 		if out, done := d.takeOver(ctx, s); done {
 			return out
@@ -102,6 +113,10 @@
 			break
 		}
 		exclude[slot.Addr()] = true
+		if d.blocked(s) {
+			slot.Release()
+			break
+		}
 		if !s.recordAttempt(slot.Addr(), attemptID(c.RunID, n)) {
 			slot.Release()
 			break
@@ -110,11 +125,13 @@
 		a.slot = slot
 		err := d.run(ctx, s, a, slot.Submit)
 		if err == nil {
+			d.reportSound(s, a)
 			return s.completed(a)
 		}
 		if ctx.Err() != nil {
 			return d.abandon(ctx, s, a)
 		}
+		d.reportBrokenOff(s, a)
 		s.recordFailure(a, d.Cancel)
 		lastErr = err
 	}
@@ -157,6 +174,7 @@
 func (d *Dispatcher) stream(ctx context.Context, s *requestState, a *attempt) error {
 	sink := func(ev runner.Event) error {
 		a.observeEvent(ev)
+		d.observeAnswer(s, a)
 		return s.deliver(a, ev)
 	}
 	var err error
--- a/internal/request/dispatch/request_state.go
+++ b/internal/request/dispatch/request_state.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -32,7 +33,8 @@
 	answerBegun atomic.Bool     // the caller has received a text event
 	runState    answer.RunState // of the failed attempts together
 	usage       chat.Usage      // of the last attempt that ran
-	refusal     *answer.Error   // of Acquire; nil if it refused no attempt
+	refusal     *answer.Error   // of Acquire or the quarantine; nil if neither refused an attempt
+	trial       bool            // the next attempt is sent although its prompt is blocked
 }
 
 // attempt is one run of the request at one target.
@@ -43,6 +45,8 @@
 	takenOver    bool          // another router began the run
 	answerID     []byte        // id of the answer in the first event of the run
 	mayHaveBegun bool          // the run may have begun before the most recent request for it was sent
+	answerAt     time.Time     // when the first text event of the run arrived; zero before that
+	shownSound   bool          // the run has shown that the prompt does not crash engines
 	textEvents   int           // number of text events received from this run, also by the router that began it
 	finished     bool          // the run has sent the event with the finish reason
 	usage        *chat.Usage   // as billed; nil if the run has reported none
--- a/internal/request/forward/crash.go
+++ b/internal/request/forward/crash.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,14 +17,11 @@
 type blockedError struct{ block *quarantine.Block }
 
 // Error names the parts of the prompt and the crashes that are the reason.
-func (e *blockedError) Error() string {
-	r := e.block.Record()
-	return fmt.Sprintf("prompts with the parts %s crashed %d engines of service %q", e.block.PartNames(), r.Crashes, r.Service)
-}
+func (e *blockedError) Error() string { return e.block.Reason() }
 
 // refusal returns the answer to a request that has not been sent because of the block.
 func (e *blockedError) refusal() *answer.Error {
-	return answer.Retryable(fasthttp.StatusServiceUnavailable, "prompt_blocked", e.block.RetryAfter(time.Now()), "the request is not sent: %v", e)
+	return answer.Retryable(fasthttp.StatusServiceUnavailable, quarantine.RefusalCode, e.block.RetryAfter(time.Now()), "the request is not sent: %v", e)
 }
 
 // findSharedParts sets sharedParts for a request to a model engine: all parts but the last.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/placement"
 )
 
@@ -22,9 +23,6 @@
 	// maxBytesWithoutEvent is the number of bytes that a stream may send without a numbered
 	// event.
 	maxBytesWithoutEvent = 64 << 10
-	// soundAfter is how long after its first event an answer must still be running to show that
-	// its prompt does not crash engines, which it would do at the first event.
-	soundAfter = 500 * time.Millisecond
 )
 
 var (
@@ -125,7 +123,7 @@
 
 // checkSound reports the prompt as harmless to engines once the current attempt shows that.
 func (s *Stream) checkSound(complete bool) {
-	if s.shownSound || s.attemptEventAt.IsZero() || !complete && time.Since(s.attemptEventAt) < soundAfter {
+	if s.shownSound || s.attemptEventAt.IsZero() || !complete && time.Since(s.attemptEventAt) < quarantine.SoundAfter {
 		return
 	}
 	s.shownSound = true
--- a/internal/request/gateway/completion.go
+++ b/internal/request/gateway/completion.go
@@ -78,6 +78,7 @@
 		Ticket:              completionQueueRequest(req),
 		RunID:               run.ID(),
 		Body:                req.Body(),
+		SharedParts:         req.SharedParts(),
 		MaxPromptTokens:     req.MaxPromptTokens(),
 		MaxCompletionTokens: req.MaxTotalTokens() - req.MaxPromptTokens(),
 		Delivered:           run.Log().Events(),
--- a/internal/request/quarantine/block.go
+++ b/internal/request/quarantine/block.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -43,6 +44,18 @@
 // Record returns the reason for the block.
 func (b *Block) Record() inner.BlockRecord { return b.record }
 
+// RefusalCode is the code of the answer to a request that is not sent because of a block.
+const RefusalCode = "prompt_blocked"
+
+// SoundAfter is how long after its first event an answer must still be running to show that its
+// prompt does not crash engines, which it would do at the first event.
+const SoundAfter = 500 * time.Millisecond
+
+// Reason describes the crashes that are the reason for the block.
+func (b *Block) Reason() string {
+	return fmt.Sprintf("prompts with the parts %s crashed %d engines of service %q", b.PartNames(), b.record.Crashes, b.record.Service)
+}
+
 // Saved reports whether the store holds the block as it is.
 func (b *Block) Saved() bool { return !b.unsaved }
 
--- a/internal/request/quarantine/store.go
+++ b/internal/request/quarantine/store.go
@@ -243,3 +243,13 @@
 	}
 	q.evidence.explain(record.Parts)
 }
+
+// sleep waits for a time and reports whether ctx has not ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,12 +1,14 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"net"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -68,6 +70,8 @@
 	Generated map[string]int64 `json:"generated"`
 	// Prompt is the number of prompt tokens processed, by run id.
 	Prompt map[string]int64 `json:"prompt"`
+	// Crashes is the number of crashes because of Fault.CrashOn.
+	Crashes int64 `json:"crashes"`
 	// Declined is the number of completions refused because of a fault or a full queue.
 	Declined int64 `json:"declined"`
 	// Cancelled is the number of runs cancelled.
@@ -89,6 +93,7 @@
 	promptTokens int64
 	maxTokens    int64
 	urgent       bool
+	shared       string        // contents of the messages but the last
 	prefixHash   uint64        // zero if the prompt is too short to cache
 	arrival      int64         // arrival number, by which runs of equal urgency queue
 	slotAssigned chan struct{} // closed when the run gets a slot
@@ -231,6 +236,7 @@
 		model:        in.Model,
 		promptTokens: prompt,
 		maxTokens:    maxTokens,
+		shared:       string(bytes.Join(contents[:max(0, len(contents)-1)], nil)),
 		urgent:       in.Priority != chat.PriorityLong,
 		prefixHash:   chat.PrefixHash(in.Messages),
 		slotAssigned: make(chan struct{}),
@@ -304,6 +310,10 @@
 	if !s.prefill(r) {
 		return
 	}
+	if f := s.currentFault(); f.CrashOn != "" && strings.Contains(r.shared, f.CrashOn) {
+		s.crash(time.Duration(f.CrashMs) * time.Millisecond)
+		return
+	}
 	tick := time.NewTicker(s.currentTokenInterval())
 	defer tick.Stop()
 	for {
@@ -319,6 +329,19 @@
 	}
 }
 
+// crash closes all connections, refuses others for a time and forgets all runs.
+func (s *Server) crash(downtime time.Duration) {
+	s.conns.Crash(downtime)
+	s.mu.Lock()
+	s.counts.Crashes++
+	runs := s.runs
+	s.runs = make(map[string]*run)
+	s.mu.Unlock()
+	for _, r := range runs {
+		s.cancelRun(r)
+	}
+}
+
 // generateToken adds one token and reports whether the run has ended.
 func (r *run) generateToken() bool {
 	r.mu.Lock()
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -37,6 +37,10 @@
 	WrongUsage bool `json:"wrong_usage"`
 	// NoUsage omits the usage event.
 	NoUsage bool `json:"no_usage"`
+	// CrashOn, unless empty, makes the engine crash when it begins to answer a prompt of which a
+	// message other than the last contains this text. It is away for CrashMs milliseconds.
+	CrashOn string `json:"crash_on"`
+	CrashMs int64  `json:"crash_ms"`
 	// StallMs delays the header of each answer, in milliseconds.
 	StallMs int64 `json:"stall_ms"`
 }
--- a/internal/workspace/operator/execute.go
+++ b/internal/workspace/operator/execute.go
@@ -51,6 +51,8 @@
 	QueryVersions func(ctx context.Context) []RouterVersion
 	// Requests returns the requests in flight.
 	Requests func(ctx context.Context) (Table, error)
+	// Blocks lists the prompts that are kept from the engines, and why.
+	Blocks func(ctx context.Context) (Table, error)
 	// Holdings returns the budget tokens held by routers, for all holdings or only those in doubt.
 	Holdings func(ctx context.Context, inDoubt bool) (Table, error)
 	// VMs returns the platform's VMs.
--- a/internal/workspace/operator/show.go
+++ b/internal/workspace/operator/show.go
@@ -11,7 +11,7 @@
 
 const (
 	// showKinds are the kinds of rows that show lists.
-	showKinds = "workspaces, budgets, holdings, bills, requests, targets, vms, routers, services, models, commands, config, operators"
+	showKinds = "workspaces, budgets, holdings, bills, requests, blocks, targets, vms, routers, services, models, commands, config, operators"
 	// maxAuditRecords bounds the records of the audit trail in one result.
 	maxAuditRecords = 500
 )
@@ -75,6 +75,8 @@
 		source = e.Routers
 	case "requests":
 		source = e.Requests
+	case "blocks":
+		source = e.Blocks
 	case "vms":
 		source = e.VMs
 	case "holdings":
