A stream without length, chunks or event is no complete answer

What callers saw: an empty answer with status 200 if an engine ended right after the header of a stream that has neither a length nor chunks.

Cause: the end of the connection is the end of such a body, and an empty one was taken for whole. It is taken for broken now if no event came; one that ends inside an event was, already.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -112,7 +112,7 @@
 		if s.bytesSinceEvent > maxBytesWithoutEvent {
 			return events, fmt.Errorf("%w in the last %d bytes", errNoEvent, s.bytesSinceEvent)
 		}
-		if errors.Is(err, io.EOF) && len(events) < len(s.buf) {
+		if errors.Is(err, io.EOF) && (len(events) < len(s.buf) || s.endedBeforeAnswer()) {
 			err = io.ErrUnexpectedEOF
 		}
 		if len(events) > 0 || err != nil {
@@ -130,6 +130,12 @@
 	s.request.reportSound(s.attemptEventAt)
 }
 
+// endedBeforeAnswer reports whether the attempt, which has ended, sent nothing that shows that its
+// answer had begun, nor an explicit end.
+func (s *Stream) endedBeforeAnswer() bool {
+	return s.attemptEventAt.IsZero() && !s.attempt.resp.HasExplicitEnd()
+}
+
 // stallDeadline returns the time at which a stream that can be resumed at another instance
 // counts as stalled, or the zero time for other streams. Data without a numbered event does
 // not extend it.
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -205,6 +205,10 @@
 // Header returns the header of the response; it is valid until the response is ended.
 func (r *Response) Header() *fasthttp.ResponseHeader { return &r.resp.Header }
 
+// HasExplicitEnd reports whether the body has a length or is chunked. Otherwise it ends with the
+// connection, also if the target has failed.
+func (r *Response) HasExplicitEnd() bool { return r.resp.Header.ContentLength() >= -1 }
+
 // Reused reports whether the connection came from the idle connections of the pool or had
 // carried an exchange before.
 func (r *Response) Reused() bool { return r.conn.reused }
@@ -307,7 +311,7 @@
 func (r *Response) releaseConn() *pooledConn {
 	conn := r.conn
 	usable := r.stopAfterFunc() && !r.mismatchSeen && r.requestWritten() && !r.resp.Header.ConnectionClose() &&
-		r.resp.Header.ContentLength() >= -1 && conn.br.Buffered() == 0
+		r.HasExplicitEnd() && conn.br.Buffered() == 0
 	if !usable {
 		r.closeConn()
 		conn = nil
