--- a/internal/fleet/edge/quarantine.go
+++ b/internal/fleet/edge/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/platform/table"
@@ -12,6 +13,10 @@
 	"rosevalve/internal/request/quarantine"
 )
 
+// blockPollWait is how long the store holds a poll for blocks open. Other routers tell this one of
+// crashes too, so that it may be longer than for other tables and costs the store little.
+const blockPollWait = 8 * time.Second
+
 // tableBlocks is the store's table of blocks of the quarantine.
 const tableBlocks = "quarantine"
 
@@ -28,6 +33,7 @@
 		OnEvent: e.recordQuarantineEvent,
 	}
 	e.blockTable = e.follow(tableBlocks, e.quarantine.ApplyRows)
+	e.blockTable.PollWait = blockPollWait
 }
 
 // broadcastQuarantineNews sends news to limit random other routers, or to all of them if limit is 0.
--- a/internal/fleet/router/quarantine.go
+++ b/internal/fleet/router/quarantine.go
@@ -36,10 +36,12 @@
 		},
 	}
 	r.blockPoller = &quarantine.Poller{
-		Prefix:  blockPrefix,
-		Scan:    r.table.Scan,
-		Apply:   r.quarantine.ApplyRows,
-		OnError: func(err error) { r.Log.Debug("blocks not read", "err", err) },
+		Prefix: blockPrefix,
+		Scan:   r.table.Scan,
+		Apply:  r.quarantine.ApplyRows,
+
+		RouterCount: func() int { return len(r.view.Members()) },
+		OnError:     func(err error) { r.Log.Debug("blocks not read", "err", err) },
 	}
 	r.crashes = &crash.Detector{Refuses: refusesConnections, OnCrash: r.recordCrash}
 	r.peers.Handlers[inner.MethodQuarantine] = r.handleQuarantineNews
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// pollWait is how long the store holds a poll open when there is no change. It bounds how
-	// long a silently broken connection goes unnoticed, and the time to read one page.
-	pollWait = 2 * time.Second
+	// defaultPollWait is the default of Table.PollWait, and readTimeout the time to read one page.
+	defaultPollWait = 2 * time.Second
+	readTimeout     = 2 * time.Second
 	// pollMargin is how long the answer to a poll may take beyond the wait at the store.
 	pollMargin = 300 * time.Millisecond
 	// initialBackoff and maxBackoff bound the mean delay after a failed call; the actual delay
@@ -37,6 +37,9 @@
 	Read func(ctx context.Context, r table.Range) (table.Page, error)
 	// Watch returns the changes after a version. It waits at most the given time for one.
 	Watch func(ctx context.Context, name string, since uint64, wait time.Duration) (table.Page, error)
+	// PollWait is how long the store holds a poll open when there is no change; 0 selects 2 s. It
+	// bounds how long a silently broken connection goes unnoticed.
+	PollWait time.Duration
 	// RequestRows sends a request for rows to the router at addr, or to any router if addr is empty.
 	RequestRows func(ctx context.Context, addr string, in inner.FollowRequest) (inner.FollowResponse, error)
 	// Newer reports whether the content of row a is newer than that of row b, whatever their
@@ -99,6 +102,9 @@
 // Init initializes the table. It must be called before any other method.
 func (t *Table) Init() {
 	t.peerHints = make(chan string, 1)
+	if t.PollWait == 0 {
+		t.PollWait = defaultPollWait
+	}
 	now := time.Now()
 	t.lastConfirmed.Store(&now)
 }
@@ -139,10 +145,10 @@
 	if !loaded {
 		return t.load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
+	wait := t.PollWait
+	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
 	defer cancel()
 	t.cancelPoll.Store(&cancel)
-	wait := pollWait
 	if t.failing.Load() {
 		// Any answer shows that the store has recovered, so the poll need not wait for a change.
 		wait = 0
@@ -231,7 +237,7 @@
 }
 
 func (t *Table) read(ctx context.Context, r table.Range) (table.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return t.Read(ctx, r)
 }
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -213,7 +213,7 @@
 		c := startFollower(t, s, nil)
 		time.Sleep(time.Millisecond)
 		s.setFaults(true, false)
-		time.Sleep(pollWait + time.Second)
+		time.Sleep(defaultPollWait + time.Second)
 		s.put("a", "")
 		s.compact()
 		s.setFaults(false, false)
@@ -235,10 +235,10 @@
 		})
 		time.Sleep(time.Millisecond)
 		refusing.setFaults(false, true)
-		time.Sleep(pollWait)
+		time.Sleep(defaultPollWait)
 		healthy.put("a", "")
 		healthy.put("c", "3")
-		time.Sleep(pollWait)
+		time.Sleep(defaultPollWait)
 		c.assertRows(t, map[string]string{"b": "2", "c": "3"})
 	})
 }
@@ -252,14 +252,14 @@
 		_, failedBefore := c.RecoveredAt()
 		assert.Assert(t, !failedBefore)
 		s.setFaults(true, false)
-		time.Sleep(3 * pollWait)
+		time.Sleep(3 * defaultPollWait)
 		assert.Assert(t, c.Failing())
 		s.setFaults(false, false)
 		// The first poll that succeeds starts within the longest call and backoff after the store
 		// answers again. When it ends, it proves that the store was reachable from its start on.
-		time.Sleep(pollWait + pollMargin + maxBackoff + pollWait + time.Millisecond)
+		time.Sleep(defaultPollWait + pollMargin + maxBackoff + defaultPollWait + time.Millisecond)
 		recoveredAt, _ := c.RecoveredAt()
-		assert.Assert(t, time.Since(recoveredAt) >= pollWait, "recovered %v ago", time.Since(recoveredAt))
+		assert.Assert(t, time.Since(recoveredAt) >= defaultPollWait, "recovered %v ago", time.Since(recoveredAt))
 	})
 }
 
@@ -354,7 +354,7 @@
 		unreachable.setFaults(false, true)
 		s.rollBack(0)
 		s.put("b", "1")
-		time.Sleep(4 * pollWait)
+		time.Sleep(4 * defaultPollWait)
 		c.assertRows(t, map[string]string{"b": "1"})
 	})
 }
--- a/internal/request/quarantine/poll.go
+++ b/internal/request/quarantine/poll.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	pollInterval = time.Second
-	pollPage     = 200 // rows
+	// minPollInterval is the time between two polls. In a fleet of more than pollsPerSecond routers it
+	// is longer, so that all together make that many polls.
+	minPollInterval = time.Second
+	pollsPerSecond  = 200
+	pollPage        = 200 // rows
 )
 
 // Poller reads the rows of a store without a change feed and passes on those that have changed.
@@ -22,6 +25,8 @@
 	Scan func(ctx context.Context, prefix, after string, limit int) ([]table.Row, error)
 	// Apply receives the rows that have changed, without the prefix.
 	Apply func(rows []table.Row, rolledBack bool)
+	// RouterCount returns the number of routers in the fleet.
+	RouterCount func() int
 	// OnError is called when the rows cannot be read; the next poll tries again.
 	OnError func(err error)
 
@@ -34,7 +39,8 @@
 		if err := p.poll(ctx); err != nil && ctx.Err() == nil {
 			p.OnError(err)
 		}
-		if !sleep(ctx, pollInterval) {
+		interval := max(minPollInterval, time.Duration(p.RouterCount())*time.Second/pollsPerSecond)
+		if !sleep(ctx, interval) {
 			return nil
 		}
 	}
