Quarantine: one router of many writes; known crashes keep their cleared parts

At each check about one router renews, rewrites and removes rows, where all did so at once: a fleet of 1,100 would exceed the store's writes. A crash row that repeats a known crash no longer brings back parts that were cleared here. A long prompt no longer keeps others out of a crash's suspects.

--- a/internal/request/quarantine/crashrow.go
+++ b/internal/request/quarantine/crashrow.go
@@ -76,16 +76,22 @@
 		return
 	}
 	q.crashRows[row.Key] = row.Version
-	c, isNew := q.evidence.add(time.Now(), &report)
-	c.rowVersion = row.Version
-	if isNew {
-		q.judgeLater(c)
+	if c := q.evidence.findCrash(report.At, &report); c != nil {
+		// Its parts may have been cleared here since the row was written.
+		c.rowVersion = row.Version
+		return
 	}
+	c, _ := q.evidence.add(time.Now(), &report)
+	c.rowVersion = row.Version
+	q.judgeLater(c)
 }
 
 // removeOldCrashes removes the rows of crashes that say nothing more: those that a block explains,
 // whose suspects were cleared, or that are too old.
 func (q *Quarantine) removeOldCrashes(ctx context.Context) {
+	if !q.chosen() {
+		return
+	}
 	q.mu.Lock()
 	old := maps.Clone(q.crashRows)
 	q.evidence.trim(time.Now())
--- a/internal/request/quarantine/evidence.go
+++ b/internal/request/quarantine/evidence.go
@@ -20,10 +20,10 @@
 	// minAge is how long after its first crash a part is not blamed yet, so that engines have time to
 	// answer prompts with it.
 	minAge = 2 * time.Second
-	// minEpisodesSameAddr is the same if all crashes were at one address, where the engine itself
+	// minEpisodesSameAddr is the number of episodes if all crashes were at one address, where the engine itself
 	// may be faulty.
 	minEpisodesSameAddr = 6
-	// minEpisodesBlocked is the same for a part that is blocked together with others already.
+	// minEpisodesBlocked is the number of crashes and episodes for a part that is blocked together with others already.
 	minEpisodesBlocked = 2
 	// maxChance bounds the chance that all requests with a sound part were lost by accident, at the
 	// rate at which other requests were lost within lossWindow.
@@ -108,9 +108,10 @@
 		if c.hasPrompt(prompt) {
 			continue
 		}
-		if c.suspectCount += len(prompt); c.suspectCount > maxSuspects {
-			break
+		if c.suspectCount+len(prompt) > maxSuspects {
+			continue
 		}
+		c.suspectCount += len(prompt)
 		c.prompts = append(c.prompts, slices.Clone(prompt))
 	}
 	return c, isNew
--- a/internal/request/quarantine/store.go
+++ b/internal/request/quarantine/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -45,8 +46,10 @@
 			q.endQuiet(b)
 		case b.unsaved:
 			unwritten = append(unwritten, b.record)
-			q.write(ctx, b)
-		case b.needsRenewal(now):
+			if q.chosen() {
+				q.write(ctx, b)
+			}
+		case b.needsRenewal(now) && q.chosen():
 			record := b.record
 			record.Renewals++
 			_ = q.rewrite(ctx, b, record)
@@ -56,11 +59,17 @@
 		q.Broadcast(inner.QuarantineNews{Blocks: unwritten}, gossipPeers)
 	}
 	for key, r := range q.pendingRemovals() {
-		q.removeRow(ctx, key, r)
+		if q.chosen() {
+			q.removeRow(ctx, key, r)
+		}
 	}
 	q.removeOldCrashes(ctx)
 }
 
+// chosen reports whether this router does what one router has to do. At each check about one router of
+// the fleet is chosen at random.
+func (q *Quarantine) chosen() bool { return rand.IntN(max(1, q.RouterCount())) == 0 }
+
 func (q *Quarantine) endQuiet(b *Block) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
