Quarantine: companions never stand in the way of a block

A part that crashed engines also beside other parts got a new set of companions in place of the old one, which let the first prompts through again; and three companions that never all come together were a condition that no prompt meets, with a loop that holds the lock. Only companions of both sets stay now, and a set that explains no crash is dropped. Found by reading; both cases are in TestBlocks.

--- a/internal/request/quarantine/evidence.go
+++ b/internal/request/quarantine/evidence.go
@@ -227,11 +227,15 @@
 }
 
 // explain marks the crashes that a block with the parts explains, so that they speak against no
-// other part.
-func (e *evidence) explain(parts []uint64) {
+// other part. It reports whether there are any that no block explained before.
+func (e *evidence) explain(parts []uint64) bool {
+	found := false
 	for _, c := range e.crashes {
-		c.explained = c.explained || slices.ContainsFunc(c.prompts, func(prompt []inner.SuspectPart) bool { return hasAllParts(prompt, parts) })
+		if !c.explained && slices.ContainsFunc(c.prompts, func(prompt []inner.SuspectPart) bool { return hasAllParts(prompt, parts) }) {
+			c.explained, found = true, true
+		}
 	}
+	return found
 }
 
 // hasPart reports whether a prompt has a part.
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -225,20 +225,36 @@
 		if !found {
 			return lacksAnswers
 		}
-		record := inner.BlockRecord{
-			Parts: append([]uint64{cause.part}, cause.companions()...), Service: c.service, Addrs: cause.addrs[:min(len(cause.addrs), maxRecordAddrs)],
-			Crashes: cause.crashes, Router: q.Router, Since: time.Now().UTC(),
-		}
-		q.evidence.explain(record.Parts)
-		b := newBlock(record, 0, time.Now())
-		if old, ok := (*q.blocks.Load())[b.key()]; ok {
-			// The part crashes engines also beside other parts.
-			b = old.unsavedWith(record, old.version, time.Now())
+		q.block(cause, c.service)
+	}
+}
+
+// block blocks the prompts with a part and its companions. The caller holds mu.
+func (q *Quarantine) block(cause caseAgainst, service string) {
+	old, known := (*q.blocks.Load())[cause.part]
+	parts := []uint64{cause.part}
+	for _, part := range cause.companions() {
+		// A part that crashes engines also without a companion is blocked without it.
+		if !known || slices.Contains(old.record.Parts, part) {
+			parts = append(parts, part)
 		}
-		q.put(b)
-		q.emit(Event{Kind: Blocked, Record: record})
-		q.writeLater(b.key())
 	}
+	if !q.evidence.explain(parts) {
+		// No prompt has all companions at once.
+		parts = parts[:1]
+		q.evidence.explain(parts)
+	}
+	record := inner.BlockRecord{
+		Parts: parts, Service: service, Addrs: cause.addrs[:min(len(cause.addrs), maxRecordAddrs)],
+		Crashes: cause.crashes, Router: q.Router, Since: time.Now().UTC(),
+	}
+	b := newBlock(record, 0, time.Now())
+	if known {
+		b = old.unsavedWith(record, old.version, time.Now())
+	}
+	q.put(b)
+	q.emit(Event{Kind: Blocked, Record: record})
+	q.writeLater(b.key())
 }
 
 // blocked reports whether a part is among the parts of a block. The caller holds mu.
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -20,6 +20,8 @@
 type fixture struct {
 	*Quarantine
 
+	crashes int // simulated so far
+
 	state   sync.Mutex // guards the fields below
 	rows    map[string]table.Row
 	version uint64
@@ -85,8 +87,9 @@
 	for n, part := range parts {
 		prompt = append(prompt, crash.Part{ID: part, Position: n})
 	}
-	for n := range count {
-		f.ObserveCrash(crash.Crash{Service: "e", Addr: fmt.Sprint("engine-", n), Incarnation: fmt.Sprint(time.Now()), Prompts: [][]crash.Part{prompt}})
+	for range count {
+		f.crashes++
+		f.ObserveCrash(crash.Crash{Service: "e", Addr: fmt.Sprint("engine-", f.crashes), Incarnation: fmt.Sprint(time.Now()), Prompts: [][]crash.Part{prompt}})
 		time.Sleep(time.Second)
 	}
 }
@@ -128,6 +131,22 @@
 			assert.Assert(t, f.Find([]uint64{1, 2}) != nil)
 			assert.Assert(t, f.Find([]uint64{1, 3}) == nil)
 		},
+		"a part that goes on crashing engines without its companion is blocked alone": func(t *testing.T, f *fixture) {
+			f.crashEngines(5, 1, 2)
+			f.crashEngines(3, 3, 2)
+			assertBlocked(t, f, "2")
+			assert.Assert(t, f.Find([]uint64{1, 2}) != nil)
+		},
+		"companions that never come together are no condition": func(t *testing.T, f *fixture) {
+			for range 4 {
+				for _, companions := range [][]uint64{{11, 12}, {11, 13}, {12, 13}} {
+					f.crashEngines(1, append(companions, 20)...)
+				}
+			}
+			assert.Assert(t, f.Find([]uint64{11, 12, 20}) != nil)
+			assert.Assert(t, f.Find([]uint64{11, 13, 20}) != nil)
+			assert.Assert(t, f.Find([]uint64{12, 13, 20}) != nil)
+		},
 		"a part that is answered alone is no longer blocked": func(t *testing.T, f *fixture) {
 			f.crashEngines(5, 1, 2)
 			f.ObserveSound([]uint64{1, 3}, time.Now())
