--- a/internal/request/quarantine/fleet_test.go
+++ b/internal/request/quarantine/fleet_test.go
@@ -32,8 +32,7 @@
 type simulation struct {
 	mu       sync.Mutex // guards the fields below
 	rng      *rand.Rand
-	store    map[string]table.Row
-	version  uint64
+	store    testStore
 	storeUp  bool
 	routers  []*simRouter
 	engines  []*simEngine
@@ -71,7 +70,7 @@
 
 func newSimulation(seed uint64, routers, engines int) *simulation {
 	s := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), store: make(map[string]table.Row), storeUp: true, harmful: make(map[uint64]*harm), lastPart: 1 << 20,
+		rng: rand.New(rand.NewPCG(seed, 1)), store: testStore{rows: make(map[string]table.Row)}, storeUp: true, harmful: make(map[uint64]*harm), lastPart: 1 << 20,
 	}
 	for n := range routers {
 		s.routers = append(s.routers, &simRouter{number: n})
@@ -94,7 +93,7 @@
 	s.mu.Lock()
 	r.q, r.stop, r.excusedAt = q, stop, time.Now()
 	var rows []table.Row
-	for _, row := range s.store {
+	for _, row := range s.store.rows {
 		rows = append(rows, row)
 	}
 	s.mu.Unlock()
@@ -142,18 +141,9 @@
 	if !s.storeUp || r.cut {
 		return 0, table.ErrUnavailable
 	}
-	condition, put := c.Conditions[0], c.Puts[0]
-	if current, ok := s.store[condition.Key]; current.Version != condition.Version {
-		conflict := &table.ConflictError{}
-		if ok {
-			conflict.Rows = []table.Row{current}
-		}
-		return 0, conflict
-	}
-	s.version++
-	row := table.Row{Location: put.Location, Version: s.version, Value: put.Value, Deleted: put.Delete}
-	if delete(s.store, put.Key); !put.Delete {
-		s.store[put.Key] = row
+	row, err := s.store.apply(c)
+	if err != nil {
+		return 0, err
 	}
 	for _, to := range s.routers {
 		if !to.cut {
@@ -161,7 +151,7 @@
 			time.AfterFunc(20*time.Millisecond, func() { q.ApplyRows([]table.Row{row}, false) })
 		}
 	}
-	return s.version, nil
+	return row.Version, nil
 }
 
 // crash ends the incarnation of an engine, which comes back later.
@@ -419,7 +409,7 @@
 	r.cut, r.excusedAt = cut, time.Now()
 	q := r.q
 	var rows []table.Row
-	for _, row := range s.store {
+	for _, row := range s.store.rows {
 		rows = append(rows, row)
 	}
 	s.mu.Unlock()
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -23,8 +23,7 @@
 	crashes int // simulated so far
 
 	state   sync.Mutex // guards the fields below
-	rows    map[string]table.Row
-	version uint64
+	store   testStore
 	down    bool // the store is
 	news    []inner.QuarantineNews
 	reasons []string // of the blocks that have ended
@@ -32,7 +31,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{rows: make(map[string]table.Row)}
+	f := &fixture{store: testStore{rows: make(map[string]table.Row)}}
 	f.Quarantine = &Quarantine{
 		Router: "r", RouterCount: func() int { return 1 },
 		Broadcast: func(news inner.QuarantineNews, _ int) {
@@ -66,19 +65,8 @@
 	if f.down {
 		return 0, table.ErrUnavailable
 	}
-	condition, put := c.Conditions[0], c.Puts[0]
-	if current, ok := f.rows[condition.Key]; current.Version != condition.Version {
-		conflict := &table.ConflictError{}
-		if ok {
-			conflict.Rows = []table.Row{current}
-		}
-		return 0, conflict
-	}
-	f.version++
-	if delete(f.rows, put.Key); !put.Delete {
-		f.rows[put.Key] = table.Row{Location: put.Location, Version: f.version, Value: put.Value}
-	}
-	return f.version, nil
+	row, err := f.store.apply(c)
+	return row.Version, err
 }
 
 // crashEngines lets count engines crash, one a second, each with a prompt of the parts.
@@ -105,7 +93,7 @@
 func (f *fixture) hasRow(key string) bool {
 	f.state.Lock()
 	defer f.state.Unlock()
-	_, ok := f.rows[key]
+	_, ok := f.store.rows[key]
 	return ok
 }
 
@@ -225,8 +213,8 @@
 		"the store's row goes before an own block": func(t *testing.T, f *fixture) {
 			value, err := json.Marshal(inner.BlockRecord{Parts: []uint64{2}, Router: "other"})
 			assert.NilError(t, err)
-			f.version++
-			f.rows["2"] = table.Row{Location: table.Location{Key: "2"}, Version: f.version, Value: value}
+			f.store.version++
+			f.store.rows["2"] = table.Row{Location: table.Location{Key: "2"}, Version: f.store.version, Value: value}
 			f.crashEngines(5, 2)
 			time.Sleep(time.Second)
 			assert.Equal(t, f.Blocks()[0].Record().Router, "other")
@@ -234,7 +222,7 @@
 		"a block that a restored store lacks is written again": func(t *testing.T, f *fixture) {
 			f.crashEngines(5, 2)
 			f.state.Lock()
-			delete(f.rows, "2")
+			delete(f.store.rows, "2")
 			f.state.Unlock()
 			f.ApplyRows([]table.Row{{Location: table.Location{Key: "2"}, Deleted: true}}, true)
 			time.Sleep(2 * time.Second)
@@ -290,6 +278,6 @@
 		time.Sleep(10 * time.Second)
 		f.state.Lock()
 		defer f.state.Unlock()
-		assert.Assert(t, len(f.rows) <= maxBlocks+maxCrashes, "%d rows in the store", len(f.rows))
+		assert.Assert(t, len(f.store.rows) <= maxBlocks+maxCrashes, "%d rows in the store", len(f.store.rows))
 	})
 }
