Quarantine: a crash with many suspects fits into a row of the store

With 2,048 suspects a crash's row has 77,498 bytes, which the store refuses, so that callers who invent long prompts could keep crashes from being kept. 1,000 fit; TestStateIsBounded checks it and failed with 2,048.

--- a/internal/request/quarantine/evidence.go
+++ b/internal/request/quarantine/evidence.go
@@ -57,9 +57,10 @@
 	crashMergeWindow = time.Second
 	// evidenceRetention is how long a crash counts.
 	evidenceRetention = 30 * time.Minute
-	// maxCrashes bounds the crashes that are kept, and maxSuspects the parts of each.
+	// maxCrashes bounds the crashes that are kept, and maxSuspects the parts of each, so that a crash
+	// fits into a row of the store.
 	maxCrashes  = 64
-	maxSuspects = 2048
+	maxSuspects = 1000
 )
 
 // crashRecord is one crash of an engine, with the prompts that the engine had not begun to answer.
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -97,6 +98,9 @@
 	return ok
 }
 
+// maxRowBytes is the largest value that the users' store takes.
+const maxRowBytes = 64 << 10
+
 // assertBlocked checks which prompts are blocked, by the names of their parts.
 func assertBlocked(t *testing.T, f *fixture, want ...string) {
 	t.Helper()
@@ -256,7 +260,7 @@
 				var prompt []crash.Part
 				for range 300 {
 					next++
-					prompt = append(prompt, crash.Part{ID: next})
+					prompt = append(prompt, crash.Part{ID: math.MaxUint64 - next, Position: 300})
 				}
 				prompts = append(prompts, prompt)
 			}
@@ -278,6 +282,9 @@
 		time.Sleep(10 * time.Second)
 		f.state.Lock()
 		defer f.state.Unlock()
+		for key, row := range f.store.rows {
+			assert.Assert(t, len(row.Value) < maxRowBytes, "row %s has %d bytes", key, len(row.Value))
+		}
 		assert.Assert(t, len(f.store.rows) <= maxBlocks+maxCrashes, "%d rows in the store", len(f.store.rows))
 	})
 }
