crash: one check whether a host refuses connections

Both front ends and a test dialled for it, each with its own code: socket.Refuses now serves all. Behaviour stays: the attempt is bounded by 250 ms as before, by the detector.

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -227,7 +227,7 @@
 func (e *Edge) connectRequests() {
 	e.forwarder = &forward.Forwarder{
 		Quarantine:   e.quarantine,
-		Crashes:      &crash.Detector{Refuses: e.refusesConnections, OnCrash: e.recordCrash},
+		Crashes:      &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
 		Plan:         e.plan.Load,
 		Tokens:       e.tokens,
 		Placement:    e.placement,
--- a/internal/fleet/edge/crash.go
+++ b/internal/fleet/edge/crash.go
@@ -1,15 +1,10 @@
 package edge
 
 import (
-	"context"
 	"slices"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
-
 	"rosevalve/internal/fleet/eventlog"
-	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/crash"
 )
@@ -17,17 +12,6 @@
 // maxLoggedParts bounds the parts in one line of the log.
 const maxLoggedParts = 16
 
-// refusesConnections reports whether the host at addr is reachable and no process listens there.
-func (e *Edge) refusesConnections(ctx context.Context, addr string) bool {
-	dialer := socket.Dialer{Timeout: targetDialTimeout}
-	conn, err := dialer.Dial(ctx, addr)
-	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
-	}
-	_ = conn.Close()
-	return false
-}
-
 // recordCrash logs and counts the crash of a target.
 func (e *Edge) recordCrash(c crash.Crash) {
 	e.quarantine.ObserveCrash(c)
--- a/internal/fleet/router/quarantine.go
+++ b/internal/fleet/router/quarantine.go
@@ -4,24 +4,18 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
-
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/crash"
 	"rosevalve/internal/workspace/operator"
 )
 
-const (
-	// blockPrefix begins the keys of the quarantine's rows in the table.
-	blockPrefix       = "quarantine/"
-	crashProbeTimeout = 250 * time.Millisecond
-)
+// blockPrefix begins the keys of the quarantine's rows in the table.
+const blockPrefix = "quarantine/"
 
 // buildQuarantine builds the component that keeps prompts that crash engines away from them.
 func (r *Router) buildQuarantine() {
@@ -43,7 +37,7 @@
 		RouterCount: func() int { return len(r.view.Members()) },
 		OnError:     func(err error) { r.Log.Debug("blocks not read", "err", err) },
 	}
-	r.crashes = &crash.Detector{Refuses: refusesConnections, OnCrash: r.recordCrash}
+	r.crashes = &crash.Detector{Refuses: socket.Refuses, OnCrash: r.recordCrash}
 	r.peers.Handlers[inner.MethodQuarantine] = r.handleQuarantineNews
 }
 
@@ -53,17 +47,6 @@
 	r.quarantine.ObserveCrash(c)
 }
 
-// refusesConnections reports whether the host at addr is reachable and no process listens there.
-func refusesConnections(ctx context.Context, addr string) bool {
-	dialer := net.Dialer{Timeout: crashProbeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
-	}
-	_ = conn.Close()
-	return false
-}
-
 // broadcastQuarantineNews sends news to limit random other routers, or to all of them if limit is 0.
 func (r *Router) broadcastQuarantineNews(news inner.QuarantineNews, limit int) {
 	addrs := r.relayCandidates()
--- a/internal/protocol/socket/socket.go
+++ b/internal/protocol/socket/socket.go
@@ -79,6 +79,17 @@
 	return conn, nil
 }
 
+// Refuses reports whether the host at addr is reachable and no process listens there. ctx bounds the
+// attempt to connect.
+func Refuses(ctx context.Context, addr string) bool {
+	conn, err := (Dialer{}).Dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // setUserTimeout sets the time after which the system closes a connection whose sent data is
 // not acknowledged.
 func (d Dialer) setUserTimeout(raw syscall.RawConn) error {
--- a/internal/request/dispatch/quarantine_test.go
+++ b/internal/request/dispatch/quarantine_test.go
@@ -4,18 +4,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/request/queue"
@@ -68,10 +66,7 @@
 		},
 		Stream: client.Stream, Resume: client.Resume, Cancel: client.Cancel,
 		Quarantine: q,
-		Crashes: &crash.Detector{OnCrash: q.ObserveCrash, Refuses: func(_ context.Context, addr string) bool {
-			_, err := net.Dial("tcp", addr)
-			return errors.Is(err, unix.ECONNREFUSED)
-		}},
+		Crashes:    &crash.Detector{OnCrash: q.ObserveCrash, Refuses: socket.Refuses},
 	}
 }
 
--- a/internal/target/crash/detector.go
+++ b/internal/target/crash/detector.go
@@ -10,7 +10,7 @@
 	// collectTime is how long lost attempts of one crash are collected before they are reported.
 	collectTime = 30 * time.Millisecond
 	// probeTimeout bounds the connection attempt that shows whether the target is gone.
-	probeTimeout = 300 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
 )
 
 // Part is a part of the prompt of a lost attempt that requests may share.
