--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -36,6 +36,8 @@
 	Members      []inner.Member                   `json:"members"`
 	// Blocks are the prompts that are kept from the engines.
 	Blocks []BlockState `json:"blocks,omitempty"`
+	// Tables are the copies of tables of the store.
+	Tables []TableState `json:"tables"`
 }
 
 // BlockState describes prompts that are kept from the engines, and why.
@@ -117,6 +119,7 @@
 		EngineSpeeds: e.placement.EngineSpeeds(),
 		Members:      e.view.Members(),
 		Blocks:       e.blockStates(),
+		Tables:       e.tableStates(),
 	}
 	if p := e.plan.Load(); p != nil {
 		s.PlanVersion = p.Version()
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/fleet/entry"
@@ -24,7 +21,6 @@
 	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/roster"
-	"rosevalve/internal/workspace/plan"
 	"rosevalve/platform"
 )
 
@@ -72,27 +68,6 @@
 	}}
 }
 
-// follow returns a table that keeps a local copy of the store's table of that name. It must be run.
-func (e *Edge) follow(name string, onRows func(rows []table.Row, afterRollback bool)) *follow.Table {
-	t := &follow.Table{
-		Name:        name,
-		Read:        e.read,
-		Watch:       e.store.Watch,
-		RequestRows: e.fetchRows,
-		OnRows:      onRows,
-		OnEra:       e.propagateEra,
-		OnReachabilityChange: func(err error, age time.Duration) {
-			if err != nil {
-				e.Events.Emit(eventlog.StoreLost, "table", name, "age_ms", age.Milliseconds(), "err", err)
-				return
-			}
-			e.Events.Emit(eventlog.StoreRecovered, "table", name, "away_ms", age.Milliseconds())
-		},
-	}
-	t.Init()
-	return t
-}
-
 // propagateEra passes the era of a store response to all components that keep versions of
 // store rows. A new era begins when the store is rolled back.
 func (e *Edge) propagateEra(stamp table.Stamp) {
@@ -102,47 +77,6 @@
 	e.blockTable.ObserveEra(stamp.Era)
 }
 
-func (e *Edge) connectConfig() {
-	e.configTable = e.follow(platform.TableOperator, e.applyConfig)
-	e.configTable.Newer = platform.IsNewerConfig
-}
-
-// planVersion returns the version of the configuration in force, or 0 before the first one.
-func (e *Edge) planVersion() uint64 {
-	if p := e.plan.Load(); p != nil {
-		return p.Version()
-	}
-	return 0
-}
-
-// notePeerConfigVersion requests a fetch of the configuration from the router at addr if the
-// version there is newer than the one in force.
-func (e *Edge) notePeerConfigVersion(addr string, version uint64) {
-	if version > e.planVersion() {
-		e.configTable.HintPeer(addr)
-	}
-}
-
-// applyConfig puts a configuration in force if it is newer than the current one.
-func (e *Edge) applyConfig(rows []table.Row, _ bool) {
-	for _, r := range rows {
-		if !platform.IsConfig(r) || r.Deleted {
-			continue
-		}
-		cfg, err := platform.DecodeConfig(r)
-		if err != nil {
-			e.Events.Emit(eventlog.PlanUnreadable, "row_version", r.Version, "err", err)
-			continue
-		}
-		if old := e.plan.Load(); old != nil && old.Version() >= cfg.Version {
-			continue
-		}
-		e.plan.Store(plan.New(cfg))
-		e.Events.Emit(eventlog.PlanInForce, "plan_version", cfg.Version, "row_version", r.Version,
-			"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces), "from_peers", e.configTable.Failing())
-	}
-}
-
 func (e *Edge) connectTargets() {
 	dialer := socket.Dialer{Timeout: targetDialTimeout, UserTimeout: targetAckTimeout}
 	e.placement = &placement.Placement{
@@ -159,13 +93,12 @@
 	e.roster = &roster.Tracker{LastOutageEnd: e.targetTable.RecoveredAt, OnRoster: e.placement.Update}
 }
 
-// applyTargets updates the roster with changed target announcements. afterRollback reports
-// that the rows are those of a store that was rolled back.
-func (e *Edge) applyTargets(rows []table.Row, afterRollback bool) {
+// applyTargets updates the roster with changed target announcements.
+func (e *Edge) applyTargets(rows []table.Row, from follow.Source) {
 	changes := make([]roster.AnnouncementChange, len(rows))
 	for n, r := range rows {
 		changes[n] = e.announcementChange(r)
-		changes[n].AfterRollback = afterRollback
+		changes[n].AfterRollback = from.RolledBack
 	}
 	e.roster.Update(changes)
 }
@@ -286,35 +219,3 @@
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
-
-// fetchRows requests the rows of a followed table from the router at addr, or from a random
-// known router if addr is empty.
-func (e *Edge) fetchRows(ctx context.Context, addr string, in inner.FollowRequest) (inner.FollowResponse, error) {
-	var out inner.FollowResponse
-	if addr == "" {
-		peers := e.reachablePeers()
-		if len(peers) == 0 {
-			peers = e.settings().Fleet.Seeds
-		}
-		if len(peers) == 0 {
-			return out, errors.New("no other router is known")
-		}
-		addr = peers[rand.IntN(len(peers))]
-	}
-	err := e.transport.Call(ctx, addr, inner.MethodFollow, in, &out)
-	return out, err
-}
-
-// handleFollow answers a router that requests the rows of a followed table.
-func (e *Edge) handleFollow(_ context.Context, params json.RawMessage) (any, error) {
-	var in inner.FollowRequest
-	if err := json.Unmarshal(params, &in); err != nil {
-		return nil, fmt.Errorf("decode follow request: %w", err)
-	}
-	for _, t := range []*follow.Table{e.configTable, e.targetTable, e.blockTable} {
-		if t.Name == in.Table {
-			return t.ChangesSince(in), nil
-		}
-	}
-	return nil, fmt.Errorf("table %q is not followed", in.Table)
-}
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -20,6 +20,7 @@
 	"rosevalve/internal/fleet/peer"
 	"rosevalve/internal/fleet/settings"
 	"rosevalve/internal/platform/follow"
+	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/ingress"
@@ -63,9 +64,11 @@
 	plan            atomic.Pointer[plan.Plan] // configuration in force; nil before the first one
 	store           *platform.Store
 	storeTimeouts   storeTimeouts
-	configTable     *follow.Table   // local copy of the store's operator table, which holds the configuration
-	targetTable     *follow.Table   // local copy of the store's table of target announcements
-	oddTargets      map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
+	configTable     *follow.Table                // local copy of the store's operator table, which holds the configuration
+	targetTable     *follow.Table                // local copy of the store's table of target announcements
+	oddTargets      map[string]bool              // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
+	announced       atomic.Pointer[announcement] // newest configuration that another router has reported
+	slowReads       map[string]*table.Transfer   // last slow read of each table that was logged; used only by maintain
 	roster          *roster.Tracker
 	placement       *placement.Placement
 	tokens          *prepaid.Manager // prepaid tokens held by this router
@@ -87,6 +90,7 @@
 	e.incarnation = prepaid.NewIncarnationID(e.Settings.Edge.VM, rand.Text()[:8])
 	e.currentSettings.Store(&e.Settings)
 	e.metrics = newMetricSet()
+	e.slowReads = make(map[string]*table.Transfer)
 	defer e.tuneGC()()
 	defer eventlog.Start(e.Events.Run)()
 	e.connect()
@@ -180,6 +184,7 @@
 	e.placement.Prune(now)
 	e.view.SetReady(e.ready())
 	e.forwarder.RetryBudget.SetRouterCount(len(e.view.Members()))
+	e.logSlowReads()
 	e.memberLog.update(e.innerAddr(), e.view.Members(), e.Events.Emit)
 }
 
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/request/forward"
 )
 
@@ -31,7 +32,9 @@
 	ejections *metrics.Counter
 	pauses    *metrics.Counter
 	crashes   *metrics.Counter
-	labels    labelLimiter
+	// unreadablePlans counts the configurations that could not be decoded.
+	unreadablePlans *metrics.Counter
+	labels          labelLimiter
 }
 
 // labelLimiter bounds the number of distinct values per label, and so the number of time series.
@@ -64,13 +67,17 @@
 func newMetricSet() *metricSet {
 	set := metrics.NewSet()
 	return &metricSet{
-		set:       set,
-		ejections: set.NewCounter("rosevalve_target_ejections_total"),
-		pauses:    set.NewCounter("rosevalve_target_pauses_total"),
-		crashes:   set.NewCounter("rosevalve_target_crashes_total"),
+		set:             set,
+		ejections:       set.NewCounter("rosevalve_target_ejections_total"),
+		pauses:          set.NewCounter("rosevalve_target_pauses_total"),
+		crashes:         set.NewCounter("rosevalve_target_crashes_total"),
+		unreadablePlans: set.NewCounter("rosevalve_plan_unreadable_total"),
 	}
 }
 
+// addGauge adds a gauge whose value is that of a function.
+func (m *metricSet) addGauge(name string, value func() float64) { m.set.NewGauge(name, value) }
+
 // count adds n to a counter. labels are alternating names and values.
 func (m *metricSet) count(name string, n int, labels ...string) {
 	m.set.GetOrCreateCounter(name + m.labelText(labels)).Add(n)
@@ -134,6 +141,26 @@
 	}
 }
 
+// recordTransfer counts the bytes that a call for rows has brought, by what became of them, and observes how long
+// they took.
+func (m *metricSet) recordTransfer(name string, r follow.Result) {
+	source, outcome := "store", "used"
+	if r.FromPeer {
+		source = "peer"
+	}
+	switch {
+	case r.Err != nil:
+		outcome = "broken_off"
+	case r.Changed == 0:
+		outcome = "known"
+	}
+	m.count("rosevalve_table_read_bytes_total", int(r.Transfer.Bytes()), "table", name, "source", source, "outcome", outcome)
+	m.observe("rosevalve_table_read_seconds", r.Transfer.Reading(), "table", name, "source", source, "outcome", outcome)
+	if r.Err == nil && !r.FromPeer {
+		m.observe("rosevalve_table_decode_seconds", r.Transfer.Decoding(), "table", name)
+	}
+}
+
 // recordCall observes the duration of a call to a dependency and counts errors.
 func (m *metricSet) recordCall(dependency string, took time.Duration, err error) {
 	m.observe("rosevalve_dependency_seconds", took, "dependency", dependency)
--- a/internal/fleet/edge/quarantine.go
+++ b/internal/fleet/edge/quarantine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rosevalve/internal/fleet/eventlog"
+	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/quarantine"
@@ -32,7 +33,7 @@
 		},
 		OnEvent: e.recordQuarantineEvent,
 	}
-	e.blockTable = e.follow(tableBlocks, e.quarantine.ApplyRows)
+	e.blockTable = e.follow(tableBlocks, func(rows []table.Row, from follow.Source) { e.quarantine.ApplyRows(rows, from.RolledBack) })
 	e.blockTable.PollWait = blockPollWait
 }
 
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -19,6 +19,8 @@
 	LoadReadFailed                    // load_unknown
 	StoreLost                         // store_lost
 	StoreRecovered                    // store_regained
+	TableReadBroken                   // table_read_broken
+	TableReadSlow                     // table_read_slow
 	StoreRolledBack                   // store_era_began
 	StoreEraRestored                  // store_era_restored
 	StoreEraSettled                   // store_era_settled
@@ -28,6 +30,7 @@
 	PeerLost                          // peer_lost
 	PeerLeaving                       // peer_leaving
 	PeerConnectionFailed              // peer_connection_failed
+	PlanAnnounced                     // plan_announced
 	PlanInForce                       // plan_in_force
 	PlanUnreadable                    // plan_unreadable
 	TargetAnnounced                   // target_announced
@@ -129,6 +132,8 @@
 	LoadReadFailed:       {component: Process, warning: true, doc: "the used processor time cannot be read; the router keeps its previous load state", fields: "err"},
 	StoreLost:            {component: Store, warning: true, doc: "the store does not answer polls of a table", fields: "table, age_ms, err"},
 	StoreRecovered:       {component: Store, doc: "the store answers polls of the table again", fields: "table, away_ms"},
+	TableReadBroken:      {component: Store, warning: true, doc: "an answer with rows of the table broke off after bytes of it had arrived, which are lost; wait_ms is the time until it began, read_ms the time since", fields: "table, bytes, wait_ms, read_ms, err"},
+	TableReadSlow:        {component: Store, doc: "an answer with rows of the table has been arriving for a while and goes on; logged once", fields: "table, bytes, wait_ms, read_ms"},
 	StoreRolledBack:      {component: Store, warning: true, doc: "the store was restored from an older copy, which starts a new era; writes made after that copy are lost", fields: "era, version, last_era, last_version"},
 	StoreEraRestored:     {component: Store, doc: "this router has written its token holdings into the store's new era; corrected_tokens is the difference from the restored copy", fields: "era, workspaces, corrected_tokens, awaited"},
 	StoreEraSettled:      {component: Store, doc: "all routers have written their token holdings into the store's era; tokens can be drawn again", fields: "era, took_ms, routers"},
@@ -138,7 +143,8 @@
 	PeerLost:             {component: Peers, warning: true, doc: "another router has left the fleet or is considered dead", fields: "peer, id"},
 	PeerLeaving:          {component: Peers, doc: "another router is draining and accepts no new callers", fields: "peer, id"},
 	PeerConnectionFailed: {component: Peers, lowPriority: true, warning: true, doc: "a connection to another router failed", fields: "err"},
-	PlanInForce:          {component: Plan, doc: "a new routing plan is in effect", fields: "plan_version, row_version, routes, workspaces, from_peers"},
+	PlanAnnounced:        {component: Plan, doc: "another router has a newer configuration, which has not arrived here yet", fields: "plan_version, in_force, peer"},
+	PlanInForce:          {component: Plan, doc: "a new routing plan is in effect; it arrived from the store or from_peers, as a part of bytes in read_ms, was decoded in decode_ms and had been announced by another router announced_ms before", fields: "plan_version, row_version, routes, workspaces, from_peers, bytes, wait_ms, read_ms, decode_ms, announced_ms"},
 	PlanUnreadable:       {component: Plan, warning: true, doc: "a configuration cannot be decoded; the previous one stays in effect", fields: "row_version, err"},
 	TargetAnnounced:      {component: Targets, doc: "an instance announced itself or changed its announcement", fields: "instance, addr, service, draining, row_version"},
 	TargetGone:           {component: Targets, doc: "the announcement of an instance was removed", fields: "instance, row_version"},
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -48,9 +48,11 @@
 	// Valid reports whether a row can be used; nil if every row can. Other rows reach OnRows too,
 	// but are kept without their values, which may be large.
 	Valid func(r table.Row) bool
-	// OnRows receives the rows that changed, ordered by version. rolledBack reports that they
-	// come from a store that was rolled back to an older snapshot. It must not block.
-	OnRows func(rows []table.Row, rolledBack bool)
+	// OnRows receives the rows that changed, ordered by version. It must not block.
+	OnRows func(rows []table.Row, from Source)
+	// OnTransfer is called at the end of each call that was answered with rows, or that broke off after a part
+	// of its answer. It must not block; nil ignores them.
+	OnTransfer func(r Result)
 	// OnEra receives the stamp of every call to the store, which is zero if there was no answer.
 	// It must not block.
 	OnEra func(stamp table.Stamp)
@@ -72,6 +74,27 @@
 	latestEra atomic.Uint64
 	// cancelPoll cancels the most recent poll.
 	cancelPoll atomic.Pointer[context.CancelFunc]
+	// current is the most recent call to the store; nil before the first one.
+	current atomic.Pointer[table.Transfer]
+}
+
+// Source tells where rows come from and how they have arrived.
+type Source struct {
+	// FromPeer reports that another router sent the rows rather than the store.
+	FromPeer bool
+	// RolledBack reports that the rows come from a store that was rolled back to an older snapshot.
+	RolledBack bool
+	// Transfer is the call that the rows answer.
+	Transfer *table.Transfer
+}
+
+// Result is the end of one call for rows.
+type Result struct {
+	Source
+	// Changed is the number of rows that the copy did not have yet.
+	Changed int
+	// Err is why only a part of the answer has arrived; nil if all of it has.
+	Err error
 }
 
 // Loaded reports whether the whole table has been read at least once, even if it was empty.
@@ -98,6 +121,13 @@
 	return *recoveredAt, true
 }
 
+// Position returns the version up to which the copy is complete, and the store era of that version.
+func (t *Table) Position() (era, version uint64) { return t.local.position() }
+
+// Current returns the most recent call to the store, which may still be waiting for its answer; nil before
+// the first one.
+func (t *Table) Current() *table.Transfer { return t.current.Load() }
+
 // Age returns the time since the start of the most recent successful call to the store, or
 // since Init if no call has succeeded.
 func (t *Table) Age() time.Duration { return time.Since(*t.lastConfirmed.Load()) }
@@ -158,8 +188,10 @@
 		wait = 0
 	}
 	era, since := t.local.position()
-	page, err := t.Watch(ctx, t.Name, since, wait)
+	transfer := t.beginCall()
+	page, err := t.Watch(table.WithTransfer(ctx, transfer), t.Name, since, wait)
 	t.reportEra(page.Stamp)
+	t.reportBroken(transfer, err)
 	switch {
 	case err != nil && t.superseded(era):
 		return fmt.Errorf("watch table %q: %w: %w", t.Name, table.ErrCompacted, err)
@@ -168,10 +200,24 @@
 	case page.Era != era:
 		return fmt.Errorf("watch table %q: store era is now %d: %w", t.Name, page.Era, table.ErrCompacted)
 	}
-	t.merge(change{era: era, version: page.Version, rows: page.Rows})
+	t.merge(change{era: era, version: page.Version, rows: page.Rows}, Source{Transfer: transfer})
 	return nil
 }
 
+// beginCall returns the record of a call to the store that is about to start.
+func (t *Table) beginCall() *table.Transfer {
+	transfer := table.NewTransfer()
+	t.current.Store(transfer)
+	return transfer
+}
+
+// reportBroken passes a call that has failed after a part of its answer had arrived to OnTransfer.
+func (t *Table) reportBroken(transfer *table.Transfer, err error) {
+	if err != nil && transfer.Answered() && !transfer.Complete() && t.OnTransfer != nil {
+		t.OnTransfer(Result{Source: Source{Transfer: transfer}, Err: err})
+	}
+}
+
 // reportEra passes the stamp of an answer to OnEra.
 func (t *Table) reportEra(stamp table.Stamp) {
 	if t.OnEra != nil {
@@ -204,12 +250,17 @@
 func (t *Table) superseded(era uint64) bool { return t.latestEra.Load() > era }
 
 // merge applies a change to the copy and passes the changed rows to OnRows.
-func (t *Table) merge(c change) {
-	if t.local.merge(c, t.Newer, t.OnRows) {
+func (t *Table) merge(c change, from Source) {
+	changed, newEra := t.local.merge(c, t.Newer, from, t.OnRows)
+	if newEra {
 		// Rows that the rolled-back store lacks may be written again, as after an outage.
 		now := time.Now()
 		t.recoveredAt.Store(&now)
 	}
+	if len(c.rows) > 0 && t.OnTransfer != nil {
+		from.RolledBack = newEra
+		t.OnTransfer(Result{Source: from, Changed: changed})
+	}
 }
 
 // load reads the whole table, page by page. Later pages may be newer than the first; the
@@ -219,8 +270,10 @@
 	var rows []table.Row
 	var first table.Stamp
 	for {
-		page, err := t.read(ctx, r)
+		transfer := t.beginCall()
+		page, err := t.read(table.WithTransfer(ctx, transfer), r)
 		t.reportEra(page.Stamp)
+		t.reportBroken(transfer, err)
 		if err != nil {
 			return fmt.Errorf("read table %q: %w", t.Name, err)
 		}
@@ -236,7 +289,7 @@
 		}
 		r.From = table.KeyAfter(page.Rows[len(page.Rows)-1].Key)
 	}
-	t.merge(change{era: first.Era, version: first.Version, rows: rows, snapshot: true})
+	t.merge(change{era: first.Era, version: first.Version, rows: rows, snapshot: true}, Source{Transfer: t.Current()})
 	return nil
 }
 
@@ -296,11 +349,13 @@
 	if addr != "" {
 		since = 0
 	}
+	transfer := table.NewTransfer()
 	out, err := t.RequestRows(ctx, addr, inner.FollowRequest{Table: t.Name, Era: era, Since: since})
 	if err != nil || out.Version == 0 {
 		// The next tick asks another router.
 		return
 	}
+	transfer.MarkHeader()
 	rows := make([]table.Row, len(out.Rows))
 	for i, r := range out.Rows {
 		rows[i] = table.Row{
@@ -308,7 +363,11 @@
 			Version:  r.Version, Value: r.Value, Deleted: r.Deleted,
 		}
 	}
-	t.merge(change{era: out.Era, version: out.Version, rows: rows, snapshot: out.Whole})
+	for _, r := range rows {
+		transfer.AddBytes(len(r.Value))
+	}
+	transfer.MarkComplete()
+	t.merge(change{era: out.Era, version: out.Version, rows: rows, snapshot: out.Whole}, Source{FromPeer: true, Transfer: transfer})
 }
 
 // HintPeer records that the router at addr has newer rows, which are then requested from it.
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -160,11 +160,11 @@
 			return inner.FollowResponse{}, table.ErrUnavailable
 		}
 	}
-	c.Table = &Table{Name: "t", Read: s.read, Watch: s.watch, RequestRows: ask, OnRows: func(rows []table.Row, rolledBack bool) {
+	c.Table = &Table{Name: "t", Read: s.read, Watch: s.watch, RequestRows: ask, OnRows: func(rows []table.Row, from Source) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		for _, r := range rows {
-			if rolledBack {
+			if from.RolledBack {
 				c.rolledBackKeys = append(c.rolledBackKeys, r.Key)
 			}
 			if r.Deleted {
--- a/internal/platform/follow/rowset.go
+++ b/internal/platform/follow/rowset.go
@@ -42,16 +42,16 @@
 	return s.era, s.version
 }
 
-// merge applies a change and passes the rows that changed to onRows. It reports whether the
-// change started a new era. It ignores a change from an earlier era, and a change from a
+// merge applies a change and passes the rows that changed to onRows. It returns how many they are and
+// whether the change started a new era. It ignores a change from an earlier era, and a change from a
 // later era that is not a snapshot.
-func (s *rowSet) merge(c change, newer func(a, b table.Row) bool, onRows func(rows []table.Row, rolledBack bool)) bool {
+func (s *rowSet) merge(c change, newer func(a, b table.Row) bool, from Source, onRows func(rows []table.Row, from Source)) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newEra := s.rows != nil && c.era > s.era
 	switch {
 	case c.era < s.era || newEra && !c.snapshot:
-		return false
+		return 0, false
 	case s.rows == nil:
 		s.rows = make(map[string]table.Row)
 		s.tombstonesSince = c.version
@@ -73,9 +73,10 @@
 	s.limitTombstones()
 	slices.SortStableFunc(changed, func(a, b table.Row) int { return cmp.Compare(a.Version, b.Version) })
 	if len(changed) > 0 {
-		onRows(changed, newEra)
+		from.RolledBack = newEra
+		onRows(changed, from)
 	}
-	return newEra
+	return len(changed), newEra
 }
 
 // beginEra prepares the copy for the snapshot of a new era. It resets the known versions
