--- a/internal/fleet/edge/tables.go
+++ b/internal/fleet/edge/tables.go
@@ -109,7 +109,7 @@
 		}
 		addr = peers[rand.IntN(len(peers))]
 	}
-	err := e.transport.Call(ctx, addr, inner.MethodFollow, in, &out)
+	err := e.transport.Fetch(ctx, addr, inner.MethodFollow, in, &out)
 	return out, err
 }
 
--- a/internal/fleet/peer/conn.go
+++ b/internal/fleet/peer/conn.go
@@ -17,7 +17,9 @@
 
 const (
 	maxMessageSize = 4 << 20 // bytes
-	writeTimeout   = 2 * time.Second
+	// writeTimeout bounds the time to write writeChunk bytes.
+	writeTimeout = 2 * time.Second
+	writeChunk   = 16 << 10
 )
 
 var (
@@ -33,6 +35,7 @@
 	net.Conn
 	idleTimeout time.Duration // timeout of one read
 	lastRead    atomic.Int64  // time of the most recent read that returned data, in Unix nanoseconds
+	totalRead   atomic.Int64  // bytes read
 }
 
 func newTimeoutConn(conn net.Conn, idleTimeout time.Duration) *timeoutConn {
@@ -47,19 +50,26 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
+		c.totalRead.Add(int64(n))
 		bytesRead.Add(int64(n))
 	}
 	return n, err
 }
 
-// Write writes b and fails if that takes longer than writeTimeout.
+// Write writes b and fails if a chunk of it takes longer than writeTimeout.
 func (c *timeoutConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, fmt.Errorf("set write deadline: %w", err)
+	total := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return total, fmt.Errorf("set write deadline: %w", err)
+		}
+		n, err := c.Conn.Write(b[total:min(len(b), total+writeChunk)])
+		total += n
+		bytesWritten.Add(int64(n))
+		if err != nil || total == len(b) {
+			return total, err
+		}
 	}
-	n, err := c.Conn.Write(b)
-	bytesWritten.Add(int64(n))
-	return n, err
 }
 
 // idleSince reports whether no data has arrived at or after t.
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -62,9 +62,9 @@
 	once    sync.Once // for init
 	workers pond.Pool // runs the handlers
 
-	mu       sync.Mutex             // guards peers and accepted
-	peers    map[string]*peerClient // by address
-	accepted map[net.Conn]bool      // open accepted connections
+	mu       sync.Mutex // guards peers and accepted
+	peers    map[peerKey]*peerClient
+	accepted map[net.Conn]bool // open accepted connections
 }
 
 // init sets defaults and creates the worker pool and the maps.
@@ -77,7 +77,7 @@
 			t.MaxConnAge = defaultMaxAge
 		}
 		t.workers = pond.NewPool(handlerWorkers, pond.WithQueueSize(handlerQueueSize), pond.WithNonBlocking(true))
-		t.peers = make(map[string]*peerClient)
+		t.peers = make(map[peerKey]*peerClient)
 		t.accepted = make(map[net.Conn]bool)
 	})
 }
@@ -152,7 +152,7 @@
 	t.init()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	p := t.peer(addr)
+	p := t.peer(peerKey{addr: addr})
 	conn, err := p.conn(ctx)
 	if err != nil {
 		return fmt.Errorf("call %s at %s: %w: %w", method, addr, ErrNotSent, err)
@@ -174,6 +174,34 @@
 	return fmt.Errorf("call %s at %s: %w", method, addr, err)
 }
 
+// Fetch calls a method whose reply may be large, on a connection of its own, so that other calls do not wait behind
+// the reply. It waits for as long as data arrives, in all at most until minFetchRate is missed, and closes the connection if
+// it gives up, so that the peer stops sending. Its errors are those of Call.
+func (t *Transport) Fetch(ctx context.Context, addr, method string, in, out any) error {
+	t.init()
+	p := t.peer(peerKey{addr: addr, bulk: true})
+	dialCtx, cancelDial := context.WithTimeout(ctx, callTimeout)
+	defer cancelDial()
+	conn, err := p.conn(dialCtx)
+	if err != nil {
+		return fmt.Errorf("fetch %s from %s: %w: %w", method, addr, ErrNotSent, err)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := conn.conn.watchReply(func() { cancel(errNoProgress) })
+	err = conn.rpc.Call(ctx, method, in, out)
+	stop()
+	if err == nil {
+		return nil
+	}
+	var rpcErr *jsonrpc2.Error
+	if errors.As(err, &rpcErr) {
+		return fmt.Errorf("fetch %s from %s: %w", method, addr, callError(rpcErr))
+	}
+	p.drop(conn)
+	return fmt.Errorf("fetch %s from %s: %w", method, addr, errors.Join(context.Cause(ctx), err))
+}
+
 // callError wraps an error returned by the peer with ErrNotSent if its code means that
 // the handler has not started.
 func callError(err *jsonrpc2.Error) error {
@@ -183,14 +211,20 @@
 	return err
 }
 
-// peer returns the client of the router at addr and creates it on first use.
-func (t *Transport) peer(addr string) *peerClient {
+// peerKey identifies a connection to another router.
+type peerKey struct {
+	addr string
+	bulk bool // for large replies
+}
+
+// peer returns the client of a router and creates it on first use.
+func (t *Transport) peer(key peerKey) *peerClient {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p, ok := t.peers[addr]
+	p, ok := t.peers[key]
 	if !ok {
-		p = &peerClient{transport: t, addr: addr}
-		t.peers[addr] = p
+		p = &peerClient{transport: t, addr: key.addr}
+		t.peers[key] = p
 	}
 	return p
 }
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -29,7 +29,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l.Self = func() inner.Member { return inner.Member{ID: "a"} }
-	l.Handlers = map[string]Handler{methodEcho: echo}
+	if l.Handlers == nil {
+		l.Handlers = map[string]Handler{methodEcho: echo}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- l.Serve(ctx, listener) }()
@@ -137,7 +139,7 @@
 		closedAddr := listener.Addr().String()
 		assert.NilError(t, listener.Close())
 		assert.Assert(t, errors.Is(client.Call(ctx, closedAddr, methodEcho, 1, nil), ErrNotSent))
-		client.peer(closedAddr).retryAt = time.Now().Add(time.Hour)
+		client.peer(peerKey{addr: closedAddr}).retryAt = time.Now().Add(time.Hour)
 		assert.Assert(t, errors.Is(client.Call(ctx, closedAddr, methodEcho, 1, nil), errBackoff))
 	})
 }
@@ -162,10 +164,10 @@
 	addr := startServer(t, &Transport{})
 	client := newClient(nil)
 	assertEcho(t, client, addr)
-	first := client.peer(addr).current
+	first := client.peer(peerKey{addr: addr}).current
 	first.openedAt = first.openedAt.Add(-2 * client.MaxConnAge)
 	assertEcho(t, client, addr)
-	assert.Assert(t, client.peer(addr).current != first)
+	assert.Assert(t, client.peer(peerKey{addr: addr}).current != first)
 }
 
 func TestIdleConnectionEnds(t *testing.T) {
--- a/internal/fleet/router/configuration.go
+++ b/internal/fleet/router/configuration.go
@@ -89,7 +89,11 @@
 // router does not have.
 func (r *Router) requestConfiguration(ctx context.Context, addr string, in inner.ConfigurationRequest) (inner.ConfigurationResponse, error) {
 	var out inner.ConfigurationResponse
-	if err := r.peers.Call(ctx, addr, inner.MethodConfiguration, in, &out); err != nil {
+	call := r.peers.Call
+	if in.Whole {
+		call = r.peers.Fetch
+	}
+	if err := call(ctx, addr, inner.MethodConfiguration, in, &out); err != nil {
 		return out, fmt.Errorf("request configuration: %w", err)
 	}
 	return out, nil
