--- a/internal/fleet/edge/configuration.go
+++ b/internal/fleet/edge/configuration.go
@@ -41,7 +41,7 @@
 	if e.noteAnnouncement(version) {
 		e.Events.Emit(eventlog.PlanAnnounced, "plan_version", version, "in_force", inForce, "peer", addr)
 	}
-	e.configTable.HintPeer(addr)
+	e.configTable.HintPeer(addr, func() bool { return version > e.planVersion() })
 }
 
 // noteAnnouncement records that another router has a configuration with the version, and reports whether
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -23,8 +23,6 @@
 	// is between half and one and a half times the mean.
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 400 * time.Millisecond
-	// peerPollInterval is the time between requests to other routers while the store fails.
-	peerPollInterval = 250 * time.Millisecond
 	// rowsPerPage is the page size for reading the whole table.
 	rowsPerPage = 500
 )
@@ -69,7 +67,8 @@
 	// recoveredAt is when the store last became reachable after a failure or was last rolled
 	// back to an older snapshot; nil if neither has happened.
 	recoveredAt atomic.Pointer[time.Time]
-	peerHints   chan string // addresses of routers known to have newer rows
+	peerHints   chan hint // routers known to have newer rows
+	packed      packedValues
 	// latestEra is the latest era passed to ObserveEra.
 	latestEra atomic.Uint64
 	// cancelPoll cancels the most recent poll.
@@ -134,7 +133,7 @@
 
 // Init initializes the table. It must be called before any other method.
 func (t *Table) Init() {
-	t.peerHints = make(chan string, 1)
+	t.peerHints = make(chan hint, 1)
 	if t.PollWait == 0 {
 		t.PollWait = defaultPollWait
 	}
@@ -321,69 +320,6 @@
 	}
 }
 
-// pollPeers requests rows from other routers periodically while the store fails, and at once
-// from a router that is known to have newer ones.
-func (t *Table) pollPeers(ctx context.Context) {
-	tick := time.NewTicker(peerPollInterval)
-	defer tick.Stop()
-	for {
-		addr := ""
-		select {
-		case <-ctx.Done():
-			return
-		case addr = <-t.peerHints:
-		case <-tick.C:
-			if !t.failing.Load() {
-				continue
-			}
-		}
-		t.pull(ctx, addr)
-	}
-}
-
-// pull requests the rows that this copy lacks from the router at addr, or from any router if
-// addr is empty. A router that is known to have newer rows is asked for all rows, since
-// those with newer content may have older versions.
-func (t *Table) pull(ctx context.Context, addr string) {
-	era, since := t.local.position()
-	if addr != "" {
-		since = 0
-	}
-	transfer := table.NewTransfer()
-	out, err := t.RequestRows(ctx, addr, inner.FollowRequest{Table: t.Name, Era: era, Since: since})
-	if err != nil || out.Version == 0 {
-		// The next tick asks another router.
-		return
-	}
-	transfer.MarkHeader()
-	rows := make([]table.Row, len(out.Rows))
-	for i, r := range out.Rows {
-		rows[i] = table.Row{
-			Location: table.Location{Table: t.Name, Key: r.Key},
-			Version:  r.Version, Value: r.Value, Deleted: r.Deleted,
-		}
-	}
-	for _, r := range rows {
-		transfer.AddBytes(len(r.Value))
-	}
-	transfer.MarkComplete()
-	t.merge(change{era: out.Era, version: out.Version, rows: rows, snapshot: out.Whole}, Source{FromPeer: true, Transfer: transfer})
-}
-
-// HintPeer records that the router at addr has newer rows, which are then requested from it.
-// At most one address is pending; it drops addr if there is one already.
-func (t *Table) HintPeer(addr string) {
-	select {
-	case t.peerHints <- addr:
-	default:
-	}
-}
-
-// ChangesSince returns the rows that changed after the position of the requesting router.
-func (t *Table) ChangesSince(in inner.FollowRequest) inner.FollowResponse {
-	return t.local.changesSince(in.Era, in.Since)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/protocol/inner/follow.go
+++ b/internal/protocol/inner/follow.go
@@ -9,8 +9,13 @@
 	// Era is the store era of Since; see table.Stamp.
 	Era   uint64 `json:"era,omitempty"`
 	Since uint64 `json:"since"`
+	// Packing is how values may be packed that the sender can unpack; empty allows none.
+	Packing string `json:"packing,omitempty"`
 }
 
+// PackingDeflate packs values as DEFLATE streams.
+const PackingDeflate = "deflate"
+
 // FollowResponse holds the rows that changed after the requested version.
 type FollowResponse struct {
 	// Era is the store era of all versions in the response.
@@ -23,10 +28,11 @@
 }
 
 // FollowedRow is one row of the table, or its deletion. Value holds the unchanged bytes from
-// the store, even if they cannot be decoded.
+// the store, even if they cannot be decoded, or the same in the packing of the request if Packed is set.
 type FollowedRow struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value,omitempty"`
 	Deleted bool   `json:"deleted,omitempty"`
+	Packed  bool   `json:"packed,omitempty"`
 }
