--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -28,9 +28,9 @@
 	// storeConns bounds the connections to the store.
 	storeConns = 16
 	// maxStoreResponse bounds one response of the store, in bytes. A page of rows is far smaller.
-	maxStoreResponse  = 4 << 20
-	storeDialTimeout  = 300 * time.Millisecond
-	targetDialTimeout = 250 * time.Millisecond
+	maxStoreResponse    = 4 << 20
+	minStoreDialTimeout = 300 * time.Millisecond
+	targetDialTimeout   = 250 * time.Millisecond
 	// targetAckTimeout is how long data sent to a target may stay unacknowledged before the
 	// connection is closed.
 	targetAckTimeout = time.Second
@@ -49,13 +49,7 @@
 	e.connectRequests()
 }
 
-// dialWith adapts a dialer to the dial function of fasthttp.
-func dialWith(d socket.Dialer) fasthttp.DialFunc {
-	return func(addr string) (net.Conn, error) { return d.Dial(context.Background(), addr) }
-}
-
 func (e *Edge) connectStore() {
-	dialer := socket.Dialer{Timeout: storeDialTimeout, UserTimeout: time.Second}
 	e.store = &platform.Store{HTTP: &fasthttp.HostClient{
 		Addr:                      e.Settings.Platform.Addr,
 		MaxConns:                  storeConns,
@@ -64,10 +58,20 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       10 * time.Second,
-		Dial:                      dialWith(dialer),
+		Dial:                      e.dialStore,
 	}}
 }
 
+// dialStore opens a connection to the store. It waits as long as for an answer, if those take longer.
+func (e *Edge) dialStore(addr string) (net.Conn, error) {
+	dialer := socket.Dialer{Timeout: max(minStoreDialTimeout, e.storeTimeouts.read.Timeout()), UserTimeout: time.Second}
+	conn, err := dialer.Dial(context.Background(), addr)
+	if err != nil {
+		return nil, err
+	}
+	return &socket.ProgressConn{Conn: conn}, nil
+}
+
 // propagateEra passes the era of a store response to all components that keep versions of
 // store rows. A new era begins when the store is rolled back.
 func (e *Edge) propagateEra(stamp table.Stamp) {
--- a/internal/fleet/edge/storecalls.go
+++ b/internal/fleet/edge/storecalls.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/platform/timeout"
 )
@@ -19,8 +17,8 @@
 // read reads a range of rows from the store, with an adaptive timeout.
 func (e *Edge) read(ctx context.Context, r table.Range) (table.Page, error) {
 	var page table.Page
-	err := e.timedCall(ctx, "store_read", &e.storeTimeouts.read, func(ctx context.Context) (err error) {
-		page, err = e.store.Read(ctx, r)
+	err := e.timedCall(ctx, "store_read", &e.storeTimeouts.read, func(ctx context.Context, timeout time.Duration) (err error) {
+		page, err = e.store.Read(ctx, r, timeout)
 		return err
 	})
 	return page, err
@@ -29,33 +27,24 @@
 // commit applies a commit to the store, with an adaptive timeout.
 func (e *Edge) commit(ctx context.Context, c table.Commit) (table.Stamp, error) {
 	var stamp table.Stamp
-	err := e.timedCall(ctx, "store_commit", &e.storeTimeouts.commit, func(ctx context.Context) (err error) {
-		stamp, err = e.store.Commit(ctx, c)
+	err := e.timedCall(ctx, "store_commit", &e.storeTimeouts.commit, func(ctx context.Context, timeout time.Duration) (err error) {
+		stamp, err = e.store.Commit(ctx, c, timeout)
 		return err
 	})
 	return stamp, err
 }
 
-// timedCall runs call with the current timeout, adapts the timeout to its duration, and records
-// the call in the metrics.
-func (e *Edge) timedCall(ctx context.Context, name string, estimator *timeout.Estimator, call func(ctx context.Context) error) error {
+// timedCall runs call with the current timeout, within which the answer must begin, adapts the timeout to the time
+// that it took to begin, and records the call in the metrics.
+func (e *Edge) timedCall(ctx context.Context, name string, estimator *timeout.Estimator, call func(ctx context.Context, timeout time.Duration) error) error {
 	limit := estimator.Timeout()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	began := time.Now()
-	err := call(ctx)
-	took := time.Since(began)
-	if took >= limit {
+	transfer := table.NewTransfer()
+	err := call(table.WithTransfer(ctx, transfer), limit)
+	if transfer.Answered() {
+		estimator.ObserveLatency(transfer.Wait())
+	} else if transfer.Elapsed() >= limit {
 		estimator.ObserveTimeout(limit)
-	} else if !unanswered(err) {
-		estimator.ObserveLatency(took)
 	}
-	e.metrics.recordCall(name, took, err)
+	e.metrics.recordCall(name, transfer.Elapsed(), err)
 	return err
 }
-
-// unanswered reports whether a call failed without an answer of the store. The duration of such a
-// call says nothing about how fast the store is.
-func unanswered(err error) bool {
-	return errors.Is(err, table.ErrUnreachable) || errors.Is(err, table.ErrUnknownOutcome)
-}
--- a/internal/fleet/edge/tables.go
+++ b/internal/fleet/edge/tables.go
@@ -27,7 +27,7 @@
 func (e *Edge) follow(name string, onRows func(rows []table.Row, from follow.Source)) *follow.Table {
 	t := &follow.Table{
 		Name:        name,
-		Read:        e.read,
+		Read:        e.store.Read,
 		Watch:       e.store.Watch,
 		RequestRows: e.fetchRows,
 		OnRows:      onRows,
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -10,15 +10,17 @@
 	"github.com/cockroachdb/errors"
 
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/platform/timeout"
 	"rosevalve/internal/protocol/inner"
 )
 
 const (
-	// defaultPollWait is the default of Table.PollWait, and readTimeout the time to read one page.
+	// defaultPollWait is the default of Table.PollWait.
 	defaultPollWait = 2 * time.Second
-	readTimeout     = 2 * time.Second
-	// pollMargin is how long the answer to a poll may take beyond the wait at the store.
-	pollMargin = 300 * time.Millisecond
+	// minAnswerTimeout and maxAnswerTimeout bound how long an answer of the store may take to begin, beyond
+	// the wait of a poll. In between it follows the answers before.
+	minAnswerTimeout = 300 * time.Millisecond
+	maxAnswerTimeout = 3 * time.Second
 	// initialBackoff and maxBackoff bound the mean delay after a failed call; the actual delay
 	// is between half and one and a half times the mean.
 	initialBackoff = 50 * time.Millisecond
@@ -31,10 +33,12 @@
 type Table struct {
 	// Name is the table's name in the store.
 	Name string
-	// Read returns one page of rows, read at a single version.
-	Read func(ctx context.Context, r table.Range) (table.Page, error)
-	// Watch returns the changes after a version. It waits at most the given time for one.
-	Watch func(ctx context.Context, name string, since uint64, wait time.Duration) (table.Page, error)
+	// Read returns one page of rows, read at a single version. Its answer must begin within the timeout, but may take
+	// longer as long as it makes progress.
+	Read func(ctx context.Context, r table.Range, timeout time.Duration) (table.Page, error)
+	// Watch returns the changes after a version. Its answer must begin within the timeout after the wait, but may
+	// take longer as long as it makes progress.
+	Watch func(ctx context.Context, p table.Poll, timeout time.Duration) (table.Page, error)
 	// PollWait is how long the store holds a poll open when there is no change; 0 selects 2 s. It
 	// bounds how long a silently broken connection goes unnoticed.
 	PollWait time.Duration
@@ -61,6 +65,8 @@
 
 	local   rowSet
 	failing atomic.Bool
+	// latency estimates how long the store's answers take to begin.
+	latency timeout.Estimator
 	// lastConfirmed is the start of the most recent successful call, or the time of Init
 	// if no call has succeeded.
 	lastConfirmed atomic.Pointer[time.Time]
@@ -137,6 +143,7 @@
 	if t.PollWait == 0 {
 		t.PollWait = defaultPollWait
 	}
+	t.latency = timeout.Estimator{MinTimeout: minAnswerTimeout, MaxTimeout: maxAnswerTimeout}
 	now := time.Now()
 	t.lastConfirmed.Store(&now)
 }
@@ -178,19 +185,18 @@
 	if !loaded {
 		return t.load(ctx)
 	}
-	wait := t.PollWait
-	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.cancelPoll.Store(&cancel)
+	era, since := t.local.position()
+	poll := table.Poll{Table: t.Name, Since: since, Wait: t.PollWait, MaxBytes: t.local.maxAnswerBytes()}
 	if t.failing.Load() {
 		// Any answer shows that the store has recovered, so the poll need not wait for a change.
-		wait = 0
+		poll.Wait = 0
 	}
-	era, since := t.local.position()
-	transfer := t.beginCall()
-	page, err := t.Watch(table.WithTransfer(ctx, transfer), t.Name, since, wait)
-	t.reportEra(page.Stamp)
-	t.reportBroken(transfer, err)
+	page, transfer, err := t.call(ctx, poll.Wait, func(ctx context.Context, timeout time.Duration) (table.Page, error) {
+		return t.Watch(ctx, poll, timeout)
+	})
 	switch {
 	case err != nil && t.superseded(era):
 		return fmt.Errorf("watch table %q: %w: %w", t.Name, table.ErrCompacted, err)
@@ -203,17 +209,29 @@
 	return nil
 }
 
-// beginCall returns the record of a call to the store that is about to start.
-func (t *Table) beginCall() *table.Transfer {
+// call makes one call to the store, which waits there for the given time, and reports what came of it.
+func (t *Table) call(ctx context.Context, wait time.Duration, do func(ctx context.Context, timeout time.Duration) (table.Page, error)) (table.Page, *table.Transfer, error) {
 	transfer := table.NewTransfer()
 	t.current.Store(transfer)
-	return transfer
+	timeout := t.latency.Timeout()
+	page, err := do(table.WithTransfer(ctx, transfer), timeout)
+	t.observeLatency(transfer, wait, timeout)
+	t.reportEra(page.Stamp)
+	brokenOff := err != nil && !errors.Is(err, table.ErrCompacted) && transfer.Answered() && !transfer.Complete()
+	if brokenOff && t.OnTransfer != nil {
+		t.OnTransfer(Result{Source: Source{Transfer: transfer}, Err: err})
+	}
+	return page, transfer, err
 }
 
-// reportBroken passes a call that has failed after a part of its answer had arrived to OnTransfer.
-func (t *Table) reportBroken(transfer *table.Transfer, err error) {
-	if err != nil && transfer.Answered() && !transfer.Complete() && t.OnTransfer != nil {
-		t.OnTransfer(Result{Source: Source{Transfer: transfer}, Err: err})
+// observeLatency records how long the answer to a call took to begin, beyond its wait at the store. An answer before
+// the end of the wait tells nothing, since the time of the change is not known.
+func (t *Table) observeLatency(transfer *table.Transfer, wait, timeout time.Duration) {
+	switch {
+	case transfer.Answered() && transfer.Wait() >= wait:
+		t.latency.ObserveLatency(transfer.Wait() - wait)
+	case !transfer.Answered() && transfer.Elapsed() >= wait+timeout:
+		t.latency.ObserveTimeout(timeout)
 	}
 }
 
@@ -268,11 +286,11 @@
 	r := table.Range{Table: t.Name, Limit: rowsPerPage}
 	var rows []table.Row
 	var first table.Stamp
+	var source Source
 	for {
-		transfer := t.beginCall()
-		page, err := t.read(table.WithTransfer(ctx, transfer), r)
-		t.reportEra(page.Stamp)
-		t.reportBroken(transfer, err)
+		page, transfer, err := t.call(ctx, 0, func(ctx context.Context, timeout time.Duration) (table.Page, error) {
+			return t.Read(ctx, r, timeout)
+		})
 		if err != nil {
 			return fmt.Errorf("read table %q: %w", t.Name, err)
 		}
@@ -283,21 +301,16 @@
 			return fmt.Errorf("read table %q: store era changed to %d: %w", t.Name, page.Era, table.ErrUnavailable)
 		}
 		rows = append(rows, page.Rows...)
+		source.Transfer = transfer
 		if !page.HasMore || len(page.Rows) == 0 {
 			break
 		}
 		r.From = table.KeyAfter(page.Rows[len(page.Rows)-1].Key)
 	}
-	t.merge(change{era: first.Era, version: first.Version, rows: rows, snapshot: true}, Source{Transfer: t.Current()})
+	t.merge(change{era: first.Era, version: first.Version, rows: rows, snapshot: true}, source)
 	return nil
 }
 
-func (t *Table) read(ctx context.Context, r table.Range) (table.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	return t.Read(ctx, r)
-}
-
 // recordResult records the result of a call that started at the given time, and calls
 // OnReachabilityChange if the store has failed or recovered with it. A successful call proves that the
 // store was reachable from the start of the call on.
--- a/internal/platform/follow/rowset.go
+++ b/internal/platform/follow/rowset.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/base64"
 	"slices"
 	"sync"
 
@@ -14,14 +15,23 @@
 // so that other routers can apply the deletions.
 const maxTombstones = 4096
 
+const (
+	// rowOverhead is about what a row takes on the wire besides its key and value, in bytes.
+	rowOverhead = 100
+	// minAnswerSlack is what the changes to a table may take beyond its size at least, in bytes. It is little to read, and
+	// more than a table usually grows by at once.
+	minAnswerSlack = 64 << 10
+)
+
 // rowSet is the local copy of the table, including tombstones.
 type rowSet struct {
 	valid func(r table.Row) bool // see Table.Valid
 
 	mu      sync.Mutex // guards the fields below; held while OnRows runs
 	rows    map[string]table.Row
-	era     uint64 // store era of all versions below
-	version uint64 // all changes up to this version are in rows
+	lengths map[string]int // of the values in the store, by key; rows that are not valid are kept without theirs
+	era     uint64         // store era of all versions below
+	version uint64         // all changes up to this version are in rows
 	// tombstonesSince is the version from which on all deletions are kept as tombstones.
 	tombstonesSince uint64
 	tombstones      int // number of tombstones in rows
@@ -42,6 +52,18 @@
 	return s.era, s.version
 }
 
+// maxAnswerBytes returns the size, on the wire, above which the changes to the table are larger than the table itself
+// may be, so that reading the table is cheaper. The changes hold each version of a row.
+func (s *rowSet) maxAnswerBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := 0
+	for key, length := range s.lengths {
+		size += rowOverhead + len(key) + base64.StdEncoding.EncodedLen(length)
+	}
+	return size + max(size/2, minAnswerSlack)
+}
+
 // merge applies a change and passes the rows that changed to onRows. It returns how many they are and
 // whether the change started a new era. It ignores a change from an earlier era, and a change from a
 // later era that is not a snapshot.
@@ -54,6 +76,7 @@
 		return 0, false
 	case s.rows == nil:
 		s.rows = make(map[string]table.Row)
+		s.lengths = make(map[string]int)
 		s.tombstonesSince = c.version
 	}
 	if newEra {
@@ -119,6 +142,10 @@
 // put replaces a row and updates the number of tombstones. It drops the value of a row that is
 // not valid. The caller holds mu.
 func (s *rowSet) put(r table.Row) {
+	s.lengths[r.Key] = len(r.Value)
+	if r.Deleted {
+		delete(s.lengths, r.Key)
+	}
 	if s.valid != nil && !r.Deleted && !s.valid(r) {
 		r.Value = nil
 	}
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -57,7 +57,7 @@
 var ErrUnreachable = errors.New("table not reached")
 
 // ErrCompacted reports that the store no longer has all changes since the requested
-// version, or cannot send them all, so that the whole table must be read.
+// version, or that they are larger than the poll allows, so that the whole table must be read.
 var ErrCompacted = errors.New("changes of the table not available")
 
 // ErrUnknownOutcome reports that a commit may or may not have been applied.
@@ -153,6 +153,18 @@
 	Limit int
 }
 
+// Poll asks for the changes to a table.
+type Poll struct {
+	// Table is the table's name.
+	Table string
+	// Since is the version after which the changes are asked for.
+	Since uint64
+	// Wait is how long the store waits for a change if there is none.
+	Wait time.Duration
+	// MaxBytes is the largest size of the answer, on the wire, that is read; 0 leaves it to the client.
+	MaxBytes int
+}
+
 // KeyAfter returns the first key that sorts after the given key.
 func KeyAfter(key string) string { return key + "\x00" }
 
--- /dev/null
+++ b/internal/protocol/socket/progress.go
@@ -0,0 +1,96 @@
+package socket
+
+import (
+	"net"
+	"time"
+)
+
+const (
+	// maxGap is the longest time without a byte within a message of a ProgressConn.
+	maxGap = 2 * time.Second
+	// minRate is the mean rate, in bytes per second, below which a message of a ProgressConn is given up. A link
+	// that carries callers besides is used for less only while it is of no use to them either.
+	minRate = 8 << 10
+	// writeChunk is the size in bytes of the parts of a message whose progress is watched.
+	writeChunk = 16 << 10
+)
+
+// ProgressConn is a connection whose deadlines bound the time until a message begins, whatever its size. A message
+// that has begun may take longer, as long as it makes progress: no gap is longer than 2 s, and on the whole
+// it is faster than 8 KiB/s. Without a deadline it is not bounded at all.
+//
+// Setting a deadline begins a new message. Apart from Close, only one goroutine may read and one may write at a
+// time.
+type ProgressConn struct {
+	net.Conn
+
+	read, written progress
+}
+
+// progress is how much of one message has been transferred.
+type progress struct {
+	deadline time.Time // as set by the user; zero if there is none
+	begin    time.Time // of the first byte
+	bytes    int64
+}
+
+// advance records n more bytes at now. It returns the new deadline, and false if the old one stays.
+func (p *progress) advance(now time.Time, n int) (time.Time, bool) {
+	if p.deadline.IsZero() || n == 0 {
+		return time.Time{}, false
+	}
+	if p.bytes == 0 {
+		p.begin = now
+	}
+	p.bytes += int64(n)
+	slowest := p.begin.Add(maxGap + time.Duration(p.bytes)*time.Second/minRate)
+	next := now.Add(maxGap)
+	if slowest.Before(next) {
+		next = slowest
+	}
+	return next, next.After(p.deadline)
+}
+
+// SetDeadline begins a message in each direction.
+func (c *ProgressConn) SetDeadline(t time.Time) error {
+	c.read, c.written = progress{deadline: t}, progress{deadline: t}
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline begins a message that is read, whose first byte must arrive before t.
+func (c *ProgressConn) SetReadDeadline(t time.Time) error {
+	c.read = progress{deadline: t}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline begins a message that is written, whose first part must be taken before t.
+func (c *ProgressConn) SetWriteDeadline(t time.Time) error {
+	c.written = progress{deadline: t}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Read reads a part of a message and extends the deadline if it has made progress.
+func (c *ProgressConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if deadline, ok := c.read.advance(time.Now(), n); ok && err == nil {
+		err = c.Conn.SetReadDeadline(deadline)
+	}
+	return n, err
+}
+
+// Write writes a message in parts and extends the deadline after each.
+func (c *ProgressConn) Write(b []byte) (int, error) {
+	total := 0
+	for {
+		n, err := c.Conn.Write(b[total:min(len(b), total+writeChunk)])
+		total += n
+		if err != nil || total == len(b) {
+			return total, err
+		}
+		if deadline, ok := c.written.advance(time.Now(), n); ok {
+			if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+				return total, err
+			}
+		}
+	}
+}
