A refusal that names no request proves nothing for one that may run only once

Callers' bookings ran at two runners: after a 503 or 421 without the id of the attempt, written by a runner that ran the request, it was sent to another one as not run. On used connections such a refusal was skipped already; these requests go on new connections, where it was believed.

Runners name the request in all their answers. So a refusal without its id is skipped for requests that may run only once, on any connection, and the answer that follows is theirs; if none does, the outcome is unknown (502). Requests that may be repeated still take it for theirs on a new connection.

--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -160,7 +160,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return conn.Send(ar.ctx, upstream.Request{AttemptID: ar.r.ID, Request: req, HeaderDeadline: ar.headerDeadline(), GiveUp: func() bool { return ar.leaveSilent(slot) }})
+	return conn.Send(ar.ctx, upstream.Request{
+		AttemptID:      ar.r.ID,
+		Once:           !ar.route.Retryable(),
+		Request:        req,
+		HeaderDeadline: ar.headerDeadline(),
+		GiveUp:         func() bool { return ar.leaveSilent(slot) },
+	})
 }
 
 // headerWaitShare is the fraction of the route's latency goal that a request waits for the
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -36,6 +36,8 @@
 	// AttemptID is the id of the attempt; a response that carries another id, or none on a
 	// reused connection, is skipped.
 	AttemptID string
+	// Once is set if the request must run at most once. A refusal is believed only if it names the request then.
+	Once bool
 	// Request is the HTTP request; its body must not change before the Response has ended.
 	Request *fasthttp.Request
 	// HeaderDeadline is the deadline for the header of the response; if it is zero, only the
@@ -175,12 +177,13 @@
 
 // matches reports whether the response belongs to the request. One that names no request does
 // so only on a connection that has carried nothing before: on others it may be a late copy of
-// an earlier response, and proves nothing about this request.
+// an earlier response, and proves nothing about this request. A refusal that names no request never proves that
+// one which must run at most once has not run.
 func (r *Response) matches(req Request) bool {
-	if r.info.AttemptID == "" {
-		return req.AttemptID == "" || !r.conn.reused
+	if r.info.AttemptID != "" || req.AttemptID == "" {
+		return r.info.AttemptID == req.AttemptID
 	}
-	return r.info.AttemptID == req.AttemptID
+	return !r.conn.reused && !(req.Once && r.info.NotRun)
 }
 
 // skipBody discards the body of a response to another request, so that the next response
