--- a/internal/fleet/drain/admission.go
+++ b/internal/fleet/drain/admission.go
@@ -36,7 +36,7 @@
 
 // Accepts reports whether the router accepts a request that arrives now and ends at deadline at
 // the latest; the zero time stands for no deadline. The request is expected to last no longer than
-// expected; 0 means that its duration is unknown, and counts as short.
+// expected.
 func (a *Admission) Accepts(now, deadline time.Time, expected time.Duration) bool {
 	stop := a.stop.Load()
 	switch {
--- a/internal/fleet/drain/admission_test.go
+++ b/internal/fleet/drain/admission_test.go
@@ -82,11 +82,12 @@
 			got := d.Expect(now, kind, units)
 			least := time.Duration(durationMargin * float64(low.first+time.Duration(units)*low.unit))
 			most := time.Duration(durationMargin * float64(high.first+time.Duration(units)*high.unit))
-			if got != 0 && (got < least-time.Microsecond || got > most+time.Microsecond) {
-				t.Fatalf("expected duration is %v, not between %v and %v", got, least, most)
+			between := got >= least-time.Microsecond && got <= most+time.Microsecond
+			if recent > 0 && !between || known > 0 && !between && got != UnknownDuration {
+				t.Fatalf("expected duration is %v, not between %v and %v, with %d recent requests", got, least, most, recent)
 			}
-			if recent > 0 && got == 0 && least > 0 || known == 0 && got != 0 {
-				t.Fatalf("expected duration is %v with %d recent requests", got, recent)
+			if known == 0 && got != UnknownDuration {
+				t.Fatalf("expected duration is %v, but no request is known", got)
 			}
 		}
 	})
@@ -95,11 +96,11 @@
 func TestDurationsByKindAndSize(t *testing.T) {
 	var d Durations
 	now := time.Unix(1000, 0)
-	assert.Equal(t, d.Expect(now, "a", 10), time.Duration(0))
+	assert.Equal(t, d.Expect(now, "a", 10), UnknownDuration)
 	d.Observe(now, "a", 10, time.Second, 2*time.Second)
 	assert.Equal(t, d.Expect(now, "a", 20), time.Duration(durationMargin*float64(3*time.Second)))
 	d.Observe(now, "a", 30, 3*time.Second, 6*time.Second)
 	assert.Equal(t, d.Expect(now, "a", 20), time.Duration(durationMargin*float64(4*time.Second)))
-	assert.Equal(t, d.Expect(now, "b", 20), time.Duration(0))
-	assert.Equal(t, d.Expect(now.Add(2*durationWindow), "a", 20), time.Duration(0))
+	assert.Equal(t, d.Expect(now, "b", 20), UnknownDuration)
+	assert.Equal(t, d.Expect(now.Add(2*durationWindow), "a", 20), UnknownDuration)
 }
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -183,7 +183,8 @@
 	if r.info.AttemptID != "" || req.AttemptID == "" {
 		return r.info.AttemptID == req.AttemptID
 	}
-	return !r.conn.reused && !(req.Once && r.info.NotRun)
+	unproven := r.conn.reused || req.Once && r.info.NotRun
+	return !unproven
 }
 
 // skipBody discards the body of a response to another request, so that the next response
