--- a/internal/fleet/drain/durations.go
+++ b/internal/fleet/drain/durations.go
@@ -12,11 +12,11 @@
 	// durationMargin is multiplied by the mean of recent durations, since a cut-off costs a caller
 	// more than a refusal.
 	durationMargin = 1.25
-	// UnknownDuration is how long a request is expected to last if nothing is known about its kind: longer than
-	// nearly all do, since a cut-off costs a caller more than a refusal.
-	UnknownDuration = 15 * time.Second
 )
 
+// Unknown is the expected duration of a request of whose kind nothing is known.
+const Unknown time.Duration = -1
+
 // Durations holds how long recent requests have lasted, by kind of request. The zero value is empty.
 type Durations struct {
 	mu            sync.Mutex // guards the fields below
@@ -41,14 +41,14 @@
 }
 
 // Expect returns how long a request is expected to last that has the kind and the largest size of
-// its answer, or UnknownDuration if no request of the kind has ended recently.
+// its answer, or Unknown if no request of the kind has ended recently.
 func (d *Durations) Expect(now time.Time, kind string, units int64) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rotate(now)
 	sum := add(d.current[kind], d.last[kind])
 	if sum.requests == 0 {
-		return UnknownDuration
+		return Unknown
 	}
 	first := float64(sum.first) / float64(sum.requests)
 	perUnit := float64(sum.rest) / float64(sum.units)
