--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/budget/allotment"
@@ -25,6 +26,7 @@
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/platform/vmlist"
 	"rosevalve/internal/protocol/callers"
+	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/gateway"
 	"rosevalve/internal/request/quarantine"
@@ -38,9 +40,13 @@
 )
 
 const (
-	maxPlatformConns = 64              // to the platform's services
-	minReleaseTime   = 5 * time.Second // for returning tokens after the drain limit
-	leavePropagation = 2 * time.Second // time until all reachable routers have stopped listing a leaving router
+	maxPlatformConns = 64 // to the platform's services
+	// maxPlatformResponse bounds one answer of the platform's services, in bytes.
+	maxPlatformResponse = 16 << 20
+	// platformWriteBuffer is the size in bytes of the send buffer of a connection to the platform's services.
+	platformWriteBuffer = 64 << 10
+	minReleaseTime      = 5 * time.Second // for returning tokens after the drain limit
+	leavePropagation    = 2 * time.Second // time until all reachable routers have stopped listing a leaving router
 )
 
 // Router is one router process.
@@ -150,19 +156,45 @@
 // buildPlatform builds the HTTP client of the platform's services and the client of its
 // table, which relays through peers if the table cannot be reached.
 func (r *Router) buildPlatform() {
-	r.platformHTTP = &fasthttp.Client{MaxConnsPerHost: maxPlatformConns, MaxIdemponentCallAttempts: 1}
+	r.platformHTTP = newPlatformHTTP()
 	client := &table.Client{Addr: r.Settings.Platform.Addr, HTTP: r.platformHTTP}
 	r.table = &relay.Table{
 		DirectCommit: client.Commit,
 		DirectGet:    client.Get,
 		DirectScan:   client.Scan,
 		Call: func(ctx context.Context, addr, method string, in, out any) error {
+			if method == inner.MethodTableScan {
+				return r.peers.Fetch(ctx, addr, method, in, out)
+			}
 			return r.peers.Call(ctx, addr, method, in, out)
 		},
 		PeerAddrs: func() []string { return r.relayCandidates() },
 	}
 }
 
+// newPlatformHTTP returns the HTTP client of the platform's services. The deadlines of its calls bound the time until an
+// answer begins; one that has begun may take longer as long as it makes progress.
+func newPlatformHTTP() *fasthttp.Client {
+	return &fasthttp.Client{
+		MaxConnsPerHost:           maxPlatformConns,
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxPlatformResponse,
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := fasthttp.Dial(addr)
+			if err != nil {
+				return nil, err
+			}
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				// What waits in a large buffer would count as written.
+				if err := tcp.SetWriteBuffer(platformWriteBuffer); err != nil {
+					return nil, errors.Join(fmt.Errorf("set write buffer: %w", err), conn.Close())
+				}
+			}
+			return &socket.ProgressConn{Conn: conn}, nil
+		},
+	}
+}
+
 // drain stops the router gracefully. It returns the errors of the steps that were not
 // completed in time.
 func (r *Router) drain(server *callers.Server) error {
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -50,14 +50,18 @@
 	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(deadline) {
 		deadline = ctxDeadline
 	}
-	status, body, err := c.HTTP.GetDeadline(nil, "http://"+c.Addr+"/vms", deadline)
-	if err != nil {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.Addr + "/vms")
+	if err := c.HTTP.DoDeadline(req, resp, deadline); err != nil {
 		return nil, fmt.Errorf("get VM list: %w", err)
 	}
-	if status != fasthttp.StatusOK {
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
 		return nil, fmt.Errorf("get VM list: status %d", status)
 	}
-	return decode(body)
+	return decode(resp.Body())
 }
 
 // decode decodes the list, each entry on its own.
--- a/internal/protocol/socket/progress.go
+++ b/internal/protocol/socket/progress.go
@@ -31,6 +31,7 @@
 type progress struct {
 	deadline time.Time // as set by the user; zero if there is none
 	begin    time.Time // of the first byte
+	last     time.Time // of the last byte
 	bytes    int64
 }
 
@@ -43,6 +44,7 @@
 		p.begin = now
 	}
 	p.bytes += int64(n)
+	p.last = now
 	slowest := p.begin.Add(maxGap + time.Duration(p.bytes)*time.Second/minRate)
 	next := now.Add(maxGap)
 	if slowest.Before(next) {
@@ -57,8 +59,12 @@
 	return c.Conn.SetDeadline(t)
 }
 
-// SetReadDeadline begins a message that is read, whose first byte must arrive before t.
+// SetReadDeadline begins a message that is read, whose first byte must arrive before t. The time that the message written
+// before it has taken is added.
 func (c *ProgressConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		t = t.Add(c.written.last.Sub(c.written.begin))
+	}
 	c.read = progress{deadline: t}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -84,10 +90,11 @@
 	for {
 		n, err := c.Conn.Write(b[total:min(len(b), total+writeChunk)])
 		total += n
+		deadline, extended := c.written.advance(time.Now(), n)
 		if err != nil || total == len(b) {
 			return total, err
 		}
-		if deadline, ok := c.written.advance(time.Now(), n); ok {
+		if extended {
 			if err := c.Conn.SetWriteDeadline(deadline); err != nil {
 				return total, err
 			}
