--- a/internal/fleet/peer/conn.go
+++ b/internal/fleet/peer/conn.go
@@ -13,13 +13,14 @@
 	"encoding/binary"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"rosevalve/internal/protocol/socket"
 )
 
 const (
 	maxMessageSize = 4 << 20 // bytes
-	// writeTimeout bounds the time to write writeChunk bytes.
+	// writeTimeout bounds the time until the first part of a message is written.
 	writeTimeout = 2 * time.Second
-	writeChunk   = 16 << 10
 )
 
 var (
@@ -39,7 +40,7 @@
 }
 
 func newTimeoutConn(conn net.Conn, idleTimeout time.Duration) *timeoutConn {
-	return &timeoutConn{Conn: conn, idleTimeout: idleTimeout}
+	return &timeoutConn{Conn: &socket.ProgressConn{Conn: conn}, idleTimeout: idleTimeout}
 }
 
 // Read reads into b and fails if no data arrives within the idle timeout.
@@ -56,20 +57,14 @@
 	return n, err
 }
 
-// Write writes b and fails if a chunk of it takes longer than writeTimeout.
+// Write writes b and fails if the first part of it takes longer than writeTimeout, or the rest makes no progress.
 func (c *timeoutConn) Write(b []byte) (int, error) {
-	total := 0
-	for {
-		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return total, fmt.Errorf("set write deadline: %w", err)
-		}
-		n, err := c.Conn.Write(b[total:min(len(b), total+writeChunk)])
-		total += n
-		bytesWritten.Add(int64(n))
-		if err != nil || total == len(b) {
-			return total, err
-		}
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, fmt.Errorf("set write deadline: %w", err)
 	}
+	n, err := c.Conn.Write(b)
+	bytesWritten.Add(int64(n))
+	return n, err
 }
 
 // idleSince reports whether no data has arrived at or after t.
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -175,8 +175,8 @@
 }
 
 // Fetch calls a method whose reply may be large, on a connection of its own, so that other calls do not wait behind
-// the reply. It waits for as long as data arrives, in all at most until minFetchRate is missed, and closes the connection if
-// it gives up, so that the peer stops sending. Its errors are those of Call.
+// the reply. It waits for as long as the reply makes progress, and closes the connection if it gives up, so that the peer
+// stops sending. Its errors are those of Call.
 func (t *Transport) Fetch(ctx context.Context, addr, method string, in, out any) error {
 	t.init()
 	p := t.peer(peerKey{addr: addr, bulk: true})
--- a/internal/protocol/socket/progress.go
+++ b/internal/protocol/socket/progress.go
@@ -2,15 +2,16 @@
 
 import (
 	"net"
+	"sync"
 	"time"
 )
 
 const (
-	// maxGap is the longest time without a byte within a message of a ProgressConn.
-	maxGap = 2 * time.Second
-	// minRate is the mean rate, in bytes per second, below which a message of a ProgressConn is given up. A link
-	// that carries callers besides is used for less only while it is of no use to them either.
-	minRate = 8 << 10
+	// MaxGap is the longest time without a byte within a message that makes progress.
+	MaxGap = 2 * time.Second
+	// MinRate is the mean rate, in bytes per second, below which a message makes no progress. A link that carries less is
+	// of no use to callers either.
+	MinRate = 8 << 10
 	// writeChunk is the size in bytes of the parts of a message whose progress is watched.
 	writeChunk = 16 << 10
 )
@@ -24,6 +25,7 @@
 type ProgressConn struct {
 	net.Conn
 
+	mu            sync.Mutex // guards read and written
 	read, written progress
 }
 
@@ -45,8 +47,8 @@
 	}
 	p.bytes += int64(n)
 	p.last = now
-	slowest := p.begin.Add(maxGap + time.Duration(p.bytes)*time.Second/minRate)
-	next := now.Add(maxGap)
+	slowest := p.begin.Add(MaxGap + time.Duration(p.bytes)*time.Second/MinRate)
+	next := now.Add(MaxGap)
 	if slowest.Before(next) {
 		next = slowest
 	}
@@ -55,6 +57,8 @@
 
 // SetDeadline begins a message in each direction.
 func (c *ProgressConn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.read, c.written = progress{deadline: t}, progress{deadline: t}
 	return c.Conn.SetDeadline(t)
 }
@@ -62,6 +66,8 @@
 // SetReadDeadline begins a message that is read, whose first byte must arrive before t. The time that the message written
 // before it has taken is added.
 func (c *ProgressConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !t.IsZero() {
 		t = t.Add(c.written.last.Sub(c.written.begin))
 	}
@@ -71,6 +77,8 @@
 
 // SetWriteDeadline begins a message that is written, whose first part must be taken before t.
 func (c *ProgressConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.written = progress{deadline: t}
 	return c.Conn.SetWriteDeadline(t)
 }
@@ -78,7 +86,12 @@
 // Read reads a part of a message and extends the deadline if it has made progress.
 func (c *ProgressConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if deadline, ok := c.read.advance(time.Now(), n); ok && err == nil {
+	if err != nil {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if deadline, ok := c.read.advance(time.Now(), n); ok {
 		err = c.Conn.SetReadDeadline(deadline)
 	}
 	return n, err
@@ -90,14 +103,21 @@
 	for {
 		n, err := c.Conn.Write(b[total:min(len(b), total+writeChunk)])
 		total += n
-		deadline, extended := c.written.advance(time.Now(), n)
+		if err == nil {
+			err = c.extendWrite(n)
+		}
 		if err != nil || total == len(b) {
 			return total, err
 		}
-		if extended {
-			if err := c.Conn.SetWriteDeadline(deadline); err != nil {
-				return total, err
-			}
-		}
 	}
 }
+
+// extendWrite extends the deadline after n more bytes were written.
+func (c *ProgressConn) extendWrite(n int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if deadline, ok := c.written.advance(time.Now(), n); ok {
+		return c.Conn.SetWriteDeadline(deadline)
+	}
+	return nil
+}
