--- a/internal/standin/fault/link.go
+++ b/internal/standin/fault/link.go
@@ -21,11 +21,11 @@
 	listener net.Listener
 	server   string
 	open     atomic.Int64
-	up, down direction
+	up, down Throttle
 }
 
-// direction is one direction of a Link.
-type direction struct {
+// Throttle carries bytes at a rate, which all its users share. The zero value carries nothing.
+type Throttle struct {
 	mu       sync.Mutex // guards the fields below
 	rate     float64    // bytes per second; 0 carries nothing
 	nextFree time.Time
@@ -49,22 +49,15 @@
 
 // SetRate sets the rate in bytes per second; 0 carries nothing.
 func (l *Link) SetRate(rate float64) {
-	for _, d := range []*direction{&l.up, &l.down} {
-		d.mu.Lock()
-		d.rate = rate
-		d.mu.Unlock()
-	}
+	l.up.SetRate(rate)
+	l.down.SetRate(rate)
 }
 
 // OpenConns returns the number of connections to the server.
 func (l *Link) OpenConns() int64 { return l.open.Load() }
 
 // Received returns the number of bytes that the link has carried from the server.
-func (l *Link) Received() int64 {
-	l.down.mu.Lock()
-	defer l.down.mu.Unlock()
-	return l.down.carried
-}
+func (l *Link) Received() int64 { return l.down.Carried() }
 
 // Close makes the link take no new connections.
 func (l *Link) Close() error { return l.listener.Close() }
@@ -103,7 +96,7 @@
 }
 
 // carry copies from src to dst at the rate, until one of them ends.
-func (d *direction) carry(dst, src net.Conn, ended chan<- struct{}) {
+func (t *Throttle) carry(dst, src net.Conn, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buf := make([]byte, segment)
 	for {
@@ -111,17 +104,31 @@
 		if err != nil {
 			return
 		}
-		d.pass(n)
+		t.Pass(n)
 		if _, err := dst.Write(buf[:n]); err != nil {
 			return
 		}
 	}
 }
 
-// pass waits until the direction has carried n bytes.
-func (d *direction) pass(n int) {
+// SetRate sets the rate in bytes per second; 0 carries nothing.
+func (t *Throttle) SetRate(rate float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rate = rate
+}
+
+// Carried returns the number of bytes that were carried.
+func (t *Throttle) Carried() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.carried
+}
+
+// Pass waits until n bytes are carried.
+func (t *Throttle) Pass(n int) {
 	for {
-		wait, ok := d.schedule(n)
+		wait, ok := t.schedule(n)
 		time.Sleep(wait)
 		if ok {
 			return
@@ -129,18 +136,18 @@
 	}
 }
 
-// schedule returns how long it takes until n more bytes are carried. It returns false if the direction carries nothing, and
-// the time after which to ask again.
-func (d *direction) schedule(n int) (time.Duration, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.rate == 0 {
+// schedule returns how long it takes until n more bytes are carried. It returns false if nothing is carried, and the time
+// after which to ask again.
+func (t *Throttle) schedule(n int) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rate == 0 {
 		return stillInterval, false
 	}
-	if now := time.Now(); d.nextFree.Before(now) {
-		d.nextFree = now
+	if now := time.Now(); t.nextFree.Before(now) {
+		t.nextFree = now
 	}
-	d.nextFree = d.nextFree.Add(time.Duration(float64(n) / d.rate * float64(time.Second)))
-	d.carried += int64(n)
-	return time.Until(d.nextFree), true
+	t.nextFree = t.nextFree.Add(time.Duration(float64(n) / t.rate * float64(time.Second)))
+	t.carried += int64(n)
+	return time.Until(t.nextFree), true
 }
