--- a/internal/fleet/edge/tables.go
+++ b/internal/fleet/edge/tables.go
@@ -27,7 +27,7 @@
 func (e *Edge) follow(name string, onRows func(rows []table.Row, from follow.Source)) *follow.Table {
 	t := &follow.Table{
 		Name:        name,
-		Read:        e.store.Read,
+		Read:        e.readTable,
 		Watch:       e.store.Watch,
 		RequestRows: e.fetchRows,
 		OnRows:      onRows,
@@ -45,6 +45,14 @@
 	return t
 }
 
+// readTable reads a page of a followed table and records the call in the metrics.
+func (e *Edge) readTable(ctx context.Context, r table.Range, timeout time.Duration) (table.Page, error) {
+	began := time.Now()
+	page, err := e.store.Read(ctx, r, timeout)
+	e.metrics.recordCall("store_read", time.Since(began), err)
+	return page, err
+}
+
 // recordTransfer counts the rows that one call for rows has brought, and logs a call that broke off.
 func (e *Edge) recordTransfer(name string, r follow.Result) {
 	e.metrics.recordTransfer(name, r)
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -59,7 +59,7 @@
 	}
 	if p.current != nil {
 		// Calls in flight on the old connection last at most callTimeout and still get
-		// their replies.
+		// their replies; a large reply that takes longer is fetched again.
 		old := p.current
 		time.AfterFunc(2*callTimeout, func() { _ = old.rpc.Close() })
 		p.current = nil
