--- a/internal/platform/follow/peers_test.go
+++ b/internal/platform/follow/peers_test.go
@@ -35,6 +35,7 @@
 		t.Run("packing "+packing, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				healthy, refusing := newFakeStore(), newFakeStore()
+				refusing.setFaults(false, true)
 				other := startFollower(t, healthy, nil)
 				healthy.put("large", value)
 				healthy.put("small", "1")
@@ -47,7 +48,6 @@
 					}
 					return out, nil
 				})
-				refusing.setFaults(false, true)
 				time.Sleep(2 * time.Second)
 				c.assertRows(t, map[string]string{"large": value, "small": "1"})
 				if packing == inner.PackingDeflate {
