--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -28,9 +28,9 @@
 	// storeConns bounds the connections to the store.
 	storeConns = 16
 	// maxStoreResponse bounds one response of the store, in bytes. A page of rows is far smaller.
-	maxStoreResponse    = 4 << 20
-	minStoreDialTimeout = 300 * time.Millisecond
-	targetDialTimeout   = 250 * time.Millisecond
+	maxStoreResponse = 4 << 20
+	// maxStoreDialTime is how long a dial of the store goes on, also after the call that waited for it has given up.
+	maxStoreDialTime = 3 * time.Second
 	// targetAckTimeout is how long data sent to a target may stay unacknowledged before the
 	// connection is closed.
 	targetAckTimeout = time.Second
@@ -58,14 +58,14 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       10 * time.Second,
-		Dial:                      e.dialStore,
+		DialTimeout:               e.dialStore,
 	}}
 }
 
-// dialStore opens a connection to the store. It waits as long as for an answer, if those take longer.
-func (e *Edge) dialStore(addr string) (net.Conn, error) {
-	dialer := socket.Dialer{Timeout: max(minStoreDialTimeout, e.storeTimeouts.read.Timeout()), UserTimeout: time.Second}
-	conn, err := dialer.Dial(context.Background(), addr)
+// dialStore opens a connection to the store within the time that its caller waits for an answer.
+func (e *Edge) dialStore(addr string, timeout time.Duration) (net.Conn, error) {
+	dialer := socket.Dialer{Timeout: maxStoreDialTime, UserTimeout: socket.MaxGap}
+	conn, err := e.storeDialer.Connect(context.Background(), timeout, func(ctx context.Context) (net.Conn, error) { return dialer.Dial(ctx, addr) })
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 }
 
 func (e *Edge) connectTargets() {
-	dialer := socket.Dialer{Timeout: targetDialTimeout, UserTimeout: targetAckTimeout}
+	dialer := socket.Dialer{Timeout: placement.MaxDialTime, UserTimeout: targetAckTimeout}
 	e.placement = &placement.Placement{
 		Dial:           dialer.Dial,
 		ParseHeader:    platform.DecodeResponseHeader,
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -63,6 +63,7 @@
 	toldAddresses   toldAddresses
 	plan            atomic.Pointer[plan.Plan] // configuration in force; nil before the first one
 	store           *platform.Store
+	storeDialer     socket.LastingDialer
 	storeTimeouts   storeTimeouts
 	configTable     *follow.Table                // local copy of the store's operator table, which holds the configuration
 	targetTable     *follow.Table                // local copy of the store's table of target announcements
--- /dev/null
+++ b/internal/target/placement/dial_test.go
@@ -0,0 +1,95 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/target/roster"
+)
+
+// busyRouter returns a placement with one instance for each of the given dial times, which can be changed.
+func busyRouter(dialTimes []time.Duration) *Placement {
+	var instances []roster.Instance
+	byAddr := make(map[string]*time.Duration)
+	for n := range dialTimes {
+		addr := fmt.Sprintf("10.0.0.%d:80", n)
+		byAddr[addr] = &dialTimes[n]
+		instances = append(instances, roster.Instance{ID: addr, Service: writer, Addr: addr})
+	}
+	p := &Placement{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		takes := *byAddr[addr]
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(min(takes, MaxDialTime)):
+		}
+		if takes > MaxDialTime {
+			return nil, context.DeadlineExceeded
+		}
+		conn, _ := net.Pipe()
+		return conn, nil
+	}}
+	p.Update(roster.New(instances))
+	return p
+}
+
+// countUnconnected connects to each instance in turn and returns how many could not be reached in time.
+func countUnconnected(t *testing.T, p *Placement) int {
+	t.Helper()
+	out := 0
+	for _, i := range p.services[writer].instances {
+		if _, err := i.pool.Acquire(t.Context(), true); err != nil {
+			out++
+		}
+	}
+	return out
+}
+
+// TestDialsOfABusyRouterAreWaitedFor guards against a router that gives up one connection after the other, and takes its
+// targets for down, since its own link or processor is busy.
+func TestDialsOfABusyRouterAreWaitedFor(t *testing.T) {
+	for _, takes := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(takes.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dialTimes := make([]time.Duration, 20)
+				p := busyRouter(dialTimes)
+				for n := range dialTimes {
+					dialTimes[n] = 4 * time.Millisecond
+				}
+				assert.Equal(t, countUnconnected(t, p), 0)
+				for n := range dialTimes {
+					dialTimes[n] = takes
+				}
+				unconnected := countUnconnected(t, p)
+				// Until as many dials have ended as decide the median, attempts wait for the minimum.
+				most := int(takes/minDialTimeout) + dialSamples/2 + 1
+				assert.Assert(t, unconnected <= most, "%d of 20", unconnected)
+				time.Sleep(takes)
+				assert.Equal(t, countUnconnected(t, p), 0)
+				time.Sleep(MaxDialTime)
+			})
+		})
+	}
+}
+
+// TestDialsOfTargetsThatAreDownEndSoon guards against requests that wait for targets that are down, alone or many at once.
+func TestDialsOfTargetsThatAreDownEndSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialTimes := make([]time.Duration, 20)
+		p := busyRouter(dialTimes)
+		assert.Equal(t, countUnconnected(t, p), 0)
+		for n := range 15 {
+			dialTimes[n] = time.Hour
+		}
+		began := time.Now()
+		assert.Equal(t, countUnconnected(t, p), 15)
+		assert.Equal(t, time.Since(began), 15*250*time.Millisecond)
+		time.Sleep(MaxDialTime)
+	})
+}
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -61,7 +61,10 @@
 		onEngineSpeed: p.OnEngineSpeed,
 		cached:        make(map[uint64]time.Time),
 	}
-	out.pool = &upstream.Pool{Addr: i.Addr, Dial: rtt.measured(p.Dial), ParseHeader: p.ParseHeader, OnNotice: out.handleNotice}
+	out.pool = &upstream.Pool{
+		Addr: i.Addr, Dial: p.measuredDial(rtt), DialTimeout: p.dialTimes.timeout,
+		ParseHeader: p.ParseHeader, OnNotice: out.handleNotice,
+	}
 	return out
 }
 
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -121,6 +121,8 @@
 	// Rand returns a random number in [0, n); nil selects math/rand/v2.
 	Rand func(n int) int
 
+	dialTimes dialTimes // of all instances, since what they share is the router's own link and processor
+
 	mu         sync.RWMutex // guards the fields below
 	services   map[string]*service
 	unlisted   map[string]*instance       // by ID; no longer in the roster, but with a notice in force
--- a/internal/target/placement/rtt.go
+++ b/internal/target/placement/rtt.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"context"
-	"net"
 	"sync"
 	"time"
 )
@@ -39,19 +37,6 @@
 	return e.estimate
 }
 
-// measured returns a dial function that calls dial and records the durations of its
-// successful calls.
-func (e *rttEstimator) measured(dial func(ctx context.Context, addr string) (net.Conn, error)) func(ctx context.Context, addr string) (net.Conn, error) {
-	return func(ctx context.Context, addr string) (net.Conn, error) {
-		start := time.Now()
-		conn, err := dial(ctx, addr)
-		if err == nil {
-			e.observe(time.Since(start))
-		}
-		return conn, err
-	}
-}
-
 // rttTo returns the estimator for a failure domain, creating it on first use. The caller
 // holds mu.
 func (p *Placement) rttTo(domain string) *rttEstimator {
--- a/internal/target/upstream/pool.go
+++ b/internal/target/upstream/pool.go
@@ -35,6 +35,8 @@
 	Addr string
 	// Dial opens a connection to addr.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// DialTimeout returns how long a request waits for a connection to open; nil stands for as long as Dial takes.
+	DialTimeout func() time.Duration
 	// ParseHeader extracts the ResponseInfo from the header of a response.
 	ParseHeader func(h *fasthttp.ResponseHeader) ResponseInfo
 	// OnNotice is called with each notice in a response, including responses to Get and,
@@ -43,6 +45,8 @@
 
 	mu   sync.Mutex    // guards idle
 	idle []*pooledConn // most recently used last
+
+	dialer socket.LastingDialer
 }
 
 // pooledConn is a connection to the instance with its read buffer.
@@ -92,7 +96,7 @@
 			return &Conn{pool: p, conn: c}, nil
 		}
 	}
-	raw, err := p.Dial(ctx, p.Addr)
+	raw, err := p.dial(ctx)
 	if err != nil {
 		return nil, &runner.Error{RunState: answer.NotRun, Err: err}
 	}
@@ -102,6 +106,14 @@
 	return &Conn{pool: p, conn: c}, nil
 }
 
+// dial opens a connection within DialTimeout.
+func (p *Pool) dial(ctx context.Context) (net.Conn, error) {
+	if p.DialTimeout == nil {
+		return p.Dial(ctx, p.Addr)
+	}
+	return p.dialer.Connect(ctx, p.DialTimeout(), func(ctx context.Context) (net.Conn, error) { return p.Dial(ctx, p.Addr) })
+}
+
 // heedNotice passes the notice of a response to OnNotice. The pause in a response that does not
 // match its request is left out, since it may have been over before.
 func (p *Pool) heedNotice(n Notice, matches bool) {
