--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -221,7 +221,7 @@
 func (ar *activeRequest) outcomeOf(err error) placement.Outcome {
 	var runErr *runner.Error
 	switch {
-	case ar.interrupted():
+	case ar.interrupted() || errors.Is(err, placement.ErrLeft):
 		return placement.Inconclusive
 	case !errors.As(err, &runErr) || runErr.RunState != answer.NotRun:
 		return placement.Failed
--- a/internal/target/placement/dial_test.go
+++ b/internal/target/placement/dial_test.go
@@ -10,7 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/roster"
+	"rosevalve/internal/target/runner"
+	"rosevalve/internal/target/upstream"
 )
 
 // busyRouter returns a placement with one instance for each of the given dial times, which can be changed.
@@ -93,3 +96,23 @@
 		time.Sleep(MaxDialTime)
 	})
 }
+
+// TestTargetThatLeavesDuringADialGetsNothing guards against requests that reach a target long after it has said that it
+// leaves, since they waited for a connection.
+func TestTargetThatLeavesDuringADialGetsNothing(t *testing.T) {
+	for name, leaves := range map[string]func(p *Placement, i *instance){
+		"by its announcement": func(p *Placement, _ *instance) { p.Update(roster.New(nil)) },
+		"by its answer":       func(_ *Placement, i *instance) { i.handleNotice(upstream.Notice{Leaving: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := busyRouter([]time.Duration{200 * time.Millisecond})
+				slot := choose(t, p, Requirements{})
+				time.AfterFunc(100*time.Millisecond, func() { leaves(p, slot.instance) })
+				_, err := slot.Conn(t.Context(), true)
+				assert.ErrorIs(t, err, ErrLeft)
+				assert.Equal(t, runner.RunStateOf(err), answer.NotRun)
+			})
+		})
+	}
+}
--- a/internal/target/placement/notice.go
+++ b/internal/target/placement/notice.go
@@ -69,6 +69,13 @@
 	return !i.leaving && !i.pausedUntil.After(now)
 }
 
+// hasLeft reports whether the instance is leaving or no longer in the roster.
+func (i *instance) hasLeft() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving || !i.unlistedSince.IsZero()
+}
+
 // pauseEnd returns when the pause of the instance ends; zero if it is leaving or not paused.
 func (i *instance) pauseEnd(now time.Time) time.Time {
 	i.mu.Lock()
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -12,14 +12,19 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/balance"
 	"rosevalve/internal/target/roster"
+	"rosevalve/internal/target/runner"
 	"rosevalve/internal/target/upstream"
 )
 
 // ErrNoInstance reports that no instance of the service can be sent the request.
 var ErrNoInstance = errors.New("service has no instance for the request")
 
+// ErrLeft reports that an instance has left since it was chosen.
+var ErrLeft = errors.New("instance has left since it was chosen")
+
 //go:generate ../../../bin/stringer -type=Outcome -linecomment
 
 // Outcome classifies the end of an attempt by what it shows about the instance.
@@ -166,13 +171,23 @@
 // Conn returns a connection to the instance: the one from its report request if that is
 // still open, or else one from the connection pool, which is always new if fresh is set.
 //
-// The error is a *runner.Error which states that nothing was sent.
+// The error is a *runner.Error which states that nothing was sent. It wraps ErrLeft if the instance has left while the
+// request waited.
 func (s *Slot) Conn(ctx context.Context, fresh bool) (*upstream.Conn, error) {
-	if conn := s.conn; conn != nil && conn.Usable() {
-		s.conn = nil
-		return conn, nil
+	conn := s.conn
+	s.conn = nil
+	if conn == nil || !conn.Usable() {
+		var err error
+		if conn, err = s.instance.pool.Acquire(ctx, fresh); err != nil {
+			return nil, err
+		}
+	}
+	if s.instance.hasLeft() {
+		conn.Release()
+		s.instance.pool.CloseIdle()
+		return nil, &runner.Error{RunState: answer.NotRun, Err: ErrLeft}
 	}
-	return s.instance.pool.Acquire(ctx, fresh)
+	return conn, nil
 }
 
 // AnswerStarted records that the instance has begun to answer.
