--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -93,8 +93,7 @@
 // peer uses another protocol version.
 func (p *peerClient) dial(ctx context.Context) (*rpcConn, error) {
 	dials.Add(1)
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", p.addr)
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
@@ -148,7 +147,7 @@
 		return nil, err
 	}
 	conn := tls.Server(raw, config)
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := conn.HandshakeContext(ctx); err != nil {
 		return nil, fmt.Errorf("TLS handshake: %w", err)
--- a/internal/fleet/peer/fetch_test.go
+++ b/internal/fleet/peer/fetch_test.go
@@ -86,3 +86,19 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestRepliesThatBeginLateAreWaitedFor guards against a router that is too busy to get a reply within a fixed time, and
+// asks for it again and again.
+func TestRepliesThatBeginLateAreWaitedFor(t *testing.T) {
+	addr := startServer(t, &Transport{Handlers: map[string]Handler{
+		methodLarge: func(context.Context, json.RawMessage) (any, error) {
+			time.Sleep(callTimeout + callTimeout/2)
+			return "late", nil
+		},
+	}})
+	client := newClient(nil)
+	var out string
+	assert.Assert(t, client.Fetch(context.Background(), addr, methodLarge, nil, &out) != nil)
+	assert.NilError(t, client.Fetch(context.Background(), addr, methodLarge, nil, &out))
+	assert.Equal(t, out, "late")
+}
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -12,12 +12,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"rosevalve/internal/platform/timeout"
 	"rosevalve/internal/protocol/inner"
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
 	callTimeout = time.Second
+	// maxFetchWait bounds how long a fetched reply may take to begin. It is never less than callTimeout.
+	maxFetchWait = 3 * time.Second
 
 	handlerWorkers   = 64
 	handlerQueueSize = 1024 // received calls that wait for a worker; more are rejected
@@ -62,6 +64,9 @@
 	once    sync.Once // for init
 	workers pond.Pool // runs the handlers
 
+	// fetchLatency estimates how long fetched replies take to begin.
+	fetchLatency timeout.Estimator
+
 	mu       sync.Mutex // guards peers and accepted
 	peers    map[peerKey]*peerClient
 	accepted map[net.Conn]bool // open accepted connections
@@ -77,6 +82,7 @@
 			t.MaxConnAge = defaultMaxAge
 		}
 		t.workers = pond.NewPool(handlerWorkers, pond.WithQueueSize(handlerQueueSize), pond.WithNonBlocking(true))
+		t.fetchLatency = timeout.Estimator{MinTimeout: callTimeout, InitialTimeout: callTimeout, MaxTimeout: maxFetchWait}
 		t.peers = make(map[peerKey]*peerClient)
 		t.accepted = make(map[net.Conn]bool)
 	})
@@ -175,23 +181,32 @@
 }
 
 // Fetch calls a method whose reply may be large, on a connection of its own, so that other calls do not wait behind
-// the reply. It waits for as long as the reply makes progress, and closes the connection if it gives up, so that the peer
-// stops sending. Its errors are those of Call.
+// the reply. The connection must open, and the reply begin, within a time that follows how long earlier ones took. It
+// then waits for as long as the reply makes progress, and closes the connection if it gives up, so that the peer stops
+// sending. Its errors are those of Call.
 func (t *Transport) Fetch(ctx context.Context, addr, method string, in, out any) error {
 	t.init()
+	limit := t.fetchLatency.Timeout()
 	p := t.peer(peerKey{addr: addr, bulk: true})
-	dialCtx, cancelDial := context.WithTimeout(ctx, callTimeout)
+	dialCtx, cancelDial := context.WithTimeout(ctx, limit)
 	defer cancelDial()
 	conn, err := p.conn(dialCtx)
 	if err != nil {
+		if dialCtx.Err() != nil && ctx.Err() == nil {
+			t.fetchLatency.ObserveTimeout(limit)
+		}
 		return fmt.Errorf("fetch %s from %s: %w: %w", method, addr, ErrNotSent, err)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := conn.conn.watchReply(func() { cancel(errNoProgress) })
+	stop := conn.conn.watchReply(limit, func() { cancel(errNoProgress) })
 	err = conn.rpc.Call(ctx, method, in, out)
-	stop()
+	latency := stop()
+	if errors.Is(context.Cause(ctx), errNoProgress) && latency >= limit {
+		t.fetchLatency.ObserveTimeout(limit)
+	}
 	if err == nil {
+		t.fetchLatency.ObserveLatency(latency)
 		return nil
 	}
 	var rpcErr *jsonrpc2.Error
