--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -180,6 +180,7 @@
 		Quarantine:   e.quarantine,
 		Crashes:      &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
 		Plan:         e.plan.Load,
+		PlanOutdated: e.outdated,
 		Tokens:       e.tokens,
 		Placement:    e.placement,
 		Accepts:      e.admission.Accepts,
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -65,11 +65,12 @@
 	store           *platform.Store
 	storeDialer     socket.LastingDialer
 	storeTimeouts   storeTimeouts
-	configTable     *follow.Table                // local copy of the store's operator table, which holds the configuration
-	targetTable     *follow.Table                // local copy of the store's table of target announcements
-	oddTargets      map[string]bool              // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
-	announced       atomic.Pointer[announcement] // newest configuration that another router has reported
-	slowReads       map[string]*table.Transfer   // last slow read of each table that was logged; used only by maintain
+	configTable     *follow.Table   // local copy of the store's operator table, which holds the configuration
+	targetTable     *follow.Table   // local copy of the store's table of target announcements
+	oddTargets      map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
+	announced       announcements
+	wasOutdated     bool                       // used only by maintain
+	slowReads       map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
 	roster          *roster.Tracker
 	placement       *placement.Placement
 	tokens          *prepaid.Manager // prepaid tokens held by this router
@@ -186,6 +187,7 @@
 	e.view.SetReady(e.ready())
 	e.forwarder.RetryBudget.SetRouterCount(len(e.view.Members()))
 	e.logSlowReads()
+	e.logOutdated()
 	e.memberLog.update(e.innerAddr(), e.view.Members(), e.Events.Emit)
 }
 
@@ -209,10 +211,10 @@
 	e.Events.Emit(event, "processor_percent", int64(percent*used.cpu), "link_percent", int64(percent*used.link))
 }
 
-// ready reports whether this router can serve callers: it has a configuration and the targets,
+// ready reports whether this router can serve callers: it has the configuration and the targets,
 // and is not leaving.
 func (e *Edge) ready() bool {
-	return e.plan.Load() != nil && e.targetTable.Loaded() && !e.leaving()
+	return e.plan.Load() != nil && !e.outdated() && e.targetTable.Loaded() && !e.leaving()
 }
 
 // auxServer returns the server of the auxiliary endpoints: readiness, directory, metrics and debug.
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -32,6 +32,7 @@
 	PeerConnectionFailed              // peer_connection_failed
 	PlanAnnounced                     // plan_announced
 	PlanInForce                       // plan_in_force
+	PlanOutdated                      // plan_outdated
 	PlanUnreadable                    // plan_unreadable
 	TargetAnnounced                   // target_announced
 	TargetGone                        // target_gone
@@ -145,6 +146,7 @@
 	PeerConnectionFailed: {component: Peers, lowPriority: true, warning: true, doc: "a connection to another router failed", fields: "err"},
 	PlanAnnounced:        {component: Plan, doc: "another router has a newer configuration, which has not arrived here yet", fields: "plan_version, in_force, peer"},
 	PlanInForce:          {component: Plan, doc: "a new routing plan is in effect; it arrived from the store or from_peers, as a part of bytes in read_ms, was decoded in decode_ms and had been announced by another router announced_ms before", fields: "plan_version, row_version, routes, workspaces, from_peers, bytes, wait_ms, read_ms, decode_ms, announced_ms"},
+	PlanOutdated:         {component: Plan, warning: true, doc: "requests are refused with `configuration_outdated` from now on until the configuration arrives that other routers have had for 2 s", fields: "plan_version, in_force"},
 	PlanUnreadable:       {component: Plan, warning: true, doc: "a configuration cannot be decoded; the previous one stays in effect", fields: "row_version, err"},
 	TargetAnnounced:      {component: Targets, doc: "an instance announced itself or changed its announcement", fields: "instance, addr, service, draining, row_version"},
 	TargetGone:           {component: Targets, doc: "the announcement of an instance was removed", fields: "instance, row_version"},
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -20,6 +20,8 @@
 const (
 	// startingRetryAfter is the Retry-After of a router that has no configuration yet.
 	startingRetryAfter = 300 * time.Millisecond
+	// outdatedRetryAfter is the Retry-After of a router that can't get a configuration that others have.
+	outdatedRetryAfter = time.Second
 	// busyRetryAfter is the Retry-After when no instance can take the request.
 	busyRetryAfter = 150 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After of a router that stops; other routers can take the
@@ -42,6 +44,8 @@
 type Forwarder struct {
 	// Plan returns the current routing plan, or nil before the first one was read.
 	Plan func() *plan.Plan
+	// PlanOutdated reports whether the current plan must not be used any longer.
+	PlanOutdated func() bool
 	// Tokens reserves tokens of the workspaces' prepaid budgets and bills what was used.
 	Tokens *prepaid.Manager
 	// Placement chooses the instance for each attempt.
@@ -125,6 +129,9 @@
 	if p == nil {
 		return nil, answer.Retryable(fasthttp.StatusServiceUnavailable, "starting", startingRetryAfter, "router has not read its configuration yet")
 	}
+	if f.PlanOutdated() {
+		return nil, answer.Retryable(fasthttp.StatusServiceUnavailable, "configuration_outdated", outdatedRetryAfter, "router has not read a newer configuration yet")
+	}
 	route, ok := p.Route(r.Host, r.Path())
 	if !ok {
 		return nil, answer.Refused(fasthttp.StatusNotFound, "no_route", "path", "no route leads from host %q and path %q", r.Host, r.Path())
