--- a/internal/target/runner/empty_test.go
+++ b/internal/target/runner/empty_test.go
@@ -26,7 +26,7 @@
 				tg := newRawTarget(t, func(int, string) string { return resp })
 				var c Client
 				for n := range 3 {
-					_, err := c.CallService(tg.addr, fmt.Sprintf("run-%d", n), ServiceRequest{Method: method, Path: "/"})
+					_, err := c.CallService(tg.Addr(), fmt.Sprintf("run-%d", n), ServiceRequest{Method: method, Path: "/"})
 					assert.NilError(t, err, "call %d", n)
 				}
 			})
@@ -54,14 +54,14 @@
 			for n := range callers {
 				wg.Go(func() {
 					for m := range calls {
-						_, err := c.CallService(tg.addr, fmt.Sprintf("run-%d-%d", n, m), ServiceRequest{Method: "POST", Path: "/", NewConn: m%5 == 0})
+						_, err := c.CallService(tg.Addr(), fmt.Sprintf("run-%d-%d", n, m), ServiceRequest{Method: "POST", Path: "/", NewConn: m%5 == 0})
 						assert.Check(t, err, "call %d of caller %d", m, n)
 					}
 				})
 			}
 			wg.Wait()
 			assert.Equal(t, received.Load(), int64(callers*calls))
-			t.Logf("%d connections for %d calls", tg.conns.Load(), callers*calls)
+			t.Logf("%d connections for %d calls", tg.Conns(), callers*calls)
 		})
 	}
 }
@@ -73,10 +73,10 @@
 	c := &Client{}
 	defer c.Close()
 	for n := range 5 {
-		_, err := c.CallService(tg.addr, fmt.Sprintf("run-%d", n), ServiceRequest{Method: "POST", Path: "/x"})
+		_, err := c.CallService(tg.Addr(), fmt.Sprintf("run-%d", n), ServiceRequest{Method: "POST", Path: "/x"})
 		assert.NilError(t, err, "call %d", n)
 	}
-	assert.Equal(t, tg.conns.Load(), int64(1))
+	assert.Equal(t, tg.Conns(), int64(1))
 }
 
 // TestCopyOfAnEmptyAnswer guards against a copy of an earlier answer without a body being taken for the answer
@@ -94,16 +94,16 @@
 			c := &Client{}
 			defer c.Close()
 			call := func(runID string) error {
-				_, err := c.CallService(tg.addr, runID, ServiceRequest{Method: "POST", Path: "/x"})
+				_, err := c.CallService(tg.Addr(), runID, ServiceRequest{Method: "POST", Path: "/x"})
 				return err
 			}
 			assert.NilError(t, call("a"))
 			err := call("b")
 			assert.Assert(t, err != nil)
 			assert.Equal(t, RunStateOf(err), answer.Unknown, "%v", err)
-			assert.Equal(t, tg.conns.Load(), int64(1))
+			assert.Equal(t, tg.Conns(), int64(1))
 			assert.NilError(t, call("c"))
-			assert.Equal(t, tg.conns.Load(), int64(2), "the connection was used again")
+			assert.Equal(t, tg.Conns(), int64(2), "the connection was used again")
 		})
 	}
 }
--- a/internal/target/runner/unnamed_test.go
+++ b/internal/target/runner/unnamed_test.go
@@ -1,11 +1,7 @@
 package runner
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"sync/atomic"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -13,6 +9,7 @@
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/standin/fault"
 )
 
 const (
@@ -20,45 +17,22 @@
 	wholeEvents = "data: {\"id\":\"x\",\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n"
 )
 
-// rawTarget is a TCP server that answers the n-th request on a connection, counted from 0,
-// with the text that respond returns.
-type rawTarget struct {
-	addr    string
-	conns   atomic.Int64
-	respond func(n int, runID string) string
+// newRawTarget starts a server that answers the nth request on a connection, counted from 0, with the text that respond
+// returns.
+func newRawTarget(t *testing.T, respond func(n int, runID string) string) *fault.RawServer {
+	t.Helper()
+	return startRawServer(t, func(n int, runID string) (string, bool) { return respond(n, runID), true })
 }
 
-func newRawTarget(t *testing.T, respond func(n int, runID string) string) *rawTarget {
+// startRawServer starts a server that also gets the id of the run.
+func startRawServer(t *testing.T, respond func(n int, runID string) (text string, more bool)) *fault.RawServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := fault.StartRawServer(func(n int, req *fasthttp.Request) (string, bool) {
+		return respond(n, string(req.Header.Peek(chat.HeaderRun)))
+	})
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	tg := &rawTarget{addr: l.Addr().String(), respond: respond}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			tg.conns.Add(1)
-			go tg.serve(c)
-		}
-	}()
-	return tg
-}
-
-func (tg *rawTarget) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	br := bufio.NewReader(c)
-	for n := 0; ; n++ {
-		var req fasthttp.Request
-		if err := req.Read(br); err != nil {
-			return
-		}
-		if _, err := io.WriteString(c, tg.respond(n, string(req.Header.Peek(chat.HeaderRun)))); err != nil {
-			return
-		}
-	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
 }
 
 // rawResponse returns a response with the header fields and the body.
@@ -100,13 +74,13 @@
 					})
 					c := &Client{}
 					defer c.Close()
-					assert.NilError(t, send(c, tg.addr, "a"))
-					err := send(c, tg.addr, "b")
+					assert.NilError(t, send(c, tg.Addr(), "a"))
+					err := send(c, tg.Addr(), "b")
 					assert.Assert(t, err != nil)
 					assert.Equal(t, RunStateOf(err), answer.Unknown, "%v", err)
-					assert.Equal(t, tg.conns.Load(), int64(1))
-					assert.NilError(t, send(c, tg.addr, "c"))
-					assert.Equal(t, tg.conns.Load(), int64(2), "the connection was used again")
+					assert.Equal(t, tg.Conns(), int64(1))
+					assert.NilError(t, send(c, tg.Addr(), "c"))
+					assert.Equal(t, tg.Conns(), int64(2), "the connection was used again")
 				})
 			}
 		}
@@ -129,7 +103,7 @@
 				c := &Client{}
 				defer c.Close()
 				for _, runID := range []string{"a", "b", "c"} {
-					assert.Equal(t, RunStateOf(send(c, tg.addr, runID)), answer.NotRun)
+					assert.Equal(t, RunStateOf(send(c, tg.Addr(), runID)), answer.NotRun)
 				}
 			})
 		}
@@ -141,7 +115,7 @@
 func TestRefusalOfAnotherCallThatMayRunOnce(t *testing.T) {
 	tg := newRawTarget(t, func(int, string) string { return rawResponse(503, notRunField+runField("a"), "full") })
 	c := &Client{}
-	_, err := c.CallService(tg.addr, "b", ServiceRequest{Method: "POST", Path: "/x", NewConn: true})
+	_, err := c.CallService(tg.Addr(), "b", ServiceRequest{Method: "POST", Path: "/x", NewConn: true})
 	assert.Equal(t, RunStateOf(err), answer.Unknown, "%v", err)
 }
 
@@ -152,9 +126,9 @@
 	c := &Client{}
 	defer c.Close()
 	for n := range 3 {
-		r, err := c.CallService(tg.addr, fmt.Sprint("call", n), ServiceRequest{Method: "POST", Path: "/x"})
+		r, err := c.CallService(tg.Addr(), fmt.Sprint("call", n), ServiceRequest{Method: "POST", Path: "/x"})
 		assert.NilError(t, err)
 		assert.Equal(t, string(r.Body), "own")
-		assert.Equal(t, tg.conns.Load(), int64(n+1))
+		assert.Equal(t, tg.Conns(), int64(n+1))
 	}
 }
