--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -14,10 +15,13 @@
 
 	"rosevalve/internal/platform/timeout"
 	"rosevalve/internal/protocol/inner"
+	"rosevalve/internal/protocol/socket"
 )
 
 const (
 	callTimeout = time.Second
+	// acceptBackoff is the pause after no connection could be accepted for a reason that passes.
+	acceptBackoff = 100 * time.Millisecond
 	// maxFetchWait bounds how long a fetched reply may take to begin. It is never less than callTimeout.
 	maxFetchWait = 3 * time.Second
 
@@ -100,12 +104,26 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return fmt.Errorf("accept peer connection: %w", err)
+			if !socket.IsTransient(err) {
+				return fmt.Errorf("accept peer connection: %w", err)
+			}
+			t.logf("accept peer connection: %v", err)
+			time.Sleep(acceptBackoff)
+			continue
 		}
 		go t.accept(ctx, conn)
 	}
 }
 
+// logf logs a message about connections.
+func (t *Transport) logf(format string, args ...any) {
+	if t.Log == nil {
+		log.Printf(format, args...)
+		return
+	}
+	t.Log.Printf(format, args...)
+}
+
 // close closes the listener and all accepted and dialled connections.
 func (t *Transport) close(listener net.Listener) {
 	_ = listener.Close()
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,3 +180,31 @@
 	var timeout net.Error
 	assert.Assert(t, errors.As(err, &timeout) && timeout.Timeout())
 }
+
+// exhaustedListener has no descriptors for its first connections.
+type exhaustedListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestLackOfDescriptorsPasses guards against a router that exits since its callers have used up its descriptors.
+func TestLackOfDescriptorsPasses(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := newClient(nil)
+	server.Handlers = map[string]Handler{methodEcho: echo}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, &exhaustedListener{Listener: l, failures: 3}) }()
+	assertEcho(t, newClient(nil), l.Addr().String())
+	stop()
+	assert.NilError(t, <-ended)
+}
--- a/internal/protocol/socket/accept.go
+++ b/internal/protocol/socket/accept.go
@@ -50,3 +50,13 @@
 	}
 	return out, errs
 }
+
+// IsTransient reports whether an error of Accept may pass, such as a lack of descriptors or memory.
+func IsTransient(err error) bool {
+	for _, transient := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ECONNABORTED, unix.EINTR} {
+		if errors.Is(err, transient) {
+			return true
+		}
+	}
+	return false
+}
