--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -181,6 +181,7 @@
 		Crashes:      &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
 		Plan:         e.plan.Load,
 		PlanOutdated: e.outdated,
+		Overloaded:   e.refusesForOverload,
 		Tokens:       e.tokens,
 		Placement:    e.placement,
 		Accepts:      e.admission.Accepts,
--- a/internal/fleet/edge/load.go
+++ b/internal/fleet/edge/load.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,10 @@
 	// It stays busy until both are at or below busyClearThreshold.
 	busyThreshold      = 0.7
 	busyClearThreshold = 0.35
+	// maxQueueingDelay is how long what a router sends may wait for its own link and processor before it refuses a part of
+	// the requests, and minAcceptedShare the fraction that it accepts at least, which shows when the delay is over.
+	maxQueueingDelay = 100 * time.Millisecond
+	minAcceptedShare = 0.1
 	// loadInterval is the time between two load measurements.
 	loadInterval = 500 * time.Millisecond
 
@@ -75,6 +80,20 @@
 	return used, l.busy.Load() != wasBusy, nil
 }
 
+// refusesForOverload decides whether a new request is refused: a busy router accepts the fewer the longer what it sends
+// is delayed. Every request takes the link twice, and would hold up those that have been accepted.
+func (e *Edge) refusesForOverload() bool {
+	return e.load.busy.Load() && rand.Float64() >= acceptedShare(e.placement.QueueingDelay())
+}
+
+// acceptedShare returns the fraction of the requests that a busy router accepts at a queueing delay.
+func acceptedShare(delay time.Duration) float64 {
+	if delay <= maxQueueingDelay {
+		return 1
+	}
+	return max(minAcceptedShare, float64(maxQueueingDelay)/float64(delay))
+}
+
 // processCPUTime returns the processor time that this process has used, user and system.
 func processCPUTime() (time.Duration, error) {
 	var usage unix.Rusage
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -22,6 +22,8 @@
 	startingRetryAfter = 300 * time.Millisecond
 	// outdatedRetryAfter is the Retry-After of a router that can't get a configuration that others have.
 	outdatedRetryAfter = time.Second
+	// overloadedRetryAfter is the Retry-After of a router that can't serve all requests in time.
+	overloadedRetryAfter = time.Second
 	// busyRetryAfter is the Retry-After when no instance can take the request.
 	busyRetryAfter = 150 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After of a router that stops; other routers can take the
@@ -46,6 +48,8 @@
 	Plan func() *plan.Plan
 	// PlanOutdated reports whether the current plan must not be used any longer.
 	PlanOutdated func() bool
+	// Overloaded decides whether a new request is refused since the router is overloaded.
+	Overloaded func() bool
 	// Tokens reserves tokens of the workspaces' prepaid budgets and bills what was used.
 	Tokens *prepaid.Manager
 	// Placement chooses the instance for each attempt.
@@ -132,6 +136,9 @@
 	if f.PlanOutdated() {
 		return nil, answer.Retryable(fasthttp.StatusServiceUnavailable, "configuration_outdated", outdatedRetryAfter, "router has not read a newer configuration yet")
 	}
+	if f.Overloaded() {
+		return nil, answer.Retryable(fasthttp.StatusServiceUnavailable, "router_overloaded", overloadedRetryAfter, "router has more requests than it can serve in time")
+	}
 	route, ok := p.Route(r.Host, r.Path())
 	if !ok {
 		return nil, answer.Refused(fasthttp.StatusNotFound, "no_route", "path", "no route leads from host %q and path %q", r.Host, r.Path())
--- a/internal/target/placement/dial_test.go
+++ b/internal/target/placement/dial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,6 +82,38 @@
 	}
 }
 
+// TestQueueingDelay guards against a router that does not notice its own overload, or that takes targets that are far
+// away, or down, for one.
+func TestQueueingDelay(t *testing.T) {
+	const near, far = 4 * time.Millisecond, 300 * time.Millisecond
+	for name, c := range map[string]struct{ before, now, want time.Duration }{
+		"all is well":              {near, near, 0},
+		"far targets":              {far, far, 0},
+		"a router that is busy":    {near, 700 * time.Millisecond, 600 * time.Millisecond},
+		"far targets, busy router": {far, far + 400*time.Millisecond, 300 * time.Millisecond},
+		"targets that are down":    {near, time.Hour, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dialTimes := slices.Repeat([]time.Duration{c.before}, 20)
+				p := busyRouter(dialTimes)
+				countUnconnected(t, p)
+				time.Sleep(MaxDialTime)
+				for n := range dialTimes {
+					dialTimes[n] = c.now
+				}
+				countUnconnected(t, p)
+				time.Sleep(MaxDialTime)
+				if c.want == 0 {
+					assert.Equal(t, p.QueueingDelay(), time.Duration(0))
+				} else {
+					assert.Assert(t, p.QueueingDelay() >= c.want, "%v", p.QueueingDelay())
+				}
+			})
+		})
+	}
+}
+
 // TestDialsOfTargetsThatAreDownEndSoon guards against requests that wait for targets that are down, alone or many at once.
 func TestDialsOfTargetsThatAreDownEndSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/target/placement/rtt.go
+++ b/internal/target/placement/rtt.go
@@ -10,12 +10,19 @@
 // path only lengthens the sample.
 const rttRiseWeight = 1.0 / 32
 
+// lowestPeriod is the time for which the shortest sample is kept, at least.
+const lowestPeriod = time.Minute
+
 // rttEstimator estimates the round-trip time to the instances of one failure domain from
 // the durations of connection attempts.
 type rttEstimator struct {
 	mu       sync.Mutex // guards the fields below
 	estimate time.Duration
 	known    bool // at least one dial was measured
+
+	// The shortest samples of the current period and of the one before it; 0 if there are none.
+	lowest, lowestBefore time.Duration
+	periodEnd            time.Time
 }
 
 // observe updates the estimate with the duration of one successful dial.
@@ -29,6 +36,24 @@
 	e.estimate += time.Duration(rttRiseWeight * float64(sample-e.estimate))
 }
 
+// observeQueueing records the duration of one successful dial, and returns by how much it exceeds the shortest one of the
+// last minute or two. Unlike the estimate, that does not follow a delay that lasts.
+func (e *rttEstimator) observeQueueing(sample time.Duration, now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.After(e.periodEnd) {
+		e.lowestBefore, e.lowest = e.lowest, 0
+		e.periodEnd = now.Add(lowestPeriod)
+	}
+	if e.lowest == 0 || sample < e.lowest {
+		e.lowest = sample
+	}
+	if e.lowestBefore == 0 {
+		return sample - e.lowest
+	}
+	return sample - min(e.lowest, e.lowestBefore)
+}
+
 // value returns the estimated round-trip time. It is 0 before the first dial, so that an
 // unmeasured failure domain is tried.
 func (e *rttEstimator) value() time.Duration {
