--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -12,7 +12,6 @@
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/runner"
-	"rosevalve/internal/target/upstream"
 	"rosevalve/internal/workspace/plan"
 )
 
@@ -33,20 +32,13 @@
 	attempts        int
 	sharedParts     []uint64        // ids of the parts of the prompt that other requests may share
 	trial           bool            // the next attempt is sent although its prompt is blocked
-	triedInstances  []string        // ids of the instances that the request was sent to
-	nextSlot        *placement.Slot // reserved for the next attempt, which the retry budget has allowed; nil without
+	triedInstances  []string        // ids of the instances that the request was or is being sent to
 	silenceReported bool            // the log tells that no other instance could take the request from a silent one
 	runState        answer.RunState // of all attempts together
 	relayedEvents   int64           // events relayed to the caller
 	timeToAnswer    time.Duration   // from the arrival to the beginning of the answer; 0 before that
 }
 
-// sentAttempt is an attempt for which the header of the answer has arrived.
-type sentAttempt struct {
-	slot *placement.Slot
-	resp *upstream.Response
-}
-
 // serve reserves tokens and sends attempts until one is answered or no other is allowed.
 func (ar *activeRequest) serve() (*Answer, *answer.Error) {
 	if refusal := ar.checkStopping(); refusal != nil {
@@ -59,22 +51,11 @@
 		return nil, refusal
 	}
 	ar.f.RetryBudget.CountFirstAttempt(ar.service.Name)
-	var lastErr error
-	for {
-		sent, err := ar.attempt(0)
-		if err == nil {
-			a, rejectErr := ar.accept(sent)
-			if rejectErr == nil {
-				return a, nil
-			}
-			err = rejectErr
-		}
-		lastErr = err
-		if !ar.mayRetry(err) {
-			return nil, ar.failure(lastErr)
-		}
-		ar.report(Decision{Kind: Retried, Run: ar.runState, Err: err})
+	a, err := (&race{request: ar, resumeAfter: ar.r.ResumeAfter}).run()
+	if err != nil {
+		return nil, ar.failure(err)
 	}
+	return ar.answer(a), nil
 }
 
 // reserve reserves the largest number of tokens that the request can use, if it goes to a
@@ -96,54 +77,6 @@
 	return nil
 }
 
-// attempt sends the request to another instance and waits for the header of its answer.
-func (ar *activeRequest) attempt(resumeAfter int64) (*sentAttempt, error) {
-	slot, err := ar.chooseSlot()
-	if err != nil {
-		return nil, &runner.Error{RunState: answer.NotRun, Err: err}
-	}
-	if err := ar.recheckQuarantine(); err != nil {
-		slot.End(placement.Inconclusive)
-		return nil, err
-	}
-	ar.attempts++
-	ar.report(Decision{Kind: AttemptSent, Instance: slot.ID(), Addr: slot.Addr(), Reason: slot.InstanceState(), TokenCount: ar.reserved()})
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	ar.f.Encode(req, ar.r, Attempt{
-		Instance:    slot.ID(),
-		Workspace:   ar.workspaceName(),
-		TimeLeft:    time.Until(ar.deadline),
-		Priority:    ar.priority,
-		ResumeAfter: max(resumeAfter, ar.r.ResumeAfter),
-	})
-	resp, err := ar.send(slot, req)
-	if reachedTarget(err) {
-		ar.triedInstances = append(ar.triedInstances, slot.ID())
-	}
-	ar.runState = max(ar.runState, runner.RunStateOf(err))
-	if err != nil {
-		outcome := ar.outcomeOf(err)
-		if outcome == placement.Failed {
-			ar.reportBrokenOff(slot, err, false)
-		}
-		slot.End(outcome)
-		ar.report(Decision{Kind: AttemptFailed, Instance: slot.ID(), Addr: slot.Addr(), Outcome: outcome, Run: runner.RunStateOf(err), Err: err})
-		return nil, err
-	}
-	slot.AnswerStarted()
-	ar.runState = answer.Ran
-	return &sentAttempt{slot: slot, resp: resp}, nil
-}
-
-// chooseSlot returns the slot that was reserved for this attempt, or else that of the best instance.
-func (ar *activeRequest) chooseSlot() (*placement.Slot, error) {
-	if slot := ar.takeReserved(); slot != nil {
-		return slot, nil
-	}
-	return ar.f.Placement.Choose(ar.ctx, ar.service.Name, ar.requirements())
-}
-
 // reserved returns the number of tokens reserved for the request.
 func (ar *activeRequest) reserved() int64 {
 	if ar.reservation == nil {
@@ -152,37 +85,6 @@
 	return ar.reservation.Tokens()
 }
 
-// send sends the request to the instance that the slot belongs to. A request that may run
-// only once goes on a new connection or on one on which the instance has just answered, since
-// an idle one may have failed unnoticed.
-func (ar *activeRequest) send(slot *placement.Slot, req *fasthttp.Request) (*upstream.Response, error) {
-	conn, err := slot.Conn(ar.ctx, !ar.route.Retryable())
-	if err != nil {
-		return nil, err
-	}
-	return conn.Send(ar.ctx, upstream.Request{
-		AttemptID:      ar.r.ID,
-		Once:           !ar.route.Retryable(),
-		Request:        req,
-		HeaderDeadline: ar.headerDeadline(),
-		GiveUp:         func() bool { return ar.leaveSilent(slot) },
-	})
-}
-
-// headerWaitShare is the fraction of the route's latency goal that a request waits for the
-// header of an answer before it is sent to another instance, if one can take it.
-const headerWaitShare = 0.9
-
-// headerDeadline returns the time from which on the request is sent to another instance if the
-// header of the answer has not arrived, so that it does not spend all its time at one that does
-// not answer. It returns the zero time if the request cannot be retried at another target.
-func (ar *activeRequest) headerDeadline() time.Time {
-	if !ar.route.Retryable() || len(ar.triedInstances)+1 >= max(1, ar.route.MaxTargets) {
-		return time.Time{}
-	}
-	return time.Now().Add(time.Duration(headerWaitShare * float64(ar.route.LatencyGoal)))
-}
-
 func (ar *activeRequest) workspaceName() string {
 	if ar.workspace == nil {
 		return ""
@@ -249,9 +151,6 @@
 	if ar.ctx.Err() != nil || state != answer.NotRun && !ar.route.Retryable() {
 		return false
 	}
-	if ar.nextSlot != nil {
-		return true
-	}
 	var blocked *blockedError
 	if errors.Is(err, placement.ErrNoInstance) || errors.As(err, &blocked) {
 		return false
@@ -327,56 +226,21 @@
 	}
 }
 
-// accept returns the answer to relay, or ends the attempt with an error if its answer must
-// not be relayed.
-func (ar *activeRequest) accept(sent *sentAttempt) (*Answer, error) {
-	if ar.route.Kind == plan.Streaming && sent.resp.Status() == fasthttp.StatusOK {
-		if !ar.f.HasSignature(sent.resp.Header()) {
-			return nil, ar.reject(sent, errors.New("answer bears no signature of its target"))
-		}
-		ar.timeToAnswer = time.Since(ar.r.Arrived)
-		stream := newStream(ar, sent)
-		return &Answer{Status: sent.resp.Status(), Header: sent.resp.Header(), Stream: stream, request: ar}, nil
-	}
-	began := time.Now()
-	memory := bodyMemory{total: &ar.f.BodyMemory}
-	body, err := sent.resp.ReadBody(ar.f.BodyMemory.maxBody(), memory.grow)
-	if err != nil {
-		memory.release()
-		ar.reportBrokenOff(sent.slot, err, false)
-		return nil, ar.reject(sent, err)
-	}
-	a, err := ar.acceptBuffered(sent, body)
-	if err != nil {
-		memory.release()
-		return nil, err
-	}
-	a.memory = memory
-	if a.Status == fasthttp.StatusOK {
-		ar.reportSound(began)
-	}
-	return a, nil
-}
-
-// acceptBuffered does the same as accept for an answer whose body was read completely.
-func (ar *activeRequest) acceptBuffered(sent *sentAttempt, body []byte) (*Answer, error) {
-	status := sent.resp.Status()
-	if !ar.f.HasSignature(sent.resp.Header()) && status < fasthttp.StatusMultipleChoices {
-		return nil, ar.reject(sent, errors.New("answer bears no signature of its target"))
-	}
-	if status >= fasthttp.StatusInternalServerError && ar.route.Retryable() && ar.hasTargetsLeft() {
-		return nil, ar.reject(sent, fmt.Errorf("target answered %d", status))
-	}
-	if impliesNotRun(status) {
-		// The status alone does not prove that the target has not run the request.
-		return nil, ar.reject(sent, fmt.Errorf("target answered %d and may have run the request", status))
-	}
+// answer returns the answer of an attempt for the caller.
+func (ar *activeRequest) answer(a *attempt) *Answer {
 	ar.timeToAnswer = time.Since(ar.r.Arrived)
+	status := a.resp.Status()
+	if a.source != nil {
+		return &Answer{Status: status, Header: a.resp.Header(), Stream: newStream(ar, a), request: ar}
+	}
 	var header fasthttp.ResponseHeader
-	sent.resp.Header().CopyTo(&header)
-	sent.resp.Release()
-	sent.slot.End(outcomeOfStatus(status))
-	return &Answer{Status: status, Header: &header, Body: body, request: ar}, nil
+	a.resp.Header().CopyTo(&header)
+	a.release()
+	a.slot.End(outcomeOfStatus(status))
+	if status == fasthttp.StatusOK {
+		ar.reportSound(a.headerAt)
+	}
+	return &Answer{Status: status, Header: &header, Body: a.body, request: ar, memory: a.memory}
 }
 
 // hasTargetsLeft reports whether the route allows an attempt at one more target.
@@ -403,23 +267,20 @@
 	return placement.Served
 }
 
-// reject ends an attempt whose answer is not relayed, and returns err with the run state.
-func (ar *activeRequest) reject(sent *sentAttempt, err error) error {
-	status := sent.resp.Status()
-	sent.resp.Abort()
+// reject ends an attempt whose answer is not relayed, and returns its error with the run state.
+func (ar *activeRequest) reject(a *attempt) error {
+	status := a.resp.Status()
 	outcome := placement.Failed
-	if ar.interrupted() || errors.Is(err, errBodyMemoryFull) {
+	if ar.interrupted() || errors.Is(a.err, errBodyMemoryFull) {
 		outcome = placement.Inconclusive
 	}
-	sent.slot.End(outcome)
-	runErr := &runner.Error{RunState: answer.Ran, Status: status, Err: err}
-	ar.report(Decision{Kind: AttemptFailed, Instance: sent.slot.ID(), Addr: sent.slot.Addr(), Outcome: outcome, Run: answer.Ran, Status: status, Err: err})
-	return runErr
+	a.end(outcome)
+	ar.report(Decision{Kind: AttemptFailed, Attempt: a.number, Instance: a.slot.ID(), Addr: a.slot.Addr(), Outcome: outcome, Run: answer.Ran, Status: status, Err: a.err})
+	return &runner.Error{RunState: answer.Ran, Status: status, Err: a.err}
 }
 
 // finishRefused settles and reports a request that the router itself answers.
 func (ar *activeRequest) finishRefused(refusal *answer.Error) {
-	ar.releaseReserved()
 	kind := Refused
 	switch {
 	case ar.cutOff():
@@ -434,7 +295,6 @@
 
 // finish settles and reports a request that was answered by a target.
 func (ar *activeRequest) finish(a *Answer) {
-	ar.releaseReserved()
 	ar.observeDuration(a)
 	d := Decision{Kind: Answered, Run: ar.runState, Status: a.Status, RelayedEvents: ar.relayedEvents, TimeToAnswer: ar.timeToAnswer}
 	if a.Stream != nil && a.Stream.err != nil {
--- a/internal/request/forward/continuation.go
+++ b/internal/request/forward/continuation.go
@@ -23,9 +23,9 @@
 
 // checkContinuation returns an error unless the answer of another instance may continue a
 // stream, as far as its header tells.
-func (s *Stream) checkContinuation(resp *upstream.Response) error {
+func checkContinuation(resp *upstream.Response, hasSignature func(h *fasthttp.ResponseHeader) bool) error {
 	h := resp.Header()
-	if resp.Status() != fasthttp.StatusOK || !s.request.f.HasSignature(h) {
+	if resp.Status() != fasthttp.StatusOK || !hasSignature(h) {
 		return fmt.Errorf("target answered %d when the stream was resumed", resp.Status())
 	}
 	mediaType, _, err := mime.ParseMediaType(string(h.ContentType()))
@@ -38,8 +38,8 @@
 // checkEvent returns an error for text that is no event, where a target may have written an
 // error in place of events: in the rest of a stream that was resumed, and in a body that ends
 // with its connection. The rest of a stream has nothing but numbered events and comments.
-func (s *Stream) checkEvent(event []byte, numbered bool) error {
-	if !s.resumed && s.attempt.resp.HasExplicitEnd() {
+func (s *source) checkEvent(event []byte, numbered bool) error {
+	if !s.continues && s.resp.HasExplicitEnd() {
 		return nil
 	}
 	comment := true
@@ -50,7 +50,7 @@
 		}
 		comment = comment && (len(line) == 0 || line[0] == ':')
 	}
-	if s.resumed && !numbered && !comment {
+	if s.continues && !numbered && !comment {
 		return fmt.Errorf("%w: %.40q", errNotInStream, event)
 	}
 	return nil
--- a/internal/request/forward/decision.go
+++ b/internal/request/forward/decision.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"time"
 
 	"rosevalve/internal/request/answer"
@@ -53,7 +54,7 @@
 	Instance, Addr string
 	// Reason is the state of the instance when it was chosen, for AttemptSent.
 	Reason placement.InstanceState
-	// Attempt is the number of attempts so far, including the current one.
+	// Attempt is the number of the attempt, for AttemptFailed, and otherwise how many there were.
 	Attempt int
 	// Outcome is the result of the attempt, for AttemptFailed.
 	Outcome placement.Outcome
@@ -92,6 +93,6 @@
 		d.Workspace = ar.workspace.Name
 	}
 	d.PlanVersion = ar.plan.Version()
-	d.Attempt = ar.attempts
+	d.Attempt = cmp.Or(d.Attempt, ar.attempts)
 	ar.f.report(d)
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -1,10 +1,8 @@
 package forward
 
 import (
-	"bytes"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,52 +11,33 @@
 	"rosevalve/internal/target/placement"
 )
 
-const (
-	// stallFactor is multiplied by the route's goal for the longest gap between events to give
-	// the time after which a stream counts as stalled.
-	stallFactor = 2.5
-	// initialBufferSize is the initial size of the buffer of a stream, in bytes.
-	initialBufferSize = 1024
-	// maxBytesWithoutEvent is the number of bytes that a stream may send without a numbered
-	// event.
-	maxBytesWithoutEvent = 64 << 10
-)
-
-var (
-	eventTerminator  = []byte("\n\n")
-	eventNumberField = []byte("id:")
-)
-
-var (
-	// errMissingEvents reports a gap in the event numbers of a stream.
-	errMissingEvents = errors.New("stream has a gap in its event numbers")
-	// errNoEvent reports that a stream sends data, but no numbered event.
-	errNoEvent = errors.New("stream sent no numbered event")
-)
+// stallFactor is multiplied by the route's goal for the longest gap between events to give
+// the time after which a stream counts as stalled.
+const stallFactor = 2.5
 
 // Stream relays the events of a streamed answer, complete and in order. If the stream fails
-// and the route allows it, it is resumed at another instance.
+// or stalls and the route allows it, it is resumed at another instance.
 type Stream struct {
 	request   *activeRequest
-	attempt   *sentAttempt
-	lastEvent int64 // number of the last event that was relayed
-	buf       []byte
-	err       error // why the stream ended before it was complete; nil otherwise
-	done      bool  // the stream was relayed to its end
-	resumed   bool  // the current attempt continues the events of an earlier one
+	current   *attempt
+	next      *continuation // asks other instances while current is silent; nil if there is none
+	err       error         // why the stream ended before it was complete; nil otherwise
+	done      bool          // the stream was relayed to its end
+	writeTime time.Duration // spent in writes to the caller
 
-	// bytesSinceEvent and waitSinceEvent are the bytes received and the time spent in reads
-	// since the last numbered event.
-	bytesSinceEvent int
-	waitSinceEvent  time.Duration
-	writeTime       time.Duration // spent in writes to the caller
+	shownSound bool // the answer of current has shown that the prompt does not crash engines
+}
 
-	attemptEventAt time.Time // when the first event of the current attempt arrived; zero before that
-	shownSound     bool      // the answer has shown that the prompt does not crash engines
+func newStream(ar *activeRequest, a *attempt) *Stream {
+	s := &Stream{request: ar}
+	s.switchTo(a)
+	return s
 }
 
-func newStream(ar *activeRequest, sent *sentAttempt) *Stream {
-	return &Stream{request: ar, attempt: sent, lastEvent: ar.r.ResumeAfter, buf: make([]byte, 0, initialBufferSize)}
+// switchTo makes the answer of a the one that is relayed.
+func (s *Stream) switchTo(a *attempt) {
+	s.current, s.shownSound = a, false
+	a.source.limitSilence = s.limitSilence
 }
 
 // WriteTo relays the events to w until the stream is complete, and returns the number of
@@ -68,203 +47,191 @@
 func (s *Stream) WriteTo(w io.Writer) (int64, error) {
 	var written int64
 	for {
-		events, err := s.readEvents()
-		if len(events) > 0 {
+		b := s.current.source.next()
+		if b.numbered > 0 {
+			s.dropNext()
+			s.request.relayedEvents += b.numbered
+		}
+		if len(b.text) > 0 {
 			s.checkSound(false)
 			began := time.Now()
-			n, writeErr := w.Write(events)
+			n, err := w.Write(b.text)
 			s.writeTime += time.Since(began)
 			written += int64(n)
-			if writeErr != nil {
-				return written, s.fail(fmt.Errorf("relay events: %w", writeErr))
+			if err != nil {
+				return written, s.fail(fmt.Errorf("relay events: %w", err))
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(b.err, io.EOF):
 			s.complete()
 			return written, nil
-		case err != nil:
-			s.request.reportBrokenOff(s.attempt.slot, err, s.shownSound)
-			if resumeErr := s.resume(err); resumeErr != nil {
-				return written, s.fail(resumeErr)
+		case b.err != nil:
+			if err := s.resume(b.err); err != nil {
+				return written, s.fail(err)
 			}
 		}
 	}
 }
 
-// readEvents returns the next complete events, which are valid until the next call. The
-// error is io.EOF at the end of the stream; events may be returned with it.
-func (s *Stream) readEvents() ([]byte, error) {
-	s.buf = s.buf[:copy(s.buf, s.buf[s.relayedBytes():])]
-	for {
-		if len(s.buf) == cap(s.buf) {
-			s.buf = append(s.buf, 0)[:len(s.buf)]
-		}
-		if err := s.attempt.resp.LimitSilence(s.stallDeadline(), s.leaveSilent); err != nil {
-			return nil, fmt.Errorf("limit the wait for the next event: %w", err)
-		}
-		began := time.Now()
-		n, err := s.attempt.resp.Read(s.buf[len(s.buf):cap(s.buf)])
-		s.waitSinceEvent += time.Since(began)
-		s.bytesSinceEvent += n
-		s.buf = s.buf[:len(s.buf)+n]
-		events, orderErr := s.completeEvents()
-		if orderErr != nil {
-			return events, orderErr
-		}
-		if s.bytesSinceEvent > maxBytesWithoutEvent {
-			return events, fmt.Errorf("%w in the last %d bytes", errNoEvent, s.bytesSinceEvent)
-		}
-		if errors.Is(err, io.EOF) && (len(events) < len(s.buf) || s.endedBeforeAnswer()) {
-			err = io.ErrUnexpectedEOF
-		}
-		if len(events) > 0 || err != nil {
-			return events, err
-		}
-	}
-}
-
 // checkSound reports the prompt as harmless to engines once the current attempt shows that.
 func (s *Stream) checkSound(complete bool) {
-	if s.shownSound || s.attemptEventAt.IsZero() || !complete && time.Since(s.attemptEventAt) < quarantine.SoundAfter {
+	began := s.current.source.firstEventAt
+	if s.shownSound || began.IsZero() || !complete && time.Since(began) < quarantine.SoundAfter {
 		return
 	}
 	s.shownSound = true
-	s.request.reportSound(s.attemptEventAt)
+	s.request.reportSound(began)
 }
 
-// endedBeforeAnswer reports whether the attempt, which has ended, sent nothing that shows that its
-// answer had begun, nor an explicit end. A length of zero does not show that a stream that was
-// resumed had no events left: a target that streams does not know the length.
-func (s *Stream) endedBeforeAnswer() bool {
-	if !s.attemptEventAt.IsZero() {
-		return false
-	}
-	if s.resumed {
-		return s.attempt.resp.Header().ContentLength() != chunkedLength
+// limitSilence sets the time at which a stream that the route allows to be resumed counts as
+// stalled. Data without a numbered event does not extend it.
+func (s *Stream) limitSilence() error {
+	if s.next != nil {
+		return nil
 	}
-	return !s.attempt.resp.HasExplicitEnd()
-}
-
-// stallDeadline returns the time at which a stream that the route allows to be resumed counts as
-// stalled, or the zero time for other streams. Data without a numbered event does
-// not extend it.
-func (s *Stream) stallDeadline() time.Time {
 	ar := s.request
 	if !ar.route.Resumable || !ar.hasTargetsLeft() || ar.route.EventGapGoal == 0 {
-		return time.Time{}
-	}
-	return time.Now().Add(time.Duration(stallFactor*float64(ar.route.EventGapGoal)) - s.waitSinceEvent)
-}
-
-// leaveSilent reports whether the attempt at an instance that sends no events is given up.
-func (s *Stream) leaveSilent() bool { return s.request.leaveSilent(s.attempt.slot) }
-
-// relayedBytes returns the length of the complete events at the front of the buffer, which
-// were relayed after the previous read.
-func (s *Stream) relayedBytes() int {
-	i := bytes.LastIndex(s.buf, eventTerminator)
-	if i < 0 {
-		return 0
-	}
-	return i + len(eventTerminator)
-}
-
-// completeEvents returns the complete events at the front of the buffer and checks that
-// their numbers are consecutive.
-func (s *Stream) completeEvents() ([]byte, error) {
-	end := 0
-	for {
-		size := bytes.Index(s.buf[end:], eventTerminator)
-		if size < 0 {
-			return s.buf[:end], nil
-		}
-		size += len(eventTerminator)
-		event := s.buf[end : end+size]
-		number, ok := eventNumber(event)
-		if err := s.checkEvent(event, ok); err != nil {
-			return s.buf[:end], err
-		}
-		if ok && number != s.lastEvent+1 {
-			return s.buf[:end], fmt.Errorf("%w: event %d follows event %d", errMissingEvents, number, s.lastEvent)
-		}
-		end += size
-		if !ok {
-			continue
-		}
-		s.lastEvent = number
-		s.request.relayedEvents++
-		s.bytesSinceEvent, s.waitSinceEvent = len(s.buf)-end, 0
-		if s.attemptEventAt.IsZero() {
-			s.attemptEventAt = time.Now()
-		}
+		return s.current.resp.LimitSilence(time.Time{}, nil)
 	}
+	after := time.Duration(stallFactor*float64(ar.route.EventGapGoal)) - s.current.source.waitSinceEvent
+	return s.current.resp.LimitSilence(time.Now().Add(after), s.leaveSilent)
 }
 
-// eventNumber returns the number of an event, and reports whether it has a valid one.
-func eventNumber(event []byte) (int64, bool) {
-	for line := range bytes.Lines(event) {
-		text, ok := bytes.CutPrefix(line, eventNumberField)
-		if !ok {
-			continue
-		}
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
-		return n, err == nil
+// leaveSilent reports whether the stalled attempt is to be ended, since another one has the next
+// events. It begins the search for such a one.
+func (s *Stream) leaveSilent() bool {
+	switch {
+	case s.next == nil:
+		s.next = s.startNext()
+		return false
+	case !s.next.hasEnded():
+		return false
+	case s.next.err == nil:
+		return true
+	default:
+		s.dropNext()
+		return false
 	}
-	return 0, false
 }
 
 // resume ends the attempt that failed with cause and continues the stream at another
 // instance. It returns the last cause if the stream cannot be continued.
 func (s *Stream) resume(cause error) error {
 	ar := s.request
-	s.endAttempt(placement.Failed, cause)
-	for {
-		if !ar.route.Resumable || !ar.mayRetry(cause) {
-			return cause
-		}
-		ar.report(Decision{Kind: Retried, Run: ar.runState, Err: cause, RelayedEvents: ar.relayedEvents})
-		next, err := ar.attempt(s.lastEvent)
-		if err == nil {
-			err = s.switchTo(next)
-		}
+	next := s.next
+	s.next = nil
+	if next != nil && next.hasWon() {
+		cause = errGivenUpSilent
+	}
+	ar.reportBrokenOff(s.current.slot, cause, s.shownSound)
+	s.endCurrent(placement.Failed, cause)
+	if next != nil {
+		a, err := next.wait()
 		if err == nil {
+			s.switchTo(a)
 			return nil
 		}
 		cause = err
 	}
+	if !ar.route.Resumable || !ar.mayRetry(cause) {
+		return cause
+	}
+	ar.report(Decision{Kind: Retried, Run: ar.runState, Err: cause, RelayedEvents: ar.relayedEvents})
+	a, err := s.continuationRace().run()
+	if err != nil {
+		return err
+	}
+	s.switchTo(a)
+	return nil
+}
+
+// continuation is a race for the rest of a stream, which runs beside the attempt that is silent. While
+// it runs, it alone uses the request's record of attempts.
+type continuation struct {
+	race     *race
+	ended    chan struct{} // closed when winner and err are set
+	notified chan struct{} // closed when the reader of the silent attempt has been interrupted
+	winner   *attempt
+	err      error
+}
+
+// continuationRace returns a race for the rest of the stream.
+func (s *Stream) continuationRace() *race {
+	return &race{request: s.request, resumeAfter: s.current.source.lastEvent, continues: true}
 }
 
-// switchTo continues the stream with the answer of another instance.
-func (s *Stream) switchTo(next *sentAttempt) error {
-	if err := s.checkContinuation(next.resp); err != nil {
-		return s.request.reject(next, err)
+// startNext begins a race for the rest of the stream, or returns nil if no other instance can be asked
+// now.
+func (s *Stream) startNext() *continuation {
+	r := s.continuationRace()
+	r.stop = make(chan struct{})
+	if !s.request.beginsHedge(r) {
+		return nil
 	}
-	s.attempt, s.resumed = next, true
-	s.buf = s.buf[:0]
-	s.bytesSinceEvent, s.waitSinceEvent = 0, 0
-	s.attemptEventAt, s.shownSound = time.Time{}, false
-	return nil
+	c := &continuation{race: r, ended: make(chan struct{}), notified: make(chan struct{})}
+	interrupt := s.current.resp.Interrupter()
+	go func() {
+		c.winner, c.err = r.wait()
+		close(c.ended)
+		interrupt()
+		close(c.notified)
+	}()
+	return c
 }
 
-// endAttempt ends the current attempt with the outcome o.
-func (s *Stream) endAttempt(o placement.Outcome, cause error) {
+// hasEnded reports whether the race has ended.
+func (c *continuation) hasEnded() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// hasWon reports whether the race has ended with an answer.
+func (c *continuation) hasWon() bool { return c.hasEnded() && c.err == nil }
+
+// wait returns the result of the race.
+func (c *continuation) wait() (*attempt, error) {
+	<-c.notified
+	return c.winner, c.err
+}
+
+// dropNext ends the race for the rest of the stream, if there is one. An answer that it has is not
+// used: it would repeat an event that the current attempt has sent meanwhile.
+func (s *Stream) dropNext() {
+	c := s.next
+	if c == nil {
+		return
+	}
+	s.next = nil
+	close(c.race.stop)
+	if a, err := c.wait(); err == nil {
+		s.request.discard(a)
+	}
+}
+
+// endCurrent ends the current attempt with the outcome o.
+func (s *Stream) endCurrent(o placement.Outcome, cause error) {
 	ar := s.request
 	if ar.interrupted() {
 		o = placement.Inconclusive
 	}
-	s.attempt.resp.Abort()
-	s.attempt.slot.End(o)
-	ar.report(Decision{Kind: AttemptFailed, Instance: s.attempt.slot.ID(), Addr: s.attempt.slot.Addr(), Outcome: o, Run: ar.runState, Err: cause, RelayedEvents: ar.relayedEvents})
+	a := s.current
+	a.end(o)
+	ar.report(Decision{Kind: AttemptFailed, Attempt: a.number, Instance: a.slot.ID(), Addr: a.slot.Addr(), Outcome: o, Run: ar.runState, Err: cause, RelayedEvents: ar.relayedEvents})
 }
 
 // complete ends a stream that was relayed to its end.
 func (s *Stream) complete() {
 	s.done = true
+	s.dropNext()
 	s.checkSound(true)
-	s.attempt.resp.Release()
+	s.current.release()
 	s.reportTokenRate()
-	s.attempt.slot.End(placement.Served)
+	s.current.slot.End(placement.Served)
 }
 
 // reportTokenRate passes the token rate of the stream to the placement, if a single engine sent
@@ -275,7 +242,7 @@
 	if ar.service.Engine == nil || ar.attempts > 1 {
 		return
 	}
-	s.attempt.slot.ObserveStream((ar.relayedEvents-1)*ar.service.Engine.TokensPerEvent, time.Since(ar.r.Arrived)-ar.timeToAnswer)
+	s.current.slot.ObserveStream((ar.relayedEvents-1)*ar.service.Engine.TokensPerEvent, time.Since(ar.r.Arrived)-ar.timeToAnswer)
 }
 
 // fail records err as the reason why the stream is incomplete, and returns it.
@@ -286,14 +253,14 @@
 
 // close ends the stream, whether it is complete or not.
 func (s *Stream) close() {
-	if !s.done && s.err == nil {
-		s.err = errors.New("stream closed before its end")
-	}
 	if s.done {
 		return
 	}
-	s.attempt.resp.Abort()
-	s.attempt.slot.End(placement.Inconclusive)
+	if s.err == nil {
+		s.err = errors.New("stream closed before its end")
+	}
+	s.dropNext()
+	s.current.end(placement.Inconclusive)
 }
 
 // Elapsed returns the time since the request arrived.
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -28,6 +28,10 @@
 	maxSkippedBody = 1 << 20
 )
 
+// ErrSuperseded is the cause with which a context ends whose request needs no response any longer, since
+// another one has been answered. It shows nothing about the target.
+var ErrSuperseded = errors.New("another attempt has answered")
+
 // errMismatched reports that the target sent only responses to other requests.
 var errMismatched = errors.New("answers belong to other requests")
 
@@ -43,8 +47,6 @@
 	// HeaderDeadline is the deadline for the header of the response; if it is zero, only the
 	// context bounds the wait.
 	HeaderDeadline time.Time
-	// GiveUp is asked from HeaderDeadline on whether to stop waiting; nil stops at once.
-	GiveUp func() bool
 }
 
 // ResponseInfo is the information in the header of a response that the exchange depends on.
@@ -103,7 +105,7 @@
 		return nil, err
 	}
 	if err := r.readHeader(req); err != nil {
-		if r.conn.reused && isTimeout(err) || ctx.Err() != nil {
+		if r.conn.reused && isTimeout(err) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrSuperseded) {
 			r.pool.CloseIdle()
 		}
 		r.Abort()
@@ -150,7 +152,7 @@
 // readHeader reads the header of the response that matches the request and skips
 // responses to other requests before it.
 func (r *Response) readHeader(req Request) error {
-	if err := r.conn.limitSilence(req.HeaderDeadline, req.GiveUp); err != nil {
+	if err := r.conn.limitSilence(req.HeaderDeadline, nil); err != nil {
 		return fmt.Errorf("bound the wait for an answer: %w", err)
 	}
 	defer func() { _ = r.conn.limitSilence(time.Time{}, nil) }()
@@ -290,6 +292,10 @@
 	return r.conn.limitSilence(t, giveUp)
 }
 
+// Interrupter returns a function that makes the current or the next read ask giveUp of LimitSilence at
+// once. It must not be called after the response has been released.
+func (r *Response) Interrupter() func() { return r.conn.interrupt }
+
 // Abort ends the response and closes its connection, which makes most targets stop processing
 // the request.
 func (r *Response) Abort() {
--- a/internal/target/upstream/pool.go
+++ b/internal/target/upstream/pool.go
@@ -57,9 +57,12 @@
 	reused bool
 	// expires is when the idle connection must no longer be used.
 	expires time.Time
-	// giveUp is asked when a read passes its deadline; if it returns false, the read goes on. nil
-	// gives up.
+	// giveUp is asked when a read passes its deadline or is interrupted; if it returns false, the read
+	// goes on. nil gives up.
 	giveUp func() bool
+
+	mu          sync.Mutex // guards the read deadline and interrupted
+	interrupted bool       // giveUp is to be asked at once
 }
 
 // giveUpInterval is the time between two questions to giveUp, which may be answered differently
@@ -73,16 +76,38 @@
 		if n > 0 || !isTimeout(err) || c.giveUp == nil || c.giveUp() {
 			return n, err
 		}
-		if err := c.SetReadDeadline(time.Now().Add(giveUpInterval)); err != nil {
+		if err := c.extendWait(); err != nil {
 			return 0, fmt.Errorf("extend the wait for a silent target: %w", err)
 		}
 	}
 }
 
+// extendWait sets the time at which giveUp is asked again, unless it is to be asked at once.
+func (c *pooledConn) extendWait() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted {
+		c.interrupted = false
+		return nil
+	}
+	return c.SetReadDeadline(time.Now().Add(giveUpInterval))
+}
+
+// interrupt makes the current or the next read ask giveUp at once.
+func (c *pooledConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	// The read of a connection that is closed already needs no interruption.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
 // limitSilence sets the time from which on reads that wait for data ask giveUp; the zero time is never.
 // A nil giveUp makes them fail then.
 func (c *pooledConn) limitSilence(t time.Time, giveUp func() bool) error {
-	c.giveUp = giveUp
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.giveUp, c.interrupted = giveUp, false
 	return c.SetReadDeadline(t)
 }
 
