--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -229,18 +229,17 @@
 // answer returns the answer of an attempt for the caller.
 func (ar *activeRequest) answer(a *attempt) *Answer {
 	ar.timeToAnswer = time.Since(ar.r.Arrived)
-	status := a.resp.Status()
 	if a.source != nil {
-		return &Answer{Status: status, Header: a.resp.Header(), Stream: newStream(ar, a), request: ar}
+		return &Answer{Status: a.resp.Status(), Header: a.resp.Header(), Stream: newStream(ar, a), request: ar}
+	}
+	if a.status == 0 {
+		a.detach()
 	}
-	var header fasthttp.ResponseHeader
-	a.resp.Header().CopyTo(&header)
-	a.release()
-	a.slot.End(outcomeOfStatus(status))
-	if status == fasthttp.StatusOK {
+	a.slot.End(outcomeOfStatus(a.status))
+	if a.status == fasthttp.StatusOK {
 		ar.reportSound(a.headerAt)
 	}
-	return &Answer{Status: status, Header: &header, Body: a.body, request: ar, memory: a.memory}
+	return &Answer{Status: a.status, Header: &a.header, Body: a.body, request: ar, memory: a.memory}
 }
 
 // hasTargetsLeft reports whether the route allows an attempt at one more target.
@@ -270,11 +269,18 @@
 // reject ends an attempt whose answer is not relayed, and returns its error with the run state.
 func (ar *activeRequest) reject(a *attempt) error {
 	status := a.resp.Status()
+	a.abort()
+	return ar.recordRejected(a, status)
+}
+
+// recordRejected records an attempt whose exchange has ended with an answer that is not relayed now. It returns
+// the error of the attempt with the run state.
+func (ar *activeRequest) recordRejected(a *attempt, status int) error {
 	outcome := placement.Failed
 	if ar.interrupted() || errors.Is(a.err, errBodyMemoryFull) {
 		outcome = placement.Inconclusive
 	}
-	a.end(outcome)
+	a.slot.End(outcome)
 	ar.report(Decision{Kind: AttemptFailed, Attempt: a.number, Instance: a.slot.ID(), Addr: a.slot.Addr(), Outcome: outcome, Run: answer.Ran, Status: status, Err: a.err})
 	return &runner.Error{RunState: answer.Ran, Status: status, Err: a.err}
 }
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -37,6 +37,10 @@
 	body     []byte             // of other answers
 	memory   bodyMemory         // reserved for body
 	err      error              // why it has no answer; nil if it has one
+
+	// status and header are those of an answer that was detached from its connection.
+	status int
+	header fasthttp.ResponseHeader
 }
 
 // run sends the request and reads the answer, of a stream up to its first event. The end of ctx also
@@ -156,6 +160,19 @@
 	a.memory.release()
 }
 
+// detach ends the exchange after a complete answer that is not a stream, and keeps the answer.
+func (a *attempt) detach() {
+	a.status = a.resp.Status()
+	a.resp.Header().CopyTo(&a.header)
+	a.release()
+}
+
+// isFailure reports whether the answer is a failure of its target that may be relayed.
+func (a *attempt) isFailure() bool {
+	status := a.resp.Status()
+	return a.source == nil && status >= fasthttp.StatusInternalServerError && !impliesNotRun(status)
+}
+
 // release ends the exchange after a complete answer, whose connection can be used again.
 func (a *attempt) release() {
 	a.resp.Release()
--- a/internal/request/forward/race.go
+++ b/internal/request/forward/race.go
@@ -42,6 +42,7 @@
 	stop        chan struct{} // closed by the owner to end the race; nil if it never is
 
 	running []*attempt
+	failure *attempt      // has a target's failure, which is relayed if no attempt has a better answer; nil without one
 	ended   chan *attempt // attempts whose run has returned
 	silence *time.Timer   // looks for silent targets; nil if the request may be sent to one target only
 }
@@ -65,7 +66,7 @@
 				return a, nil
 			}
 			if err := r.replace(err); err != nil && len(r.running) == 0 {
-				return nil, err
+				return r.takeFailure(err)
 			}
 		case <-r.silenceC():
 			r.silence.Reset(hedgeInterval)
@@ -76,6 +77,16 @@
 	}
 }
 
+// takeFailure returns the attempt that has a target's failure, or err without one.
+func (r *race) takeFailure(err error) (*attempt, error) {
+	a := r.failure
+	if a == nil || r.request.interrupted() {
+		return nil, err
+	}
+	r.failure = nil
+	return a, nil
+}
+
 // silenceC returns the channel of the timer, or nil without one.
 func (r *race) silenceC() <-chan time.Time {
 	if r.silence == nil {
@@ -198,12 +209,32 @@
 		if a.err = a.check(mayDefer); a.err == nil {
 			return nil
 		}
+		if a.isFailure() {
+			return r.keepFailure(a)
+		}
 		return ar.reject(a)
 	}
 	ar.reportBrokenOff(a.slot, a.err, false)
 	return ar.reject(a)
 }
 
+// keepFailure records an attempt whose target has failed, and keeps its answer until another attempt has a
+// better one. It returns the failure.
+func (r *race) keepFailure(a *attempt) error {
+	r.dropFailure()
+	r.failure = a
+	a.detach()
+	return r.request.recordRejected(a, a.status)
+}
+
+// dropFailure gives up the failure that was kept.
+func (r *race) dropFailure() {
+	if r.failure != nil {
+		r.failure.memory.release()
+	}
+	r.failure = nil
+}
+
 // recordFailure records an attempt that got no answer, and returns its error.
 func (r *race) recordFailure(a *attempt) error {
 	ar := r.request
@@ -229,6 +260,7 @@
 		r.request.discard(<-r.ended)
 	}
 	r.running = nil
+	r.dropFailure()
 }
 
 // supersededBy returns the cause with which the attempt ends because another one has answered.
