--- a/internal/request/forward/race.go
+++ b/internal/request/forward/race.go
@@ -112,7 +112,7 @@
 	if !ar.mayRetry(cause) {
 		return cause
 	}
-	ar.report(Decision{Kind: Retried, Run: ar.runState, Err: cause, RelayedEvents: r.resumeAfter})
+	ar.report(Decision{Kind: Retried, Run: ar.runState, Err: cause, RelayedEvents: ar.relayedEvents})
 	return r.begin()
 }
 
@@ -179,7 +179,7 @@
 	}
 	slot, err := ar.f.Placement.Choose(ar.ctx, ar.service.Name, ar.requirements())
 	if err == nil && ar.f.RetryBudget.AllowRetry(ar.service.Name) {
-		ar.report(Decision{Kind: Retried, Run: ar.runState, Err: errSilent, RelayedEvents: r.resumeAfter})
+		ar.report(Decision{Kind: Retried, Run: ar.runState, Err: errSilent, RelayedEvents: ar.relayedEvents})
 		return r.start(slot) == nil
 	}
 	if err == nil {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -119,27 +120,25 @@
 // instance. It returns the last cause if the stream cannot be continued.
 func (s *Stream) resume(cause error) error {
 	ar := s.request
-	next := s.next
-	s.next = nil
-	if next != nil && next.hasWon() {
+	ar.reportBrokenOff(s.current.slot, cause, s.shownSound)
+	s.current.abort()
+	a, err := s.takeNext()
+	if a != nil && errors.Is(cause, os.ErrDeadlineExceeded) {
 		cause = errGivenUpSilent
 	}
-	ar.reportBrokenOff(s.current.slot, cause, s.shownSound)
 	s.endCurrent(placement.Failed, cause)
-	if next != nil {
-		a, err := next.wait()
-		if err == nil {
-			s.switchTo(a)
-			return nil
-		}
+	if a != nil {
+		s.switchTo(a)
+		return nil
+	}
+	if err != nil {
 		cause = err
 	}
 	if !ar.route.Resumable || !ar.mayRetry(cause) {
 		return cause
 	}
 	ar.report(Decision{Kind: Retried, Run: ar.runState, Err: cause, RelayedEvents: ar.relayedEvents})
-	a, err := s.continuationRace().run()
-	if err != nil {
+	if a, err = s.continuationRace().run(); err != nil {
 		return err
 	}
 	s.switchTo(a)
@@ -190,15 +189,23 @@
 	}
 }
 
-// hasWon reports whether the race has ended with an answer.
-func (c *continuation) hasWon() bool { return c.hasEnded() && c.err == nil }
-
 // wait returns the result of the race.
 func (c *continuation) wait() (*attempt, error) {
 	<-c.notified
 	return c.winner, c.err
 }
 
+// takeNext waits for the end of the race for the rest of the stream and returns the attempt that has
+// it. It returns nil if there is no race.
+func (s *Stream) takeNext() (*attempt, error) {
+	c := s.next
+	if c == nil {
+		return nil, nil
+	}
+	s.next = nil
+	return c.wait()
+}
+
 // dropNext ends the race for the rest of the stream, if there is one. An answer that it has is not
 // used: it would repeat an event that the current attempt has sent meanwhile.
 func (s *Stream) dropNext() {
