--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -116,6 +116,9 @@
 	case forward.Refused:
 		pairs = append(pairs, "run", d.Run, "status", d.Status, "code", d.Refusal.Code, "retry_after_ms", d.Refusal.RetryAfter.Milliseconds(), "err", d.Refusal.Message)
 	}
+	if d.Ending != forward.EndingNone {
+		pairs = append(pairs, "ending", d.Ending)
+	}
 	if d.Err != nil {
 		pairs = append(pairs, "err", d.Err)
 	}
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -102,6 +102,9 @@
 
 // recordDecision counts a decision about a request and observes its latencies.
 func (m *metricSet) recordDecision(d forward.Decision) {
+	if d.Ending != forward.EndingNone {
+		m.count("rosevalve_answers_ended_early_total", 1, "route", d.Route, "ending", d.Ending.String())
+	}
 	switch d.Kind {
 	case forward.AttemptSent:
 		m.count("rosevalve_attempts_total", 1, "instance", d.Instance)
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -39,6 +39,7 @@
 	runState        answer.RunState // of all attempts together
 	relayedEvents   int64           // events relayed to the caller
 	timeToAnswer    time.Duration   // from the arrival to the beginning of the answer; 0 before that
+	history         attemptHistory  // of the decisions reported so far
 }
 
 // sentAttempt is an attempt for which the header of the answer has arrived.
@@ -428,7 +429,7 @@
 		kind = Abandoned
 	}
 	used := ar.settle()
-	ar.report(Decision{Kind: kind, Run: ar.runState, Status: refusal.Status, Refusal: refusal, TokenCount: used})
+	ar.report(Decision{Kind: kind, Run: ar.runState, Status: refusal.Status, Refusal: refusal, TokenCount: used, Ending: ar.ending(nil)})
 	ar.cancel()
 }
 
@@ -438,7 +439,7 @@
 	ar.observeDuration(a)
 	d := Decision{Kind: Answered, Run: ar.runState, Status: a.Status, RelayedEvents: ar.relayedEvents, TimeToAnswer: ar.timeToAnswer}
 	if a.Stream != nil && a.Stream.err != nil {
-		d.Kind, d.Err = AnswerTruncated, a.Stream.err
+		d.Kind, d.Err, d.Ending = AnswerTruncated, a.Stream.err, ar.ending(a.Stream.err)
 		switch {
 		case ar.cutOff():
 			d.Kind = CutOff
--- a/internal/request/forward/decision.go
+++ b/internal/request/forward/decision.go
@@ -65,6 +65,9 @@
 	Refusal *answer.Error
 	// Err is the cause of a failure; nil if there is none.
 	Err error
+	// Ending is the reason why the request ended without a complete answer, for AnswerTruncated, CutOff,
+	// Abandoned and, after an attempt, Refused; EndingNone for others.
+	Ending Ending
 	// TokenCount is the number of tokens that were requested (TokensDenied), reserved
 	// (AttemptSent) or, once the request has ended, used.
 	TokenCount int64
@@ -84,7 +87,8 @@
 	f.OnDecision(d)
 }
 
-// report completes d with the facts of the request and passes it to OnDecision.
+// report completes d with the facts of the request and passes it to OnDecision. It must not be called
+// by several goroutines at once.
 func (ar *activeRequest) report(d Decision) {
 	d.Request = ar.r
 	d.Route, d.Service = ar.route.Name, ar.service.Name
@@ -93,5 +97,6 @@
 	}
 	d.PlanVersion = ar.plan.Version()
 	d.Attempt = ar.attempts
+	ar.history.observe(d)
 	ar.f.report(d)
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -76,7 +76,7 @@
 			s.writeTime += time.Since(began)
 			written += int64(n)
 			if writeErr != nil {
-				return written, s.fail(fmt.Errorf("relay events: %w", writeErr))
+				return written, s.fail(fmt.Errorf("%w: %w", errRelay, writeErr))
 			}
 		}
 		switch {
@@ -287,7 +287,7 @@
 // close ends the stream, whether it is complete or not.
 func (s *Stream) close() {
 	if !s.done && s.err == nil {
-		s.err = errors.New("stream closed before its end")
+		s.err = errNotRelayed
 	}
 	if s.done {
 		return
