--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -60,7 +60,7 @@
 			s.writeTime += time.Since(began)
 			written += int64(n)
 			if err != nil {
-				return written, s.fail(fmt.Errorf("relay events: %w", err))
+				return written, s.fail(fmt.Errorf("%w: %w", errRelay, err))
 			}
 		}
 		switch {
@@ -264,7 +264,7 @@
 		return
 	}
 	if s.err == nil {
-		s.err = errors.New("stream closed before its end")
+		s.err = errNotRelayed
 	}
 	s.dropNext()
 	s.current.end(placement.Inconclusive)
