--- a/internal/request/gateway/pipes_test.go
+++ b/internal/request/gateway/pipes_test.go
@@ -10,13 +10,14 @@
 
 // pipeListener is a net.Listener whose connections are in-memory pipes.
 type pipeListener struct {
+	gate   *gate // of the process that listens
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
 }
 
 func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	return &pipeListener{gate: &gate{}, conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
 func (l *pipeListener) Accept() (net.Conn, error) {
@@ -36,11 +37,15 @@
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (l *pipeListener) dial() (net.Conn, error) {
+	if !l.gate.letsDial() {
+		return nil, errors.New("timeout")
+	}
 	client, server := net.Pipe()
 	select {
-	case l.conns <- server:
+	case l.conns <- newGatedConn(server, l.gate):
 		return client, nil
 	case <-l.closed:
+		_ = client.Close()
 		return nil, errors.New("refused")
 	}
 }
--- a/internal/request/gateway/testfleet_test.go
+++ b/internal/request/gateway/testfleet_test.go
@@ -39,6 +39,10 @@
 	testInterval  = 10 * time.Millisecond // between tokens, and the duration of a service call
 	testFirstByte = 2 * time.Second       // runner.Client.FirstByteTimeout
 	testProgress  = time.Second           // runner.Client.ProgressTimeout
+
+	testDialTimeout = time.Second // of connections to a machine that is paused
+
+	idempotentPath = "/read" // of the plain services
 )
 
 // testFleet is a fleet of routers with its table and targets, in virtual time.
@@ -68,6 +72,7 @@
 	fleet   *testFleet
 	gateway *Gateway
 	tokens  *allotment.Manager
+	targets *pool.Pool
 	client  *runner.Client
 	server  *fasthttp.Server
 	addr    string
@@ -93,7 +98,10 @@
 	fleet.runCtx, fleet.cancelRun = context.WithCancel(ctx)
 	items := []catalogue.Item{
 		item("workspace", "care", catalogue.Workspace{Name: "care", Weight: 1, KeyHashes: []string{catalogue.HashKey("secret")}}),
-		item("service", "beds", catalogue.Service{Name: "beds", TokensPerCall: 1}),
+		item("service", "beds", catalogue.Service{
+			Name: "beds", TokensPerCall: 1,
+			Routes: []catalogue.Route{{Method: "POST", Path: idempotentPath, Idempotent: true}},
+		}),
 	}
 	for i := range testEngines {
 		addr := fmt.Sprintf("10.0.1.%d:80", i+1)
@@ -136,8 +144,8 @@
 }
 
 func (f *testFleet) addNode(ctx context.Context, addr string) error {
-	n := &node{fleet: f, addr: addr}
 	targets := &pool.Pool{}
+	n := &node{fleet: f, addr: addr, targets: targets}
 	queues := &queue.Queues{Pick: targets.Reserve, Slots: targets.Slots, ProbeDelay: targets.ProbeDelay}
 	targets.OnFreeSlot = queues.GrantFreed
 	go func() { _ = targets.Run(f.runCtx) }()
--- a/internal/target/runner/conn.go
+++ b/internal/target/runner/conn.go
@@ -57,6 +57,10 @@
 	// before the response was looked at.
 	reusable atomic.Bool
 
+	// stalled is set once the target of an engine's run has been silent for stallThreshold. Close
+	// leaves the connection open then, as takeStalled takes it over.
+	stalled atomic.Bool
+
 	requests         int       // requests sent on the connection
 	awaitingResponse bool      // a request was written and nothing has been read since
 	requestBytes     int       // bytes written of the current request
@@ -142,12 +146,23 @@
 	if isTimeout(err) && time.Now().Before(deadline) {
 		n, err = c.resumeRead(b, deadline)
 	}
+	if isTimeout(err) && c.awaitingResponse && timeout < c.firstByteTimeout {
+		c.stalled.Store(true)
+	}
 	if n > 0 {
 		c.awaitingResponse = false
 	}
 	return n, err
 }
 
+// Close closes the connection, unless it has stalled before an answer.
+func (c *progressConn) Close() error {
+	if c.stalled.Load() {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
 // timeout returns the timeout of the next read. The first read after a request on a
 // reused connection to an engine has a short one, since the connection may have stopped
 // responding while it was idle and the run can be resumed on a new connection.
--- a/internal/target/runner/engine.go
+++ b/internal/target/runner/engine.go
@@ -36,7 +36,23 @@
 	req.Header.Set(chat.HeaderRun, runID)
 	req.SetBodyRaw(body)
 	c.host(addr).isEngine.Store(true)
-	return c.streamEvents(ctx, addr, false, req, runID, sink)
+	resp := fasthttp.AcquireResponse()
+	err := c.sendOrStall(addr, false, req, resp)
+	if conn, stalled := takeStalled(resp); err != nil && stalled {
+		fasthttp.ReleaseResponse(resp)
+		resp, err = c.awaitFirst(ctx, conn, addr, runID)
+	}
+	if resp == nil {
+		return err
+	}
+	defer releaseResponse(resp)
+	if err != nil {
+		return err
+	}
+	if err := checkResponse(resp, runID); err != nil {
+		return err
+	}
+	return readAnswer(ctx, resp, sink)
 }
 
 // Resume requests the events of a run after its first offset tokens, which the caller
@@ -44,26 +60,30 @@
 //
 // The error is an *Error.
 func (c *Client) Resume(ctx context.Context, addr, runID string, offset int64, sink func(Event) error) error {
+	resp := fasthttp.AcquireResponse()
+	defer releaseResponse(resp)
+	if err := c.beginResume(addr, runID, offset, resp); err != nil {
+		return err
+	}
+	return readAnswer(ctx, resp, sink)
+}
+
+// beginResume requests the events of a run after its first offset tokens on a new connection, and
+// reads the header of the response.
+func (c *Client) beginResume(addr, runID string, offset int64, resp *fasthttp.Response) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodGet)
 	req.SetRequestURI("http://" + addr + chat.PathRuns + runID)
 	req.Header.Set(chat.HeaderOffset, strconv.FormatInt(offset, 10))
-	return c.streamEvents(ctx, addr, true, req, runID, sink)
-}
-
-// streamEvents sends the request and passes each event of the response to sink. newConn
-// selects a new connection.
-func (c *Client) streamEvents(ctx context.Context, addr string, newConn bool, req *fasthttp.Request, runID string, sink func(Event) error) error {
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.send(addr, newConn, req, resp); err != nil {
-		return err
-	}
-	defer func() { _ = resp.CloseBodyStream() }()
-	if err := checkResponse(resp, runID); err != nil {
+	if err := c.send(addr, true, req, resp); err != nil {
 		return err
 	}
+	return checkResponse(resp, runID)
+}
+
+// readAnswer passes each event of the response that runs a request to sink.
+func readAnswer(ctx context.Context, resp *fasthttp.Response, sink func(Event) error) error {
 	if err := ReadBody(ctx, resp, sink); err != nil {
 		return &Error{RunState: answer.Ran, Err: err}
 	}
--- a/internal/target/runner/runner.go
+++ b/internal/target/runner/runner.go
@@ -172,6 +172,16 @@
 // newConn selects a new connection. An idle connection may be closed by the target just as
 // the request is sent, which would leave its outcome unknown.
 func (c *Client) send(addr string, newConn bool, req *fasthttp.Request, resp *fasthttp.Response) error {
+	err := c.sendOrStall(addr, newConn, req, resp)
+	if err != nil {
+		closeStalled(resp)
+	}
+	return err
+}
+
+// sendOrStall is like send, but after an error the connection may have only stalled, and must be
+// taken over with takeStalled.
+func (c *Client) sendOrStall(addr string, newConn bool, req *fasthttp.Request, resp *fasthttp.Response) error {
 	h := c.host(addr)
 	client := h.keepAlive
 	if newConn {
