--- a/internal/request/gateway/assemble.go
+++ b/internal/request/gateway/assemble.go
@@ -20,7 +20,7 @@
 	r := eventReader{conn: ctx.Conn(), run: run}
 	events, apiErr, err := r.readAll()
 	if err != nil {
-		return
+		apiErr = callerGoneError()
 	}
 	if apiErr != nil {
 		g.sendError(ctx, run.ID(), apiErr)
--- a/internal/request/gateway/reader.go
+++ b/internal/request/gateway/reader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
@@ -20,6 +21,17 @@
 	errNoEvents   = errors.New("no events yet")
 )
 
+// callerGoneError returns the answer to a caller that has closed its connection. It reaches one that
+// has only closed its sending side, and must not look complete.
+func callerGoneError() *answer.Error {
+	return &answer.Error{
+		Status:  fasthttp.StatusGatewayTimeout,
+		Code:    "cancelled",
+		Message: "the caller closed the connection before the answer",
+		Run:     answer.Unknown,
+	}
+}
+
 // eventReader reads the events of a run for one connection and notices when that
 // connection is closed.
 type eventReader struct {
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -34,8 +34,7 @@
 	reader := eventReader{conn: ctx.Conn(), run: in.run}
 	events, done, apiErr, err := reader.next(0)
 	if err != nil {
-		g.detachReader(in)
-		return
+		done, apiErr = true, callerGoneError()
 	}
 	if done && apiErr != nil && len(events) == 0 {
 		g.detachReader(in)
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -278,7 +278,7 @@
 	r := eventReader{conn: ctx.Conn(), run: run}
 	events, apiErr, err := r.readAll()
 	if err != nil {
-		return
+		apiErr = callerGoneError()
 	}
 	if apiErr != nil {
 		g.sendError(ctx, run.ID(), apiErr)
