--- a/internal/fleet/router/requests.go
+++ b/internal/fleet/router/requests.go
@@ -36,6 +36,7 @@
 
 			Quarantine: r.quarantine,
 			Crashes:    r.crashes,
+			Log:        r.Log,
 		},
 		Claims:      &claim.Registry{Commit: r.table.Commit, Get: r.table.Get},
 		Entries:     r.entriesForCaller,
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
@@ -46,6 +47,9 @@
 	Crashes    *crash.Detector
 	// Retries limits the attempts beyond the first of each request.
 	Retries RetryBudget
+	// Log receives a record of each attempt that failed and of each request that is given up. It may
+	// be nil.
+	Log *log.Logger
 }
 
 // Completion is one completion request to an engine.
@@ -103,22 +107,26 @@
 	}
 	exclude := make(map[string]bool)
 	var lastErr error
+	reason := attemptsSpent
 	for n := range maxAttempts {
 		if ctx.Err() != nil || n > 0 && !d.Retries.allowsRetry(lastErr) {
+			reason = retryDenied
 			break
 		}
 		slot, refusal := d.acquire(ctx, c.Ticket, exclude)
 		if refusal != nil {
-			s.refusal = refusal
+			s.refusal, reason = refusal, noTarget
 			break
 		}
 		exclude[slot.Addr()] = true
 		if d.blocked(s) {
 			slot.Release()
+			reason = promptBlocked
 			break
 		}
 		if !s.recordAttempt(slot.Addr(), attemptID(c.RunID, n)) {
 			slot.Release()
+			reason = notRecorded
 			break
 		}
 		a := s.newAttempt(slot.Addr(), attemptID(c.RunID, n))
@@ -129,12 +137,15 @@
 			return s.completed(a)
 		}
 		if ctx.Err() != nil {
+			d.reportGivenUp(ctx, c.RunID, len(exclude), requestEnded)
 			return d.abandon(ctx, s, a)
 		}
+		d.reportFailed(ctx, a.location(), a.textEvents, a.firstErr, err)
 		d.reportBrokenOff(s, a)
 		s.recordFailure(a, d.Cancel)
 		lastErr = err
 	}
+	d.reportGivenUp(ctx, c.RunID, len(exclude), reason)
 	return s.failure(ctx)
 }
 
@@ -158,6 +169,7 @@
 	})
 	if !ok {
 		a.err = &runner.Error{RunState: answer.NotRun, Err: fmt.Errorf("target %s has no free worker", a.target)}
+		a.firstErr = a.err
 		close(a.done)
 		return a.err
 	}
@@ -183,6 +195,7 @@
 	} else {
 		err = d.Stream(ctx, a.target, a.runID, s.Body, sink)
 	}
+	a.firstErr = a.checkFinished(err)
 	if err != nil && ctx.Err() == nil && runner.RunStateOf(err) == answer.Unknown {
 		// The answer may have been lost on its way. If the run has begun, the engine knows it.
 		a.mayHaveBegun = true
@@ -219,8 +232,10 @@
 		return s.completed(a), true
 	}
 	if ctx.Err() != nil {
+		d.reportGivenUp(ctx, s.RunID, 1, requestEnded)
 		return d.abandon(ctx, s, a), true
 	}
+	d.reportFailed(ctx, a.location(), a.textEvents, a.firstErr, err)
 	s.recordFailure(a, d.Cancel)
 	return Outcome{}, false
 }
--- a/internal/request/dispatch/request_state.go
+++ b/internal/request/dispatch/request_state.go
@@ -50,7 +50,8 @@
 	textEvents   int           // number of text events received from this run, also by the router that began it
 	finished     bool          // the run has sent the event with the finish reason
 	usage        *chat.Usage   // as billed; nil if the run has reported none
-	done         chan struct{} // closed when the attempt has ended; err is valid after that
+	firstErr     error         // of the first request for the run, the cause of those that followed
+	done         chan struct{} // closed when the attempt has ended; the errors are valid after that
 	err          error
 }
 
@@ -74,6 +75,9 @@
 	return &attempt{target: target, runID: runID, done: make(chan struct{})}
 }
 
+// location returns where the attempt runs.
+func (a *attempt) location() RunLocation { return RunLocation{Target: a.target, RunID: a.runID} }
+
 // recordDelivered records an event that the caller receives.
 func (s *requestState) recordDelivered(ev runner.Event) {
 	if ev.HasContent() {
--- a/internal/request/dispatch/service.go
+++ b/internal/request/dispatch/service.go
@@ -39,17 +39,22 @@
 	runState := answer.NotRun
 	var lastErr error
 	var refusal *answer.Error
+	reason := attemptsSpent
 	for n := range maxAttempts {
 		if ctx.Err() != nil || n > 0 && !d.Retries.allowsRetry(lastErr) {
+			reason = retryDenied
 			break
 		}
 		var slot *pool.Slot
 		if slot, refusal = d.acquire(ctx, c.Ticket, exclude); refusal != nil {
+			reason = noTarget
 			break
 		}
 		exclude[slot.Addr()] = true
-		if c.BeforeAttempt != nil && c.BeforeAttempt(RunLocation{Target: slot.Addr(), RunID: c.RunID}) != nil {
+		loc := RunLocation{Target: slot.Addr(), RunID: c.RunID}
+		if c.BeforeAttempt != nil && c.BeforeAttempt(loc) != nil {
 			slot.Release()
+			reason = notRecorded
 			break
 		}
 		result, err := d.call(ctx, slot, c)
@@ -57,12 +62,15 @@
 			return result, nil
 		}
 		lastErr = err
+		d.reportFailed(ctx, loc, 0, err, err)
 		// An earlier attempt may have run even if a later one did not.
 		runState = max(runState, runner.RunStateOf(err))
 		if !d.mayRetry(runner.RunStateOf(err), c.Idempotent) {
+			reason = notRepeatable
 			break
 		}
 	}
+	d.reportGivenUp(ctx, c.RunID, len(exclude), reason)
 	if ctx.Err() != nil {
 		return runner.ServiceResponse{}, abandonedError(ctx, runState)
 	}
--- a/internal/request/gateway/metrics.go
+++ b/internal/request/gateway/metrics.go
@@ -14,9 +14,13 @@
 	outcomeStored    = "stored" // answered from the outcome stored in the claim
 )
 
+// callerLeft is the reason of a broken stream whose caller has left or does not read.
+const callerLeft = "caller_left"
+
 var (
 	outcomes          = expvar.NewMap("request_outcomes")
 	runStates         = expvar.NewMap("request_run_states")
+	brokenStreams     = expvar.NewMap("request_streams_broken")    // by the code of the failure, or callerLeft
 	attachedRuns      = expvar.NewInt("request_attached")          // runs read from another router
 	takenOverRuns     = expvar.NewInt("request_taken_over")        // completions executed here after their owner was lost
 	pendingStores     = expvar.NewInt("request_outcomes_to_store") // outcomes being stored in the background now
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -54,7 +54,10 @@
 // setStreamBody makes r the body of the answer.
 func (g *Gateway) setStreamBody(ctx *fasthttp.RequestCtx, in *inboundRequest, r *streamBody) {
 	r.eventReader = eventReader{conn: ctx.Conn(), run: in.run}
-	r.onClose = func() { g.detachReader(in) }
+	r.onClose = func() {
+		g.detachReader(in)
+		g.reportBroken(in, r)
+	}
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-cache")
 	ctx.SetBodyStream(r, -1)
@@ -72,8 +75,10 @@
 
 	offset        int
 	ended         bool
-	pending       []byte // encoded events that Read has not returned yet; part of buf
-	buf           []byte // buffer of encoded events
+	sent          bool          // the end has been sent
+	failure       *answer.Error // with which the run ended; nil if it did not fail
+	pending       []byte        // encoded events that Read has not returned yet; part of buf
+	buf           []byte        // buffer of encoded events
 	deadlineSetAt time.Time
 }
 
@@ -118,6 +123,7 @@
 // io.EOF after the end of the log.
 func (r *streamBody) fill() error {
 	if r.ended {
+		r.sent = true
 		return io.EOF
 	}
 	if cap(r.buf) > maxIdleBuffer {
@@ -125,6 +131,7 @@
 	}
 	buf := r.buf[:0]
 	events, done, apiErr, err := r.next(r.offset)
+	r.failure = apiErr
 	switch {
 	case errors.Is(err, errNoEvents) && r.keepAlive:
 		buf = append(buf, keepAliveComment...)
@@ -146,6 +153,21 @@
 	return nil
 }
 
+// reportBroken counts and logs a stream that has begun and was closed without the end of its answer.
+// The reason is the code of the run's failure, or else the caller has left or does not read.
+func (g *Gateway) reportBroken(in *inboundRequest, r *streamBody) {
+	reason, run := callerLeft, answer.Unknown
+	switch {
+	case r.failure != nil:
+		reason, run = r.failure.Code, r.failure.Run
+	case r.sent:
+		return
+	}
+	brokenStreams.Add(reason, 1)
+	g.Log.Info("stream broken", "request_id", in.run.ID(), "reason", reason, "run", run, "events", r.offset,
+		"took_ms", time.Since(in.run.Began()).Milliseconds(), "to_router", in.fromRouter)
+}
+
 // next waits like eventReader.next, but returns errNoEvents when a comment is due.
 func (r *streamBody) next(offset int) ([][]byte, bool, *answer.Error, error) {
 	if r.keepAlive {
--- a/internal/target/runner/stall.go
+++ b/internal/target/runner/stall.go
@@ -6,12 +6,16 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/answer"
 )
 
+// ErrSilent reports that nothing came on a connection though its target answers on others.
+var ErrSilent = errors.New("connection is silent")
+
 // sentConn is a stalled connection on which the request was sent already. It sends nothing, so
 // that a request that is written to it only waits for the answer.
 type sentConn struct{ *progressConn }
@@ -117,7 +121,7 @@
 			resumeFailed = time.After(stallThreshold)
 		case <-resumeFailed:
 			_ = conn.Close()
-			return nil, &Error{RunState: answer.Unknown, Err: fmt.Errorf("connection is silent; resume on another: %w", lastErr)}
+			return nil, &Error{RunState: answer.Unknown, Err: fmt.Errorf("%w; on another: %w", ErrSilent, lastErr)}
 		case <-ctx.Done():
 			_ = conn.Close()
 			return nil, &Error{RunState: answer.Unknown, Err: ctx.Err()}
