--- a/internal/request/claim/claim.go
+++ b/internal/request/claim/claim.go
@@ -83,6 +83,9 @@
 			return nil, fmt.Errorf("claim call: %w", err)
 		}
 		lastErr = err
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	return nil, fmt.Errorf("claim call: %w", lastErr)
 }
--- a/internal/request/gateway/metrics.go
+++ b/internal/request/gateway/metrics.go
@@ -24,6 +24,7 @@
 	attachedRuns      = expvar.NewInt("request_attached")          // runs read from another router
 	takenOverRuns     = expvar.NewInt("request_taken_over")        // completions executed here after their owner was lost
 	pendingStores     = expvar.NewInt("request_outcomes_to_store") // outcomes being stored in the background now
+	pendingReleases   = expvar.NewInt("request_claims_to_release") // claims of calls that did not run, being released in the background now
 	firstTokenLatency = newHistogram("request_first_token_ms")     // from the registration of the run
 	tokenGap          = newHistogram("request_between_tokens_ms")
 )
--- a/internal/request/gateway/service.go
+++ b/internal/request/gateway/service.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/budget/allotment"
+	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/chat"
 	"rosevalve/internal/request/admission"
 	"rosevalve/internal/request/answer"
@@ -26,9 +27,13 @@
 	// caller is answered after the first attempt at the latest.
 	storeTimeout = 500 * time.Millisecond
 	// initialStoreBackoff and maxStoreBackoff bound the wait between background attempts to
-	// store an outcome.
+	// store an outcome or to release a claim.
 	initialStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff     = 5 * time.Second
+	// claimReleaseTimeout bounds the time in which the release of a claim is tried again, and
+	// maxPendingReleases the number of claims for which it is.
+	claimReleaseTimeout = time.Minute
+	maxPendingReleases  = 4096
 )
 
 // serviceRequest is one call of a plain service.
@@ -201,20 +206,54 @@
 			RetryAfter: tableRetryAfter,
 		}
 	default:
+		if errors.Is(err, table.ErrUnknownOutcome) {
+			g.releaseClaimLater(run, req, callClaim)
+		}
 		return nil, answer.Retryable(fasthttp.StatusServiceUnavailable, "claim_unavailable", tableRetryAfter, "the call could not be claimed now and was not sent")
 	}
 }
 
-// releaseClaim removes the claim of a call that did not run, so that it can be retried.
+// releaseClaim removes the claim of a call that did not run, so that it can be retried. If that fails,
+// it is tried again in the background.
 func (g *Gateway) releaseClaim(run *register.Run, req serviceRequest, callClaim claim.Claim) {
-	if req.key == "" {
+	if req.key == "" || g.tryReleaseClaim(run, req, callClaim) {
 		return
 	}
+	g.releaseClaimLater(run, req, callClaim)
+}
+
+// tryReleaseClaim tries once to remove the claim of a call and reports whether that succeeded.
+func (g *Gateway) tryReleaseClaim(run *register.Run, req serviceRequest, callClaim claim.Claim) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := g.Claims.Release(ctx, req.key, callClaim); err != nil {
+	err := g.Claims.Release(ctx, req.key, callClaim)
+	if err != nil {
 		g.Log.Warn("failed to release claim", "request_id", run.ID(), "err", err)
 	}
+	return err == nil
+}
+
+// releaseClaimLater removes the claim of a call in the background, with exponential backoff until it
+// succeeds or claimReleaseTimeout has passed. A claim that is left keeps the call from running.
+func (g *Gateway) releaseClaimLater(run *register.Run, req serviceRequest, callClaim claim.Claim) {
+	if pendingReleases.Value() >= maxPendingReleases {
+		g.Log.Warn("claim left behind, too many wait for their release", "request_id", run.ID())
+		return
+	}
+	pendingReleases.Add(1)
+	g.unfinished.Add(1)
+	go func() {
+		defer g.unfinished.Done()
+		defer pendingReleases.Add(-1)
+		end := time.Now().Add(claimReleaseTimeout)
+		for backoff := initialStoreBackoff; !g.tryReleaseClaim(run, req, callClaim); backoff = min(2*backoff, maxStoreBackoff) {
+			if time.Now().After(end) {
+				g.Log.Warn("claim left behind", "request_id", run.ID())
+				return
+			}
+			time.Sleep(backoff)
+		}
+	}()
 }
 
 // storeOutcome stores the outcome of a claimed call in the table and reports whether that
--- a/internal/request/gateway/tables_test.go
+++ b/internal/request/gateway/tables_test.go
@@ -7,9 +7,50 @@
 	"rosevalve/internal/platform/table"
 )
 
-func (f *testFleet) commit(_ context.Context, c table.Commit) (uint64, error) {
+// silenceTable makes the table silent for a time. It carries out afterwards what it was sent meanwhile.
+func (f *testFleet) silenceTable(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tableSilentUntil = time.Now().Add(d)
+}
+
+// carryOutLate carries out the commits that were sent while the table was silent. The caller holds mu.
+func (f *testFleet) carryOutLate() {
+	if time.Now().Before(f.tableSilentUntil) {
+		return
+	}
+	for _, c := range f.sentInSilence {
+		_, _ = f.store.Commit(c)
+	}
+	f.sentInSilence = nil
+}
+
+// awaitTable waits until the table is not silent. It reports false if ctx ends first.
+func (f *testFleet) awaitTable(ctx context.Context) bool {
+	f.mu.Lock()
+	left := time.Until(f.tableSilentUntil)
+	f.mu.Unlock()
+	if left <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(left):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (f *testFleet) commit(ctx context.Context, c table.Commit) (uint64, error) {
+	if !f.awaitTable(ctx) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.sentInSilence = append(f.sentInSilence, c)
+		return 0, table.ErrUnknownOutcome
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.carryOutLate()
 	switch {
 	case f.tableOutage:
 		return 0, errTableDown
@@ -25,18 +66,26 @@
 	return f.store.Commit(c)
 }
 
-func (f *testFleet) get(_ context.Context, keys ...string) ([]table.Row, error) {
+func (f *testFleet) get(ctx context.Context, keys ...string) ([]table.Row, error) {
+	if !f.awaitTable(ctx) {
+		return nil, errTableDown
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.carryOutLate()
 	if f.tableOutage {
 		return nil, errTableDown
 	}
 	return f.store.Get(keys), nil
 }
 
-func (f *testFleet) scan(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
+func (f *testFleet) scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	if !f.awaitTable(ctx) {
+		return nil, errTableDown
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.carryOutLate()
 	if f.tableOutage {
 		return nil, errTableDown
 	}
--- a/internal/request/gateway/testfleet_test.go
+++ b/internal/request/gateway/testfleet_test.go
@@ -56,13 +56,15 @@
 	runCtx    context.Context // cancelled by close
 	cancelRun context.CancelFunc
 
-	mu             sync.Mutex // guards the fields below
-	faults         []connFault
-	tableOutage    bool
-	lostCommits    int // number of next commits that are applied, but whose answer is lost
-	delayedCommits int // number of next commits that are applied late, after an unknown outcome
-	closed         bool
-	conns          []net.Conn
+	mu               sync.Mutex // guards the fields below
+	faults           []connFault
+	tableOutage      bool
+	lostCommits      int // number of next commits that are applied, but whose answer is lost
+	tableSilentUntil time.Time
+	sentInSilence    []table.Commit
+	delayedCommits   int // number of next commits that are applied late, after an unknown outcome
+	closed           bool
+	conns            []net.Conn
 
 	targetConns map[string][]net.Conn
 }
