--- a/internal/request/gateway/fleet_test.go
+++ b/internal/request/gateway/fleet_test.go
@@ -23,6 +23,7 @@
 	Key    int
 	Conn   connFault
 	Wait   time.Duration
+	Silent string // address of the process that falls silent, or tableAddr
 }
 
 func drawStep(t *rapid.T) step {
@@ -92,6 +93,12 @@
 		}
 	case "kill engine":
 		f.killTarget(fmt.Sprintf("10.0.1.%d:80", s.Key%testEngines+1))
+	case "silence":
+		if s.Silent == tableAddr {
+			f.silenceTable(s.Wait)
+		} else {
+			f.listeners[s.Silent].gate.closeNow(s.Wait)
+		}
 	case "decline", "accept":
 		for _, e := range f.engines {
 			e.SetFault(engine.Fault{Decline: s.Kind == "decline"})
@@ -130,6 +137,12 @@
 		if err := f.checkReply(r, paths, outcomes); err != nil {
 			return err
 		}
+		if f.check == nil {
+			continue
+		}
+		if err := f.check(r); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/request/gateway/gate_test.go
+++ b/internal/request/gateway/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -75,6 +76,22 @@
 	}
 }
 
+// waitUntil waits until the process is not paused. It reports false if ctx ends first.
+func (g *gate) waitUntil(ctx context.Context) bool {
+	g.mu.Lock()
+	left := time.Until(g.openFrom)
+	g.mu.Unlock()
+	if left <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(left):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // readable returns how many of the n bytes the process reads before its pause, and whether it
 // pauses then.
 func (g *gate) readable(n int) (int, bool) {
--- a/internal/request/gateway/tables_test.go
+++ b/internal/request/gateway/tables_test.go
@@ -28,17 +28,9 @@
 // awaitTable waits until the table is not silent. It reports false if ctx ends first.
 func (f *testFleet) awaitTable(ctx context.Context) bool {
 	f.mu.Lock()
-	left := time.Until(f.tableSilentUntil)
+	g := gate{openFrom: f.tableSilentUntil}
 	f.mu.Unlock()
-	if left <= 0 {
-		return true
-	}
-	select {
-	case <-time.After(left):
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return g.waitUntil(ctx)
 }
 
 func (f *testFleet) commit(ctx context.Context, c table.Commit) (uint64, error) {
--- a/internal/request/gateway/testfleet_test.go
+++ b/internal/request/gateway/testfleet_test.go
@@ -53,6 +53,8 @@
 	listeners map[string]*pipeListener
 	nodes     []*node
 
+	check func(record) error // further check of each answer in a history; may be nil
+
 	runCtx    context.Context // cancelled by close
 	cancelRun context.CancelFunc
 
@@ -209,6 +211,9 @@
 		if dest.addr != addr || n.isDead() || dest.isDead() {
 			continue
 		}
+		if !n.fleet.listeners[addr].gate.waitUntil(ctx) {
+			return ctx.Err()
+		}
 		params, err := json.Marshal(in)
 		if err != nil {
 			return err
