--- a/internal/request/gateway/metrics.go
+++ b/internal/request/gateway/metrics.go
@@ -14,12 +14,17 @@
 	outcomeStored    = "stored" // answered from the outcome stored in the claim
 )
 
+// callerLeft is the reason of a broken stream whose caller has left or does not read.
+const callerLeft = "caller_left"
+
 var (
 	outcomes          = expvar.NewMap("request_outcomes")
 	runStates         = expvar.NewMap("request_run_states")
+	brokenStreams     = expvar.NewMap("request_streams_broken")    // by the code of the failure, or callerLeft
 	attachedRuns      = expvar.NewInt("request_attached")          // runs read from another router
 	takenOverRuns     = expvar.NewInt("request_taken_over")        // completions executed here after their owner was lost
 	pendingStores     = expvar.NewInt("request_outcomes_to_store") // outcomes being stored in the background now
+	pendingReleases   = expvar.NewInt("request_claims_to_release") // claims of calls that did not run, being released in the background now
 	firstTokenLatency = newHistogram("request_first_token_ms")     // from the registration of the run
 	tokenGap          = newHistogram("request_between_tokens_ms")
 )
