--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -213,7 +213,7 @@
 func (c *Conn) Close() error {
 	c.unwatch()
 	if c.setClosing() {
-		c.LingerOnClose()
+		c.LingerAtEnd()
 	}
 	return c.LingerConn.Close()
 }
--- a/internal/protocol/callers/stop_test.go
+++ b/internal/protocol/callers/stop_test.go
@@ -113,6 +113,34 @@
 	}
 }
 
+// TestEndlessSenderHoldsUpNoStop guards against a stop that waits for ever for a caller that goes on sending a request
+// which was refused.
+func TestEndlessSenderHoldsUpNoStop(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"fast": 0, "slow": 200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, addr := startServer(t, func(*fasthttp.RequestCtx) {})
+			c := dialSlow(t, addr)
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 1<<40)
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
+			go func() {
+				for err := error(nil); err == nil; time.Sleep(pause) {
+					_, err = io.WriteString(c, strings.Repeat("x", smallBody))
+				}
+			}()
+			select {
+			case err := <-shutDown(s):
+				assert.NilError(t, err)
+			case <-time.After(answerTimeout):
+				t.Error("the shutdown does not end")
+			}
+		})
+	}
+}
+
 // TestUnreadBytesDestroyNoAnswer guards against a connection that is closed with unread bytes, so that the
 // system resets it and drops the part of the answer that the caller has not received.
 func TestUnreadBytesDestroyNoAnswer(t *testing.T) {
--- a/internal/protocol/socket/linger.go
+++ b/internal/protocol/socket/linger.go
@@ -11,11 +11,14 @@
 )
 
 const (
-	// lingerTimeout and maxLingerBytes limit how much is read of a request that was refused
-	// before its end. Unread data would make the system reset the connection, and the caller
-	// could lose the refusal.
-	lingerTimeout  = time.Second
-	maxLingerBytes = 8 << 20
+	// restSilence is how long a closing connection waits for the next bytes of a message that was refused before its end.
+	// A sound peer may fall silent for a second or two within a message.
+	restSilence = 3 * time.Second
+	// endSilence is the same for a peer that has sent whole messages only, and is to close the connection.
+	endSilence = time.Second
+	// maxLinger is how long a peer may go on sending. How much it sends does not matter: unread data would make the system
+	// reset the connection, and the peer could lose the refusal.
+	maxLinger = 5 * time.Second
 )
 
 // errNoSocket reports that a connection or listener gives no access to its socket.
@@ -29,20 +32,24 @@
 	// be nil.
 	OnClosed func()
 
-	linger atomic.Bool
+	silence atomic.Int64 // silence of the peer in nanoseconds after which the next Close ends; 0 if it does not linger
 }
 
-// LingerOnClose makes the next Close read and discard what the peer still sends, up to limits
-// of time and size, before the connection is closed.
-func (c *LingerConn) LingerOnClose() { c.linger.Store(true) }
+// LingerOnClose makes the next Close read and discard what the peer still sends of a message that was not read to its
+// end, up to limits of time, before the connection is closed.
+func (c *LingerConn) LingerOnClose() { c.silence.Store(int64(restSilence)) }
 
-// Close closes the connection. If LingerOnClose was called, it does so in the background.
+// LingerAtEnd does the same for a peer whose message was read to its end, for less time.
+func (c *LingerConn) LingerAtEnd() { c.silence.CompareAndSwap(0, int64(endSilence)) }
+
+// Close closes the connection. If it is to linger, it does so in the background.
 func (c *LingerConn) Close() error {
-	if !c.linger.Swap(false) {
+	silence := time.Duration(c.silence.Swap(0))
+	if silence == 0 {
 		defer c.closed()
 		return c.Conn.Close()
 	}
-	go c.drain()
+	go c.drain(silence)
 	return nil
 }
 
@@ -52,20 +59,34 @@
 	}
 }
 
-// drain shuts down the sending side, discards what the peer still sends, and closes the
-// connection.
-func (c *LingerConn) drain() {
+// drain shuts down the sending side, discards what the peer still sends until it falls silent, and closes the connection.
+func (c *LingerConn) drain(silence time.Duration) {
 	defer c.closed()
 	defer func() { _ = c.Conn.Close() }()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		// If this fails, so do the reads that follow.
 		_ = tcp.CloseWrite()
 	}
-	if err := c.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
-		return
-	}
 	// Neither the data nor the reason why the copy ends matters.
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
+	_, _ = io.Copy(io.Discard, &restReader{conn: c.Conn, silence: silence, end: time.Now().Add(maxLinger)})
+}
+
+// restReader reads what a peer still sends, until it is silent for too long or end has come.
+type restReader struct {
+	conn    net.Conn
+	silence time.Duration
+	end     time.Time
+}
+
+func (r *restReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(r.silence)
+	if deadline.After(r.end) {
+		deadline = r.end
+	}
+	if err := r.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return r.conn.Read(p)
 }
 
 // SyscallConn returns the raw connection for access to the socket. The error is errNoSocket if
--- a/internal/protocol/socket/linger_test.go
+++ b/internal/protocol/socket/linger_test.go
@@ -15,7 +15,7 @@
 			c := &LingerConn{Conn: near}
 			assert.NilError(t, far.Close())
 			if lingers {
-				c.drain() // what Close does in the background
+				c.drain(endSilence) // what Close does in the background
 				return
 			}
 			assert.NilError(t, c.Close())
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -165,10 +165,15 @@
 	case callers.IsTimeout(err):
 		status = fasthttp.StatusRequestTimeout
 	}
+	lingerOnClose(ctx)
+	s.reject(ctx, status, "request", err)
+}
+
+// lingerOnClose lets the refusal of a request that is still arriving reach its caller.
+func lingerOnClose(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*callers.Conn); ok {
 		c.LingerOnClose()
 	}
-	s.reject(ctx, status, "request", err)
 }
 
 // reject answers a request that could not be read or parsed, and reports it to
@@ -198,6 +203,8 @@
 	if hasAmbiguousLength(&ctx.Request.Header) {
 		s.reject(ctx, fasthttp.StatusBadRequest, "header", errors.New("body has a length and is chunked"))
 		ctx.SetConnectionClose()
+		// Only one of the two lengths has been read.
+		lingerOnClose(ctx)
 		return
 	}
 	r, err := s.ParseRequest(&ctx.Request, ctx.Time())
--- a/internal/request/ingress/stop_test.go
+++ b/internal/request/ingress/stop_test.go
@@ -29,7 +29,10 @@
 		ParseRequest: func(*fasthttp.Request, time.Time) (*forward.Request, error) {
 			return nil, errors.New("nothing is served")
 		},
-		WriteError:         func(out *fasthttp.Response, refusal *answer.Error, _ string) { out.SetStatusCode(refusal.Status) },
+		WriteError: func(out *fasthttp.Response, refusal *answer.Error, _ string) {
+			out.SetStatusCode(refusal.Status)
+			out.SetBodyString(refusal.Message)
+		},
 		Plan:               func() *plan.Plan { return nil },
 		ClosingConnections: func() bool { return false },
 		OnInvalidRequest:   func(int, error) {},
