--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -1,7 +1,9 @@
 package callers
 
 import (
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -26,6 +28,7 @@
 	used      bool          // a request has begun to arrive
 	arrival   arrival       // of the request that is being read or served
 	closing   bool          // Close was called, which may still deliver an answer
+	timedOut  bool          // a read has passed its deadline
 	watchDone chan struct{} // closed when the goroutine of watch has ended; nil without one
 	ahead     [1]byte
 	hasAhead  bool
@@ -60,7 +63,11 @@
 		return 0, err
 	}
 	n, err := c.LingerConn.Read(p)
-	if n == 0 && IsTimeout(err) && !c.isActive() && c.conns.isShuttingDown() {
+	if n > 0 || !IsTimeout(err) {
+		return n, err
+	}
+	c.setTimedOut()
+	if !c.isActive() && c.conns.isShuttingDown() {
 		// The shutdown closes this connection; on ErrClosed the HTTP library writes no answer.
 		return 0, net.ErrClosed
 	}
@@ -151,6 +158,23 @@
 	return c.active
 }
 
+func (c *Conn) setTimedOut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timedOut = true
+}
+
+// readError returns the error err of the HTTP library as a timeout if the request took too long to arrive. The library
+// drops the cause in some places of a chunked body.
+func (c *Conn) readError(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.timedOut || IsTimeout(err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", os.ErrDeadlineExceeded, err)
+}
+
 func (c *Conn) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/protocol/callers/server.go
+++ b/internal/protocol/callers/server.go
@@ -16,7 +16,7 @@
 // Server serves callers' connections with an HTTP server. All fields are set before Serve.
 type Server struct {
 	// HTTP reads requests and writes answers. Its timeouts stay unset; Serve sets ConnState and wraps
-	// the handler.
+	// the handlers. IsTimeout holds for the error of a request that took too long to arrive.
 	HTTP *fasthttp.Server
 	// Timeouts returns how long the header of a request may take to arrive from its first byte on, which
 	// is also how long its body may pause, and how long a connection may stay without a request; 0 stands for
@@ -47,12 +47,25 @@
 	}
 	s.HTTP.ConnState = onState
 	s.HTTP.Handler = s.closeAtShutdown(s.HTTP.Handler)
+	if handle := s.HTTP.ErrorHandler; handle != nil {
+		s.HTTP.ErrorHandler = withTimeouts(handle)
+	}
 	if err := s.HTTP.Serve(wrapped); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
 }
 
+// withTimeouts returns an error handler that is told of every timeout.
+func withTimeouts(handle func(ctx *fasthttp.RequestCtx, err error)) func(ctx *fasthttp.RequestCtx, err error) {
+	return func(ctx *fasthttp.RequestCtx, err error) {
+		if c, ok := ctx.Conn().(*Conn); ok {
+			err = c.readError(err)
+		}
+		handle(ctx, err)
+	}
+}
+
 const (
 	// cutOffTimeout is how long connections may take to close after CutOff.
 	cutOffTimeout = 100 * time.Millisecond
