--- a/internal/protocol/callers/arrival.go
+++ b/internal/protocol/callers/arrival.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// bodyPause is how long a body may pause, whatever the limit for headers: a sound caller may fall silent for a second or
+// two.
+const bodyPause = 3 * time.Second
+
 // arrival follows a request as it arrives, to tell its header from its body.
 type arrival struct {
 	began      time.Time // when its first byte was read
@@ -41,7 +45,7 @@
 		// Header and body of a pipelined request can't be told apart; it must not hold up the shutdown.
 		return later(a.began, shutdown).Add(limit)
 	default:
-		return time.Now().Add(limit)
+		return time.Now().Add(max(limit, bodyPause))
 	}
 }
 
--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -37,7 +37,7 @@
 }
 
 // Read stops a watch and reads with the idle timeout between requests. The header timeout counts from
-// the first byte of a request; the body may pause for as long. Bytes that were read ahead come first.
+// the first byte of a request; the body may pause for as long, or for bodyPause. Bytes that were read ahead come first.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
 	c.observe(p[:n])
--- a/internal/protocol/callers/pause_test.go
+++ b/internal/protocol/callers/pause_test.go
@@ -8,10 +8,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+// callerPause is for how long a sound caller falls silent within a body. It is longer than headerTimeout.
+const callerPause = 1800 * time.Millisecond
+
 const (
 	postHead    = "POST / HTTP/1.1\r\nHost: h\r\n"
 	chunkedHead = postHead + "Transfer-Encoding: chunked\r\n\r\n"
@@ -66,6 +70,29 @@
 	assert.Equal(t, resp.StatusCode, http.StatusContinue)
 }
 
+// TestPauseInABodyIsRefused guards against the limit for headers being applied to a caller that pauses within a body.
+func TestPauseInABodyIsRefused(t *testing.T) {
+	_, addr := startEcho(t)
+	for _, c := range pausedRequests() {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/kept=%v", c.name, kept), func(t *testing.T) {
+				t.Parallel()
+				conn, r := dialPaused(t, addr, kept)
+				for range 2 { // the connection stays usable
+					_, err := io.WriteString(conn, c.first)
+					assert.NilError(t, err)
+					time.Sleep(callerPause)
+					_, err = io.WriteString(conn, c.rest)
+					assert.NilError(t, err)
+					skipContinue(t, r, c.first)
+					readEcho(t, r, http.StatusOK, "body")
+					time.Sleep(callerPause)
+				}
+			})
+		}
+	}
+}
+
 // TestStalledBodyIsCalledInvalid guards against a caller that sends no more being told that its request is invalid, which it
 // would not send again, rather than that it took too long.
 func TestStalledBodyIsCalledInvalid(t *testing.T) {
--- a/internal/protocol/callers/server.go
+++ b/internal/protocol/callers/server.go
@@ -19,8 +19,8 @@
 	// the handlers. IsTimeout holds for the error of a request that took too long to arrive.
 	HTTP *fasthttp.Server
 	// Timeouts returns how long the header of a request may take to arrive from its first byte on, which
-	// is also how long its body may pause, and how long a connection may stay without a request; 0 stands for
-	// no limit. During a shutdown, the limit of a header holds for the whole of a pipelined request.
+	// is also how long its body may pause if that is more than 3 s, and how long a connection may stay without a
+	// request; 0 stands for no limit. During a shutdown, the limit of a header holds for the whole of a pipelined request.
 	Timeouts func() (header, idle time.Duration)
 	// Log receives the messages of the listener.
 	Log fasthttp.Logger
