--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -31,9 +31,9 @@
 	maxStoreResponse = 4 << 20
 	// maxStoreDialTime is how long a dial of the store goes on, also after the call that waited for it has given up.
 	maxStoreDialTime = 3 * time.Second
-	// targetAckTimeout is how long data sent to a target may stay unacknowledged before the
-	// connection is closed.
-	targetAckTimeout = time.Second
+	// targetAckTimeout is how long data sent to a target may stay unacknowledged, or its receive buffer full, before the
+	// connection is closed. A sound target, or its VM, may fall silent for a second or two.
+	targetAckTimeout = socket.MaxGap
 )
 
 // connect creates the components and connects them to each other.
