--- a/internal/protocol/socket/socket.go
+++ b/internal/protocol/socket/socket.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// IsReset reports whether a connection has failed or was reset by the peer, rather than closed by it in order. It reports
+// false for a connection that gives no access to its socket.
+func IsReset(conn net.Conn) bool {
+	reset := false
+	err := control(conn, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
+		return err
+	})
+	return err == nil && reset
+}
+
 // Dialer opens connections that fail when the peer stops acknowledging data.
 type Dialer struct {
 	// Timeout bounds the time to establish a connection.
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/runner"
 )
@@ -31,6 +32,9 @@
 // errMismatched reports that the target sent only responses to other requests.
 var errMismatched = errors.New("answers belong to other requests")
 
+// errReset reports that the target reset the connection within its answer.
+var errReset = errors.New("connection was reset before the end of the answer")
+
 // Request is a request to send to the target.
 type Request struct {
 	// AttemptID is the id of the attempt; a response that carries another id, or none on a
@@ -253,6 +257,7 @@
 		}
 		n, err := r.body.Read(free)
 		b.advance(n)
+		err = r.checkEnd(err)
 		if errors.Is(err, io.EOF) {
 			r.bodyComplete = true
 			return b.join()
@@ -272,6 +277,7 @@
 		return 0, io.EOF
 	}
 	n, err := r.body.Read(p)
+	err = r.checkEnd(err)
 	switch {
 	case errors.Is(err, io.EOF):
 		r.bodyComplete = true
@@ -281,6 +287,15 @@
 	return n, err
 }
 
+// checkEnd returns err, or errReset in place of io.EOF if that is a reset, which the system has told the write of the
+// request. It tells it only once.
+func (r *Response) checkEnd(err error) error {
+	if errors.Is(err, io.EOF) && !r.HasExplicitEnd() && !r.requestWritten() && socket.IsReset(r.conn.Conn) {
+		return errReset
+	}
+	return err
+}
+
 // SetReadDeadline sets the deadline of the following reads; the zero time removes it.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.limitSilence(t, nil) }
 
