--- a/internal/target/upstream/early_answer_test.go
+++ b/internal/target/upstream/early_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,7 +11,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
@@ -180,3 +183,68 @@
 		})
 	}
 }
+
+// cutWriter is a connection whose target answers as soon as it has a part of a request, and that takes no more then.
+type cutWriter struct {
+	net.Conn
+	t     *testing.T
+	taken int // bytes that can be written
+}
+
+// Write writes what can be written; then it fails once the answer or the end of the connection has arrived.
+func (c *cutWriter) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p[:min(len(p), c.taken)])
+	c.taken -= n
+	if err != nil || n == len(p) {
+		return n, err
+	}
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if socket.Peek(c.Conn) == socket.Quiet {
+			return poll.Continue("no answer")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	return n, unix.EPIPE
+}
+
+// TestAnswerIsHiddenByAWriteError guards against a refusal not being read since the rest of a request, small or large, could
+// not be written.
+func TestAnswerIsHiddenByAWriteError(t *testing.T) {
+	const refusal = "HTTP/1.1 503 No\r\n" + headerID + ": a\r\n" + headerNotRun + ": 1\r\nContent-Length: 2\r\n\r\nno"
+	for _, body := range []int{200, 64 << 10} {
+		for _, c := range []struct {
+			name   string
+			taken  int
+			answer string
+			want   answer.RunState
+		}{
+			{name: "nothing was sent", want: answer.NotRun},
+			{name: "a refusal", taken: 40, answer: refusal, want: answer.NotRun},
+			{name: "a refusal of another request", taken: 40, answer: strings.Replace(refusal, ": a\r\n", ": b\r\n", 1), want: answer.Unknown},
+			{name: "no answer", taken: 40, want: answer.Unknown},
+			{name: "a part of a refusal", taken: 40, answer: refusal[:40], want: answer.Unknown},
+			{name: "a success", taken: 40, answer: okResponse("a"), want: answer.Ran},
+		} {
+			t.Run(fmt.Sprintf("%d bytes/%s", body, c.name), func(t *testing.T) {
+				tg := newTarget(t, func(conn net.Conn, br *bufio.Reader) {
+					if c.taken > 0 {
+						_, _ = br.Peek(c.taken)
+					}
+					_, _ = io.WriteString(conn, c.answer)
+				})
+				dial := tg.pool.Dial
+				tg.pool.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					conn, err := dial(ctx, addr)
+					return &cutWriter{Conn: conn, t: t, taken: c.taken}, err
+				}
+				a, err := tg.sendBody(t.Context(), make([]byte, body))
+				if c.want != answer.Ran {
+					assertRun(t, err, c.want)
+					return
+				}
+				assertBody(t, a, err, "ok")
+				assert.Equal(t, len(tg.pool.idle), 0)
+			})
+		}
+	}
+}
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -80,7 +80,7 @@
 	conn          *pooledConn
 	resp          *fasthttp.Response
 	info          ResponseInfo
-	asyncWrite    *asyncWrite  // background write of the request; nil if it was written before the response was read
+	asyncWrite    *asyncWrite  // write of the request; nil if it was complete before the response was read
 	stopAfterFunc func() bool  // unregisters the closing of the connection at the end of the context
 	ctxErr        func() error // returns the error of the caller's context
 	body          io.Reader
@@ -89,9 +89,10 @@
 	unnamed       bool // the response does not name the request that it answers
 }
 
-// asyncWrite is a request that is written in the background while its response is read.
+// asyncWrite is a request that is written in the background while its response is read, or whose write has failed.
 type asyncWrite struct {
 	done chan struct{} // closed when the write has ended
+	n    int64         // number of bytes written; valid once done is closed
 	err  error         // valid once done is closed
 }
 
@@ -111,7 +112,7 @@
 			r.pool.CloseIdle()
 		}
 		r.Abort()
-		return nil, &runner.Error{RunState: answer.Unknown, Err: errors.Join(err, ctx.Err())}
+		return nil, &runner.Error{RunState: r.runState(), Err: errors.Join(err, ctx.Err())}
 	}
 	if r.info.NotRun {
 		err := &runner.Error{RunState: answer.NotRun, Status: r.Status(), Err: fmt.Errorf("target answered %d without running the request", r.Status())}
@@ -130,25 +131,35 @@
 	}
 	head := req.Header.Header()
 	buffers := net.Buffers{append([]byte(nil), head...), body}
-	if len(head)+len(body) <= asyncWriteThreshold {
-		n, err := buffers.WriteTo(r.conn.Conn)
-		if err == nil {
-			return nil
-		}
-		state := answer.Unknown
-		if n == 0 {
-			state = answer.NotRun
-		}
-		return &runner.Error{RunState: state, Err: fmt.Errorf("write request: %w", err)}
+	write := &asyncWrite{done: make(chan struct{})}
+	if len(head)+len(body) > asyncWriteThreshold {
+		r.asyncWrite = write
+		go write.run(r.conn.Conn, buffers)
+		return nil
+	}
+	write.run(r.conn.Conn, buffers)
+	switch {
+	case write.err == nil:
+	case write.n == 0:
+		return &runner.Error{RunState: answer.NotRun, Err: fmt.Errorf("write request: %w", write.err)}
+	default:
+		// The target may have answered the part that it has got.
+		r.asyncWrite = write
 	}
-	r.asyncWrite = &asyncWrite{done: make(chan struct{})}
-	go r.asyncWrite.run(r.conn.Conn, buffers)
 	return nil
 }
 
 func (w *asyncWrite) run(conn net.Conn, buffers net.Buffers) {
 	defer close(w.done)
-	_, w.err = buffers.WriteTo(conn)
+	w.n, w.err = buffers.WriteTo(conn)
+}
+
+// runState returns what is known of a request without an answer, once its write has ended.
+func (r *Response) runState() answer.RunState {
+	if r.asyncWrite != nil && r.asyncWrite.n == 0 {
+		return answer.NotRun
+	}
+	return answer.Unknown
 }
 
 // readHeader reads the header of the response that matches the request and skips
