--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -29,6 +29,7 @@
 	arrival   arrival       // of the request that is being read or served
 	closing   bool          // Close was called, which may still deliver an answer
 	timedOut  bool          // a read has passed its deadline
+	readsOver bool          // a cut-off has ended the reading of requests
 	watchDone chan struct{} // closed when the goroutine of watch has ended; nil without one
 	ahead     [1]byte
 	hasAhead  bool
@@ -86,6 +87,8 @@
 	header, idle := c.limits()
 	shutdown := c.conns.shutdownBegan()
 	switch {
+	case c.active && c.readsOver:
+		return pastDeadline
 	case c.active && header > 0:
 		return c.arrival.deadline(header, shutdown)
 	case !c.active && !shutdown.IsZero():
@@ -116,6 +119,17 @@
 	return shutdownIdleTimeout
 }
 
+// endReads ends the reading of a request that is still arriving, which is refused like one that takes too long.
+func (c *Conn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsOver = true
+	if c.active && !c.closing && c.watchDone == nil {
+		// The error of a connection that is closed already does not matter.
+		_ = c.SetReadDeadline(pastDeadline)
+	}
+}
+
 // endWrites makes writes fail that are not complete at deadline, which no longer can be put off.
 func (c *Conn) endWrites(deadline time.Time) {
 	c.mu.Lock()
--- a/internal/protocol/callers/connset.go
+++ b/internal/protocol/callers/connset.go
@@ -67,6 +67,13 @@
 	return out
 }
 
+// endReads ends the reading of requests on all open connections.
+func (s *connSet) endReads() {
+	for _, c := range s.conns() {
+		c.endReads()
+	}
+}
+
 // endWrites makes writes on all open connections fail that are not complete at deadline.
 func (s *connSet) endWrites(deadline time.Time) {
 	for _, c := range s.conns() {
--- a/internal/protocol/callers/pause_test.go
+++ b/internal/protocol/callers/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -114,3 +115,30 @@
 		}
 	}
 }
+
+// TestCutOffForgetsArrivingRequests guards against a stop that ends with a request still arriving, and closes its connection
+// without a refusal.
+func TestCutOffForgetsArrivingRequests(t *testing.T) {
+	for _, c := range pausedRequests() {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/kept=%v", c.name, kept), func(t *testing.T) {
+				t.Parallel()
+				s, addr := startEcho(t)
+				s.CutOff = func() error { return nil }
+				conn, r := dialPaused(t, addr, kept)
+				_, err := io.WriteString(conn, c.first)
+				assert.NilError(t, err)
+				skipContinue(t, r, c.first)
+				ctx, cancel := context.WithTimeout(t.Context(), headerTimeout/4)
+				defer cancel()
+				stopped := make(chan error, 1)
+				go func() { stopped <- s.Shutdown(ctx) }()
+				readEcho(t, r, http.StatusRequestTimeout, "")
+				assert.NilError(t, conn.Close())
+				if err := <-stopped; err != nil { // it is nil if all connections have ended in time
+					assert.ErrorIs(t, err, context.DeadlineExceeded)
+				}
+			})
+		}
+	}
+}
--- a/internal/protocol/callers/server.go
+++ b/internal/protocol/callers/server.go
@@ -28,7 +28,7 @@
 	// resetting connections, and another way is used; it must not block.
 	OnDenied func(err error)
 	// CutOff ends the requests in flight, if there are any when the context of Shutdown ends. Its error
-	// tells what was cut off. If nil, they go on.
+	// tells what was cut off. Requests that are still arriving are refused then. If nil, all go on.
 	CutOff func() error
 
 	conns          connSet
@@ -91,9 +91,11 @@
 	return errors.Join(closeErr, cutErr, s.HTTP.ShutdownWithContext(ctx))
 }
 
-// cutOff calls CutOff, ends blocked writes, and waits until the connections are closed, for at most cutOffTimeout.
+// cutOff calls CutOff, refuses requests that are still arriving, ends blocked writes, and waits until the connections are
+// closed, for at most cutOffTimeout.
 func (s *Server) cutOff() error {
 	err := s.CutOff()
+	s.conns.endReads()
 	s.conns.endWrites(time.Now().Add(cutOffWriteTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), cutOffTimeout)
 	defer cancel()
