--- a/internal/request/ingress/refused_body_test.go
+++ b/internal/request/ingress/refused_body_test.go
@@ -78,17 +78,24 @@
 			if request.whole && sending == pausing {
 				continue // nothing is due in the pause, so that the caller is to close the connection
 			}
-			for _, kept := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s/sends %s/kept=%v", request.name, sending, kept), func(t *testing.T) {
+			for _, connection := range []string{"new", "kept", "pipelined"} {
+				t.Run(fmt.Sprintf("%s/sends %s/%s", request.name, sending, connection), func(t *testing.T) {
 					t.Parallel()
 					c := newKeepAliveClient(t, addr)
-					if kept {
+					before := ""
+					switch connection {
+					case "kept":
 						c.send(t)
 						c.readAnswer(t)
+					case "pipelined":
+						before = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 					}
-					_, err := io.WriteString(c.conn, request.begin)
+					_, err := io.WriteString(c.conn, before+request.begin)
 					assert.NilError(t, err)
 					sendErr := send(c.conn)
+					if before != "" {
+						assert.Assert(t, !c.readAnswer(t))
+					}
 					assertRefusal(t, c.r, request.status)
 					assert.NilError(t, sendErr, "send the rest")
 				})
