--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -1,7 +1,9 @@
 package callers
 
 import (
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -26,6 +28,8 @@
 	used      bool          // a request has begun to arrive
 	arrival   arrival       // of the request that is being read or served
 	closing   bool          // Close was called, which may still deliver an answer
+	timedOut  bool          // a read has passed its deadline
+	readsOver bool          // a cut-off has ended the reading of requests
 	watchDone chan struct{} // closed when the goroutine of watch has ended; nil without one
 	ahead     [1]byte
 	hasAhead  bool
@@ -34,7 +38,7 @@
 }
 
 // Read stops a watch and reads with the idle timeout between requests. The header timeout counts from
-// the first byte of a request; the body may pause for as long. Bytes that were read ahead come first.
+// the first byte of a request; the body may pause for as long, or for bodyPause. Bytes that were read ahead come first.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
 	c.observe(p[:n])
@@ -60,7 +64,11 @@
 		return 0, err
 	}
 	n, err := c.LingerConn.Read(p)
-	if n == 0 && IsTimeout(err) && !c.isActive() && c.conns.isShuttingDown() {
+	if n > 0 || !IsTimeout(err) {
+		return n, err
+	}
+	c.setTimedOut()
+	if !c.isActive() && c.conns.isShuttingDown() {
 		// The shutdown closes this connection; on ErrClosed the HTTP library writes no answer.
 		return 0, net.ErrClosed
 	}
@@ -79,6 +87,8 @@
 	header, idle := c.limits()
 	shutdown := c.conns.shutdownBegan()
 	switch {
+	case c.active && c.readsOver:
+		return pastDeadline
 	case c.active && header > 0:
 		return c.arrival.deadline(header, shutdown)
 	case !c.active && !shutdown.IsZero():
@@ -109,6 +119,17 @@
 	return shutdownIdleTimeout
 }
 
+// endReads ends the reading of a request that is still arriving, which is refused like one that takes too long.
+func (c *Conn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsOver = true
+	if c.active && !c.closing && c.watchDone == nil {
+		// The error of a connection that is closed already does not matter.
+		_ = c.SetReadDeadline(pastDeadline)
+	}
+}
+
 // endWrites makes writes fail that are not complete at deadline, which no longer can be put off.
 func (c *Conn) endWrites(deadline time.Time) {
 	c.mu.Lock()
@@ -151,6 +172,23 @@
 	return c.active
 }
 
+func (c *Conn) setTimedOut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timedOut = true
+}
+
+// readError returns the error err of the HTTP library as a timeout if the request took too long to arrive. The library
+// drops the cause in some places of a chunked body.
+func (c *Conn) readError(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.timedOut || IsTimeout(err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", os.ErrDeadlineExceeded, err)
+}
+
 func (c *Conn) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -213,7 +251,7 @@
 func (c *Conn) Close() error {
 	c.unwatch()
 	if c.setClosing() {
-		c.LingerOnClose()
+		c.LingerAtEnd()
 	}
 	return c.LingerConn.Close()
 }
--- a/internal/protocol/callers/server.go
+++ b/internal/protocol/callers/server.go
@@ -16,11 +16,11 @@
 // Server serves callers' connections with an HTTP server. All fields are set before Serve.
 type Server struct {
 	// HTTP reads requests and writes answers. Its timeouts stay unset; Serve sets ConnState and wraps
-	// the handler.
+	// the handlers. IsTimeout holds for the error of a request that took too long to arrive.
 	HTTP *fasthttp.Server
 	// Timeouts returns how long the header of a request may take to arrive from its first byte on, which
-	// is also how long its body may pause, and how long a connection may stay without a request; 0 stands for
-	// no limit. During a shutdown, the limit of a header holds for the whole of a pipelined request.
+	// is also how long its body may pause if that is more than 3 s, and how long a connection may stay without a
+	// request; 0 stands for no limit. During a shutdown, the limit of a header holds for the whole of a pipelined request.
 	Timeouts func() (header, idle time.Duration)
 	// Log receives the messages of the listener.
 	Log fasthttp.Logger
@@ -28,7 +28,7 @@
 	// resetting connections, and another way is used; it must not block.
 	OnDenied func(err error)
 	// CutOff ends the requests in flight, if there are any when the context of Shutdown ends. Its error
-	// tells what was cut off. If nil, they go on.
+	// tells what was cut off. Requests that are still arriving are refused then. If nil, all go on.
 	CutOff func() error
 
 	conns          connSet
@@ -47,12 +47,25 @@
 	}
 	s.HTTP.ConnState = onState
 	s.HTTP.Handler = s.closeAtShutdown(s.HTTP.Handler)
+	if handle := s.HTTP.ErrorHandler; handle != nil {
+		s.HTTP.ErrorHandler = withTimeouts(handle)
+	}
 	if err := s.HTTP.Serve(wrapped); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
 }
 
+// withTimeouts returns an error handler that is told of every timeout.
+func withTimeouts(handle func(ctx *fasthttp.RequestCtx, err error)) func(ctx *fasthttp.RequestCtx, err error) {
+	return func(ctx *fasthttp.RequestCtx, err error) {
+		if c, ok := ctx.Conn().(*Conn); ok {
+			err = c.readError(err)
+		}
+		handle(ctx, err)
+	}
+}
+
 const (
 	// cutOffTimeout is how long connections may take to close after CutOff.
 	cutOffTimeout = 100 * time.Millisecond
@@ -78,9 +91,11 @@
 	return errors.Join(closeErr, cutErr, s.HTTP.ShutdownWithContext(ctx))
 }
 
-// cutOff calls CutOff, ends blocked writes, and waits until the connections are closed, for at most cutOffTimeout.
+// cutOff calls CutOff, refuses requests that are still arriving, ends blocked writes, and waits until the connections are
+// closed, for at most cutOffTimeout.
 func (s *Server) cutOff() error {
 	err := s.CutOff()
+	s.conns.endReads()
 	s.conns.endWrites(time.Now().Add(cutOffWriteTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), cutOffTimeout)
 	defer cancel()
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/runner"
 )
@@ -35,6 +36,9 @@
 // errMismatched reports that the target sent only responses to other requests.
 var errMismatched = errors.New("answers belong to other requests")
 
+// errReset reports that the target reset the connection within its answer.
+var errReset = errors.New("connection was reset before the end of the answer")
+
 // Request is a request to send to the target.
 type Request struct {
 	// AttemptID is the id of the attempt; a response that carries another id, or none on a
@@ -78,7 +82,7 @@
 	conn          *pooledConn
 	resp          *fasthttp.Response
 	info          ResponseInfo
-	asyncWrite    *asyncWrite  // background write of the request; nil if it was written before the response was read
+	asyncWrite    *asyncWrite  // write of the request; nil if it was complete before the response was read
 	stopAfterFunc func() bool  // unregisters the closing of the connection at the end of the context
 	ctxErr        func() error // returns the error of the caller's context
 	body          io.Reader
@@ -87,9 +91,10 @@
 	unnamed       bool // the response does not name the request that it answers
 }
 
-// asyncWrite is a request that is written in the background while its response is read.
+// asyncWrite is a request that is written in the background while its response is read, or whose write has failed.
 type asyncWrite struct {
 	done chan struct{} // closed when the write has ended
+	n    int64         // number of bytes written; valid once done is closed
 	err  error         // valid once done is closed
 }
 
@@ -109,7 +114,7 @@
 			r.pool.CloseIdle()
 		}
 		r.Abort()
-		return nil, &runner.Error{RunState: answer.Unknown, Err: errors.Join(err, ctx.Err())}
+		return nil, &runner.Error{RunState: r.runState(), Err: errors.Join(err, ctx.Err())}
 	}
 	if r.info.NotRun {
 		err := &runner.Error{RunState: answer.NotRun, Status: r.Status(), Err: fmt.Errorf("target answered %d without running the request", r.Status())}
@@ -128,25 +133,35 @@
 	}
 	head := req.Header.Header()
 	buffers := net.Buffers{append([]byte(nil), head...), body}
-	if len(head)+len(body) <= asyncWriteThreshold {
-		n, err := buffers.WriteTo(r.conn.Conn)
-		if err == nil {
-			return nil
-		}
-		state := answer.Unknown
-		if n == 0 {
-			state = answer.NotRun
-		}
-		return &runner.Error{RunState: state, Err: fmt.Errorf("write request: %w", err)}
+	write := &asyncWrite{done: make(chan struct{})}
+	if len(head)+len(body) > asyncWriteThreshold {
+		r.asyncWrite = write
+		go write.run(r.conn.Conn, buffers)
+		return nil
+	}
+	write.run(r.conn.Conn, buffers)
+	switch {
+	case write.err == nil:
+	case write.n == 0:
+		return &runner.Error{RunState: answer.NotRun, Err: fmt.Errorf("write request: %w", write.err)}
+	default:
+		// The target may have answered the part that it has got.
+		r.asyncWrite = write
 	}
-	r.asyncWrite = &asyncWrite{done: make(chan struct{})}
-	go r.asyncWrite.run(r.conn.Conn, buffers)
 	return nil
 }
 
 func (w *asyncWrite) run(conn net.Conn, buffers net.Buffers) {
 	defer close(w.done)
-	_, w.err = buffers.WriteTo(conn)
+	w.n, w.err = buffers.WriteTo(conn)
+}
+
+// runState returns what is known of a request without an answer, once its write has ended.
+func (r *Response) runState() answer.RunState {
+	if r.asyncWrite != nil && r.asyncWrite.n == 0 {
+		return answer.NotRun
+	}
+	return answer.Unknown
 }
 
 // readHeader reads the header of the response that matches the request and skips
@@ -255,6 +270,7 @@
 		}
 		n, err := r.body.Read(free)
 		b.advance(n)
+		err = r.checkEnd(err)
 		if errors.Is(err, io.EOF) {
 			r.bodyComplete = true
 			return b.join()
@@ -274,6 +290,7 @@
 		return 0, io.EOF
 	}
 	n, err := r.body.Read(p)
+	err = r.checkEnd(err)
 	switch {
 	case errors.Is(err, io.EOF):
 		r.bodyComplete = true
@@ -283,6 +300,15 @@
 	return n, err
 }
 
+// checkEnd returns err, or errReset in place of io.EOF if that is a reset, which the system has told the write of the
+// request. It tells it only once.
+func (r *Response) checkEnd(err error) error {
+	if errors.Is(err, io.EOF) && !r.HasExplicitEnd() && !r.requestWritten() && socket.IsReset(r.conn.Conn) {
+		return errReset
+	}
+	return err
+}
+
 // SetReadDeadline sets the deadline of the following reads; the zero time removes it.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.limitSilence(t, nil) }
 
