--- a/internal/request/forward/decision.go
+++ b/internal/request/forward/decision.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"time"
 
 	"rosevalve/internal/request/answer"
@@ -53,7 +54,7 @@
 	Instance, Addr string
 	// Reason is the state of the instance when it was chosen, for AttemptSent.
 	Reason placement.InstanceState
-	// Attempt is the number of attempts so far, including the current one.
+	// Attempt is the number of the attempt, for AttemptFailed, and otherwise how many there were.
 	Attempt int
 	// Outcome is the result of the attempt, for AttemptFailed.
 	Outcome placement.Outcome
@@ -65,6 +66,9 @@
 	Refusal *answer.Error
 	// Err is the cause of a failure; nil if there is none.
 	Err error
+	// Ending is the reason why the request ended without a complete answer, for AnswerTruncated, CutOff,
+	// Abandoned and, after an attempt, Refused; EndingNone for others.
+	Ending Ending
 	// TokenCount is the number of tokens that were requested (TokensDenied), reserved
 	// (AttemptSent) or, once the request has ended, used.
 	TokenCount int64
@@ -84,7 +88,8 @@
 	f.OnDecision(d)
 }
 
-// report completes d with the facts of the request and passes it to OnDecision.
+// report completes d with the facts of the request and passes it to OnDecision. It must not be called
+// by several goroutines at once.
 func (ar *activeRequest) report(d Decision) {
 	d.Request = ar.r
 	d.Route, d.Service = ar.route.Name, ar.service.Name
@@ -92,6 +97,7 @@
 		d.Workspace = ar.workspace.Name
 	}
 	d.PlanVersion = ar.plan.Version()
-	d.Attempt = ar.attempts
+	d.Attempt = cmp.Or(d.Attempt, ar.attempts)
+	ar.history.observe(d)
 	ar.f.report(d)
 }
--- a/internal/request/gateway/testfleet_test.go
+++ b/internal/request/gateway/testfleet_test.go
@@ -39,6 +39,10 @@
 	testInterval  = 10 * time.Millisecond // between tokens, and the duration of a service call
 	testFirstByte = 2 * time.Second       // runner.Client.FirstByteTimeout
 	testProgress  = time.Second           // runner.Client.ProgressTimeout
+
+	testDialTimeout = time.Second // of connections to a machine that is paused
+
+	idempotentPath = "/read" // of the plain services
 )
 
 // testFleet is a fleet of routers with its table and targets, in virtual time.
@@ -49,16 +53,20 @@
 	listeners map[string]*pipeListener
 	nodes     []*node
 
+	check func(record) error // further check of each answer in a history; may be nil
+
 	runCtx    context.Context // cancelled by close
 	cancelRun context.CancelFunc
 
-	mu             sync.Mutex // guards the fields below
-	faults         []connFault
-	tableOutage    bool
-	lostCommits    int // number of next commits that are applied, but whose answer is lost
-	delayedCommits int // number of next commits that are applied late, after an unknown outcome
-	closed         bool
-	conns          []net.Conn
+	mu               sync.Mutex // guards the fields below
+	faults           []connFault
+	tableOutage      bool
+	lostCommits      int // number of next commits that are applied, but whose answer is lost
+	tableSilentUntil time.Time
+	sentInSilence    []table.Commit
+	delayedCommits   int // number of next commits that are applied late, after an unknown outcome
+	closed           bool
+	conns            []net.Conn
 
 	targetConns map[string][]net.Conn
 }
@@ -68,6 +76,7 @@
 	fleet   *testFleet
 	gateway *Gateway
 	tokens  *allotment.Manager
+	targets *pool.Pool
 	client  *runner.Client
 	server  *fasthttp.Server
 	addr    string
@@ -93,7 +102,10 @@
 	fleet.runCtx, fleet.cancelRun = context.WithCancel(ctx)
 	items := []catalogue.Item{
 		item("workspace", "care", catalogue.Workspace{Name: "care", Weight: 1, KeyHashes: []string{catalogue.HashKey("secret")}}),
-		item("service", "beds", catalogue.Service{Name: "beds", TokensPerCall: 1}),
+		item("service", "beds", catalogue.Service{
+			Name: "beds", TokensPerCall: 1,
+			Routes: []catalogue.Route{{Method: "POST", Path: idempotentPath, Idempotent: true}},
+		}),
 	}
 	for i := range testEngines {
 		addr := fmt.Sprintf("10.0.1.%d:80", i+1)
@@ -136,8 +148,8 @@
 }
 
 func (f *testFleet) addNode(ctx context.Context, addr string) error {
-	n := &node{fleet: f, addr: addr}
 	targets := &pool.Pool{}
+	n := &node{fleet: f, addr: addr, targets: targets}
 	queues := &queue.Queues{Pick: targets.Reserve, Slots: targets.Slots, ProbeDelay: targets.ProbeDelay}
 	targets.OnFreeSlot = queues.GrantFreed
 	go func() { _ = targets.Run(f.runCtx) }()
@@ -199,6 +211,9 @@
 		if dest.addr != addr || n.isDead() || dest.isDead() {
 			continue
 		}
+		if !n.fleet.listeners[addr].gate.waitUntil(ctx) {
+			return ctx.Err()
+		}
 		params, err := json.Marshal(in)
 		if err != nil {
 			return err
