--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -23,6 +23,7 @@
 	current   *attempt
 	next      *continuation // asks other instances while current is silent; nil if there is none
 	err       error         // why the stream ended before it was complete; nil otherwise
+	leaving   bool          // the read of current ends because next has an answer
 	done      bool          // the stream was relayed to its end
 	writeTime time.Duration // spent in writes to the caller
 
@@ -37,7 +38,7 @@
 
 // switchTo makes the answer of a the one that is relayed.
 func (s *Stream) switchTo(a *attempt) {
-	s.current, s.shownSound = a, false
+	s.current, s.shownSound, s.leaving = a, false, false
 	a.source.limitSilence = s.limitSilence
 }
 
@@ -49,6 +50,10 @@
 	var written int64
 	for {
 		b := s.current.source.next()
+		if s.leaving {
+			// The answer of next has the events of this last read too.
+			b = batch{err: b.err}
+		}
 		if b.numbered > 0 {
 			s.dropNext()
 			s.request.relayedEvents += b.numbered
@@ -109,6 +114,7 @@
 	case !s.next.hasEnded():
 		return false
 	case s.next.err == nil:
+		s.leaving = true
 		return true
 	default:
 		s.dropNext()
