--- a/internal/request/forward/source.go
+++ b/internal/request/forward/source.go
@@ -61,16 +61,17 @@
 	return &source{resp: resp, continues: continues, lastEvent: resumeAfter, buf: make([]byte, 0, initialBufferSize)}
 }
 
-// prefetch reads the first events, which the next call of next returns.
+// prefetch reads up to the first numbered event, which the next call of next returns with the text before
+// it. A comment does not show that the target has an answer.
 func (s *source) prefetch() {
-	b := s.read()
+	b := s.read(1)
 	s.prefetched = &b
 }
 
-// prefetchedErr returns the error with which the stream ended without any event, unless it was
+// prefetchedErr returns the error with which the stream ended without a numbered event, unless it was
 // complete.
 func (s *source) prefetchedErr() error {
-	if len(s.prefetched.text) > 0 || errors.Is(s.prefetched.err, io.EOF) {
+	if s.prefetched.numbered > 0 || errors.Is(s.prefetched.err, io.EOF) {
 		return nil
 	}
 	return s.prefetched.err
@@ -82,10 +83,12 @@
 		s.prefetched = nil
 		return *b
 	}
-	return s.read()
+	return s.read(0)
 }
 
-func (s *source) read() batch {
+// read returns the next complete events. It waits until at least minNumbered of them have a number, or for
+// the end of the stream.
+func (s *source) read(minNumbered int64) batch {
 	s.buf = s.buf[:copy(s.buf, s.buf[s.returnedBytes():])]
 	for {
 		if len(s.buf) == cap(s.buf) {
@@ -112,7 +115,7 @@
 		if errors.Is(err, io.EOF) && (len(b.text) < len(s.buf) || s.endedBeforeAnswer()) {
 			err = io.ErrUnexpectedEOF
 		}
-		if len(b.text) > 0 || err != nil {
+		if len(b.text) > 0 && b.numbered >= minNumbered || err != nil {
 			b.err = err
 			return b
 		}
