--- a/internal/request/forward/race.go
+++ b/internal/request/forward/race.go
@@ -277,6 +277,9 @@
 	if a.silent && !ar.interrupted() {
 		outcome = placement.Failed
 	}
+	if !a.reachedTarget() {
+		ar.forgetTried(a.slot.ID())
+	}
 	run := a.runState()
 	ar.runState = max(ar.runState, run)
 	a.end(outcome)
