--- a/internal/request/forward/race_test.go
+++ b/internal/request/forward/race_test.go
@@ -39,12 +39,13 @@
 
 // conduct is how a target of the test behaves.
 type conduct struct {
-	Dial     time.Duration                 // until a connection is open
-	Silences [eventCount + 2]time.Duration // before the header, each event and the end
-	Comment  bool                          // a comment comes before the first event
-	Refuses  bool                          // says that it does not run the request
-	Fails    bool                          // answers with a failure
-	BreaksAt int                           // closes the connection before the header (1), an event (2 and more) or the end; 0 does not
+	Dial         time.Duration                 // until a connection is open
+	Silences     [eventCount + 2]time.Duration // before the header, each event and the end
+	Comment      bool                          // a comment comes before the first event
+	SplitsChunks bool                          // is silent after an event, before the end of its chunk, rather than before the event
+	Refuses      bool                          // says that it does not run the request
+	Fails        bool                          // answers with a failure
+	BreaksAt     int                           // closes the connection before the header (1), an event (2 and more) or the end; 0 does not
 }
 
 // isSound reports whether the target gives a whole answer.
@@ -174,8 +175,14 @@
 		if c.BreaksAt == n-after+1 {
 			return false
 		}
-		time.Sleep(c.Silences[n])
 		event := eventText(n)
+		if c.SplitsChunks {
+			ok = write("%x\r\n%s", len(event), event)
+			time.Sleep(c.Silences[n])
+			ok = ok && write("\r\n")
+			continue
+		}
+		time.Sleep(c.Silences[n])
 		ok = write("%x\r\n%s\r\n", len(event), event)
 	}
 	time.Sleep(c.Silences[eventCount+1])
@@ -196,7 +203,9 @@
 
 // forwarder returns a Forwarder of the scenario.
 func (s *stage) forwarder() *Forwarder {
-	p := plan.New(plan.Config{Routes: []plan.Route{s.scenario.Route}, Services: []plan.Service{{Name: "s", MaxConnections: 100}}})
+	p := plan.New(plan.Config{Routes: []plan.Route{s.scenario.Route}, Services: []plan.Service{{
+		Name: "s", MaxConnections: 100, Engine: &plan.Engine{MaxConcurrent: 8, CacheTokens: 90_000, TokensPerEvent: 1},
+	}}})
 	f := &Forwarder{
 		Plan:         func() *plan.Plan { return p },
 		PlanOutdated: func() bool { return false },
@@ -284,10 +293,11 @@
 }
 
 func drawConduct(rt *rapid.T) conduct {
-	silence := rapid.SampledFrom([]time.Duration{0, 0, 0, 100 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond, 1600 * time.Millisecond, 4 * time.Second})
+	silence := rapid.SampledFrom([]time.Duration{0, 0, 0, 100 * time.Millisecond, 500 * time.Millisecond, time.Second, 1600 * time.Millisecond, 4 * time.Second})
 	c := conduct{
-		Dial:    rapid.SampledFrom([]time.Duration{0, 0, 100 * time.Millisecond, dialForever}).Draw(rt, "dial"),
-		Comment: rapid.Bool().Draw(rt, "comment"),
+		Dial:         rapid.SampledFrom([]time.Duration{0, 0, 100 * time.Millisecond, dialForever}).Draw(rt, "dial"),
+		Comment:      rapid.Bool().Draw(rt, "comment"),
+		SplitsChunks: rapid.IntRange(0, 3).Draw(rt, "splits chunks") == 0,
 	}
 	for n := range c.Silences {
 		c.Silences[n] = silence.Draw(rt, "silence")
@@ -337,7 +347,7 @@
 
 // wrong returns what is wrong with the result, or "".
 func (sc scenario) wrong(got result) string {
-	whole, part, ran := 0, 0, 0
+	whole, part, failed, ran := 0, 0, 0, 0
 	for _, n := range got.received {
 		c := sc.Conducts[n]
 		switch {
@@ -345,6 +355,8 @@
 			whole++
 		case c.answersPart() && sc.Route.Kind == plan.Streaming:
 			part++
+		case c.Fails:
+			failed++
 		}
 		if !c.Refuses {
 			ran++
@@ -371,6 +383,8 @@
 		return ""
 	case whole > 0 && part == 0:
 		return "a target with a whole answer was let go"
+	case failed > 0 && got.status == 0:
+		return "the failure of a target was not relayed"
 	case sc.Route.Retryable() && len(got.received) < min(sc.Route.MaxTargets, sc.reachable()):
 		return "a target that the route allows was not asked"
 	default:
