--- a/internal/request/forward/race_test.go
+++ b/internal/request/forward/race_test.go
@@ -61,6 +61,7 @@
 	Route    plan.Route
 	Conducts []conduct     // of the k-th instance that is dialled
 	Leaves   time.Duration // until the caller disconnects; 0 if it does not
+	NoBudget bool          // the retry budget allows no attempt but the first
 }
 
 // result is what came of a scenario.
@@ -213,7 +214,7 @@
 		Placement:    &placement.Placement{Dial: s.dial, ParseHeader: parseTestHeader},
 		Quarantine:   &quarantine.Quarantine{},
 		Crashes:      &crash.Detector{Refuses: func(context.Context, string) bool { return false }},
-		RetryBudget:  &RetryBudget{Limits: func() (float64, float64) { return 0, 1e6 }, Window: 10 * time.Second},
+		RetryBudget:  &RetryBudget{Limits: s.scenario.retryLimits, Window: 10 * time.Second},
 		Encode:       encodeTestRequest,
 		HasSignature: func(*fasthttp.ResponseHeader) bool { return true },
 		OnDecision:   s.observe,
@@ -229,6 +230,14 @@
 	return f
 }
 
+// retryLimits returns the limits of the retry budget.
+func (sc scenario) retryLimits() (ratio, slack float64) {
+	if sc.NoBudget {
+		return 0, 0
+	}
+	return 0, 1e6
+}
+
 func parseTestHeader(h *fasthttp.ResponseHeader) upstream.ResponseInfo {
 	return upstream.ResponseInfo{AttemptID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0}
 }
@@ -323,7 +332,10 @@
 	case "once":
 		route.Kind, route.Resumable = plan.NonIdempotent, false
 	}
-	sc := scenario{Route: route}
+	if rapid.IntRange(0, 4).Draw(rt, "short timeout") == 0 {
+		route.Timeout = time.Duration(rapid.IntRange(1, 4000).Draw(rt, "timeout")) * time.Millisecond
+	}
+	sc := scenario{Route: route, NoBudget: rapid.IntRange(0, 4).Draw(rt, "no retry budget") == 0}
 	for range rapid.IntRange(1, 4).Draw(rt, "targets") {
 		sc.Conducts = append(sc.Conducts, drawConduct(rt))
 	}
@@ -379,13 +391,13 @@
 		return "a target has run the request that has not run"
 	case complete && answered != 1, got.status == 0 && answered != 0:
 		return "attempts have not ended"
-	case sc.Leaves > 0 || complete:
+	case sc.Leaves > 0 || sc.Route.Timeout < time.Minute || complete:
 		return ""
 	case whole > 0 && part == 0:
 		return "a target with a whole answer was let go"
 	case failed > 0 && got.status == 0:
 		return "the failure of a target was not relayed"
-	case sc.Route.Retryable() && len(got.received) < min(sc.Route.MaxTargets, sc.reachable()):
+	case sc.Route.Retryable() && !sc.NoBudget && len(got.received) < min(sc.Route.MaxTargets, sc.reachable()):
 		return "a target that the route allows was not asked"
 	default:
 		return ""
