--- a/internal/request/forward/race.go
+++ b/internal/request/forward/race.go
@@ -61,11 +61,12 @@
 	for {
 		select {
 		case a := <-r.ended:
-			err := r.judge(a)
-			if err == nil {
+			cause := r.judge(a)
+			if cause == nil {
 				return a, nil
 			}
-			if err := r.replace(err); err != nil && len(r.running) == 0 {
+			// Without a replacement, those that are running may have an answer yet.
+			if err := r.replace(cause); err != nil && len(r.running) == 0 {
 				return r.takeFailure(err)
 			}
 		case <-r.silenceC():
@@ -159,11 +160,11 @@
 	r.silence.Reset(after)
 }
 
-// hedge sends the request to one more instance beside those that are silent. Another instance and the
-// retry budget must be able to take it now.
+// hedge sends the request to one more instance beside those that are silent, unless one of them sends a
+// body that is not complete yet.
 func (r *race) hedge() {
 	buffering := slices.ContainsFunc(r.running, func(a *attempt) bool { return a.buffering.Load() })
-	if buffering || !r.request.beginsHedge(r) {
+	if buffering || !r.tryHedge() {
 		return
 	}
 	for _, a := range r.running[:len(r.running)-1] {
@@ -171,9 +172,10 @@
 	}
 }
 
-// beginsHedge begins an attempt beside those whose targets are silent. It reports false if the route,
+// tryHedge begins an attempt beside those whose targets are silent. It reports false if the route,
 // the retry budget or the instances allow none now.
-func (ar *activeRequest) beginsHedge(r *race) bool {
+func (r *race) tryHedge() bool {
+	ar := r.request
 	if ar.ctx.Err() != nil || !ar.hasTargetsLeft() {
 		return false
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -105,7 +105,7 @@
 }
 
 // leaveSilent reports whether the stalled attempt is to be ended, since another one has the next
-// events. It begins the search for such a one.
+// events. While there is none, it begins a race for them.
 func (s *Stream) leaveSilent() bool {
 	switch {
 	case s.next == nil:
@@ -171,7 +171,7 @@
 func (s *Stream) startNext() *continuation {
 	r := s.continuationRace()
 	r.stop = make(chan struct{})
-	if !s.request.beginsHedge(r) {
+	if !r.tryHedge() {
 		return nil
 	}
 	c := &continuation{race: r, ended: make(chan struct{}), notified: make(chan struct{})}
