--- a/internal/request/forward/race.go
+++ b/internal/request/forward/race.go
@@ -173,10 +173,10 @@
 }
 
 // tryHedge begins an attempt beside those whose targets are silent. It reports false if the route,
-// the retry budget or the instances allow none now.
+// the quarantine, the retry budget or the instances allow none now.
 func (r *race) tryHedge() bool {
 	ar := r.request
-	if ar.ctx.Err() != nil || !ar.hasTargetsLeft() {
+	if ar.ctx.Err() != nil || !ar.hasTargetsLeft() || ar.recheckQuarantine() != nil {
 		return false
 	}
 	slot, err := ar.f.Placement.Choose(ar.ctx, ar.service.Name, ar.requirements())
--- a/internal/request/forward/race_test.go
+++ b/internal/request/forward/race_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/crash"
@@ -33,6 +34,8 @@
 	wholeBody = "done"
 	// commentText is a comment in a stream.
 	commentText = ": wait\n\n"
+	// sharedPart is the ID of the first part of a prompt.
+	sharedPart = 1
 	// dialForever is a dial that does not end by itself.
 	dialForever = time.Hour
 )
@@ -62,6 +65,7 @@
 	Conducts []conduct     // of the k-th instance that is dialled
 	Leaves   time.Duration // until the caller disconnects; 0 if it does not
 	NoBudget bool          // the retry budget allows no attempt but the first
+	Blocked  time.Duration // until the prompt is blocked; 0 if it never is
 }
 
 // result is what came of a scenario.
@@ -74,6 +78,7 @@
 	dialled    int             // targets that a connection was opened to
 	sent       int             // attempts that have begun
 	ended      int             // attempts that have ended without the answer
+	retried    int             // further attempts that the retry budget was asked for
 	memory     int64           // reserved for bodies at the end
 	duplicates int             // requests that a target has read again
 }
@@ -254,6 +259,8 @@
 	switch d.Kind {
 	case AttemptSent:
 		s.result.sent++
+	case Retried:
+		s.result.retried++
 	case AttemptFailed:
 		s.result.ended++
 	}
@@ -269,6 +276,10 @@
 		if sc.Leaves > 0 {
 			defer time.AfterFunc(sc.Leaves, cancel).Stop()
 		}
+		if sc.Blocked > 0 {
+			news := inner.QuarantineNews{Blocks: []inner.BlockRecord{{Parts: []uint64{sharedPart}, Since: time.Now()}}}
+			defer time.AfterFunc(sc.Blocked, func() { f.Quarantine.HandleNews(news) }).Stop()
+		}
 		s.send(ctx, f)
 		cancel()
 		s.result.memory = f.BodyMemory.reserved.Load()
@@ -282,7 +293,11 @@
 
 // send sends the request and reads the whole answer.
 func (s *stage) send(ctx context.Context, f *Forwarder) {
-	a, err := f.Serve(ctx, &Request{ID: "a", Method: "GET", URI: "/x", Host: "h", Arrived: time.Now()})
+	r := &Request{ID: "a", Method: "GET", URI: "/x", Host: "h", Arrived: time.Now()}
+	if s.scenario.Blocked > 0 {
+		r.Prompt = &Prompt{Parts: []Part{{ID: sharedPart, Tokens: 1}, {ID: sharedPart + 1, Tokens: 1}}}
+	}
+	a, err := f.Serve(ctx, r)
 	if err != nil {
 		s.result.err = err
 		var refusal *answer.Error
@@ -443,3 +458,14 @@
 	assert.Equal(t, got.text, events(eventCount))
 	assert.DeepEqual(t, got.received, []int{0, 1})
 }
+
+// TestBlockedPromptSpendsRetries guards against attempts being taken from the retry budget that are not sent, since the prompt
+// was blocked while its target is silent.
+func TestBlockedPromptSpendsRetries(t *testing.T) {
+	silent := conduct{Silences: [eventCount + 2]time.Duration{2: 4 * time.Second}}
+	got := play(t, scenario{Route: resumableRoute(2), Conducts: []conduct{silent, {}}, Blocked: 100 * time.Millisecond})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.text, events(eventCount))
+	assert.Equal(t, got.sent, 1)
+	assert.Equal(t, got.retried, 0)
+}
