--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -23,6 +23,7 @@
 	current   *attempt
 	next      *continuation // asks other instances while current is silent; nil if there is none
 	err       error         // why the stream ended before it was complete; nil otherwise
+	leaving   bool          // the read of current ends because next has an answer
 	done      bool          // the stream was relayed to its end
 	writeTime time.Duration // spent in writes to the caller
 
@@ -37,7 +38,7 @@
 
 // switchTo makes the answer of a the one that is relayed.
 func (s *Stream) switchTo(a *attempt) {
-	s.current, s.shownSound = a, false
+	s.current, s.shownSound, s.leaving = a, false, false
 	a.source.limitSilence = s.limitSilence
 }
 
@@ -49,6 +50,10 @@
 	var written int64
 	for {
 		b := s.current.source.next()
+		if s.leaving {
+			// The answer of next has the events of this last read too.
+			b = batch{err: b.err}
+		}
 		if b.numbered > 0 {
 			s.dropNext()
 			s.request.relayedEvents += b.numbered
@@ -100,7 +105,7 @@
 }
 
 // leaveSilent reports whether the stalled attempt is to be ended, since another one has the next
-// events. It begins the search for such a one.
+// events. While there is none, it begins a race for them.
 func (s *Stream) leaveSilent() bool {
 	switch {
 	case s.next == nil:
@@ -109,6 +114,7 @@
 	case !s.next.hasEnded():
 		return false
 	case s.next.err == nil:
+		s.leaving = true
 		return true
 	default:
 		s.dropNext()
@@ -165,7 +171,7 @@
 func (s *Stream) startNext() *continuation {
 	r := s.continuationRace()
 	r.stop = make(chan struct{})
-	if !s.request.beginsHedge(r) {
+	if !r.tryHedge() {
 		return nil
 	}
 	c := &continuation{race: r, ended: make(chan struct{}), notified: make(chan struct{})}
