Prepaid: no final refusal by a router that knows no home router yet

What callers saw: a router that has just started refused requests with 402, "prepaid tokens do not cover the request", for about half a second, while another router held nearly all tokens of the workspace.

Cause: the router had no other home router to ask, since none was reported ready or not busy yet.

The test of this commit failed before: directed_test.go:187: error is "reserve 500 tokens of workspace "joiners": prepaid tokens do not cover the request: no router has enough tokens", not "prepaid tokens could not be reserved now" (ErrUnavailable)

Fix: if no router was asked and an incarnation that stays has a holding, the tokens are held, not exhausted: 503 with a Retry-After. Once home routers are known they are asked as before. Ruled out: a holder that does not stay (errHoldingOpen), and answers of routers that cannot give (Held).

Not covered: a holder that is asked by nobody while other home routers are.

--- a/internal/budget/prepaid/directed_test.go
+++ b/internal/budget/prepaid/directed_test.go
@@ -159,6 +159,40 @@
 	})
 }
 
+// TestTokensOfRoutersThatAreNotKnownYetAreNotUsedUp guards against a final refusal by a router that
+// has just started and knows no home router yet, while another one holds the tokens.
+func TestTokensOfRoutersThatAreNotKnownYetAreNotUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet()
+		defer f.end()
+		f.topUp("joiners", 1000)
+		var known atomic.Bool
+		f.mutate = func(m *Manager) {
+			homeRouters := m.HomeRouters
+			m.HomeRouters = func(workspace string) ([]string, bool) {
+				if m.VM == "b" && !known.Load() {
+					return nil, true
+				}
+				return homeRouters(workspace)
+			}
+		}
+		f.start("a")
+		f.start("b")
+		time.Sleep(time.Second)
+		r, err := f.incarnationOf("a").manager.Reserve(t.Context(), "joiners", 900, 0)
+		assert.NilError(t, err)
+		r.Release()
+		for range 3 {
+			_, err = f.incarnationOf("b").manager.Reserve(t.Context(), "joiners", 500, 0)
+			assert.ErrorIs(t, err, ErrUnavailable)
+			time.Sleep(exhaustionTTL / 2)
+		}
+		known.Store(true)
+		_, err = f.incarnationOf("b").manager.Reserve(t.Context(), "joiners", 500, 0)
+		assert.NilError(t, err)
+	})
+}
+
 func TestTokensOfAVMThatIsGoneAreUsedUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, request := startEndedHolder(t)
--- a/internal/budget/prepaid/exhausted.go
+++ b/internal/budget/prepaid/exhausted.go
@@ -40,20 +40,22 @@
 	// openHolders are the incarnations that have holdings and are leaving or have ended, by ID, and
 	// when they were first seen so.
 	openHolders map[string]time.Time
+	// heldByOthers is set if another incarnation that stays has a holding.
+	heldByOthers bool
 }
 
 // confirmExhausted checks the store before a request for n tokens is refused because its workspace's
-// tokens are exhausted. It returns nil if they are. heldElsewhere is whether another router may
-// have tokens that it can not transfer now.
+// tokens are exhausted. It returns nil if they are. transfers are the answers of the other home
+// routers; if none is known, the holding of any other router may have tokens.
 //
 // Errors are errTokensLeft, errTokensHeld, errHoldingOpen, and those of the store.
-func (m *Manager) confirmExhausted(ctx context.Context, h *holding, n int64, heldElsewhere bool) error {
+func (m *Manager) confirmExhausted(ctx context.Context, h *holding, n int64, transfers transferResult) error {
 	now := time.Now()
 	h.mu.Lock()
 	last := h.lastCheck
 	h.mu.Unlock()
 	valid := now.Sub(last.at) < exhaustionTTL && !errors.Is(last.err, errTokensLeft)
-	if valid && (last.err != nil || !heldElsewhere && !h.mayHold(n)) {
+	if valid && (last.err != nil || !transfers.held && !h.mayHold(n)) {
 		return last.err
 	}
 	era := h.currentEra()
@@ -62,8 +64,9 @@
 		return err
 	}
 	check := exhaustionCheck{at: now, openHolders: make(map[string]time.Time)}
-	check.err = m.checkExhausted(h, era, rows, last.openHolders, check)
-	if check.err == nil && (heldElsewhere || h.mayHold(n)) {
+	check.err = m.checkExhausted(h, era, rows, last.openHolders, &check)
+	heldUnasked := transfers.answered == 0 && check.heldByOthers
+	if check.err == nil && (transfers.held || heldUnasked || h.mayHold(n)) {
 		check.err = errTokensHeld
 	}
 	h.mu.Lock()
@@ -84,8 +87,8 @@
 }
 
 // checkExhausted determines from all rows of a workspace whether its tokens are exhausted, and
-// adds the incarnations that have holdings and do not stay to check.
-func (m *Manager) checkExhausted(h *holding, era uint64, rows []table.Row, known map[string]time.Time, check exhaustionCheck) error {
+// adds to check which other incarnations have holdings.
+func (m *Manager) checkExhausted(h *holding, era uint64, rows []table.Row, known map[string]time.Time, check *exhaustionCheck) error {
 	var err error
 	for _, r := range rows {
 		if !strings.HasPrefix(r.Key, prefixVM) {
@@ -95,7 +98,11 @@
 		if err := r.Decode(&row); err != nil {
 			return fmt.Errorf("decode holding of workspace %q: %w", h.workspace, err)
 		}
-		if row.Tokens == 0 || row.Incarnation == m.Incarnation || m.IsStaying(row.Incarnation) {
+		if row.Tokens == 0 || row.Incarnation == m.Incarnation {
+			continue
+		}
+		if m.IsStaying(row.Incarnation) {
+			check.heldByOthers = true
 			continue
 		}
 		since, ok := known[row.Incarnation]
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -129,7 +129,7 @@
 		return nil, nil
 	}
 	if result.answered == len(homeRouters) && (result.exhausted || isTooFewLeft(cause)) && !errors.Is(cause, errNotAdmitted) && ctx.Err() == nil {
-		cause = m.confirmExhausted(ctx, h, n, result.held)
+		cause = m.confirmExhausted(ctx, h, n, result)
 		switch {
 		case cause == nil:
 			return nil, fmt.Errorf("%w: no router has enough tokens", ErrExhausted)
