Peer calls end in their own time beside a dial to a silent router

What was seen: a call with 100 ms of its own to a router that accepts connections but says nothing took a second, the time of another call whose dial was in progress. So the note to a silent mirror, which has 150 ms, could hold up the choice of another mirror, and requests with tokens are refused for as long; the time of a call that had a shorter one decided about the dial that all others shared, and its backoff.

Cause: the dial ran under the lock of the connection, in the context of the call that came first. A call waits for a lock beyond its context.

Fix: the dial runs on its own, for at most the time of any call (of a fetch: the time that follows the earlier ones). Calls wait for it until their own context ends, and those that come later still share it. Ruled out: the transfers of tokens, which wait for a call in the background (60 to 250 ms).

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -33,12 +33,20 @@
 	transport *Transport
 	addr      string
 
-	mu      sync.Mutex    // guards current, backoff and retryAt; held while dialling, so that concurrent calls share one dial
+	mu      sync.Mutex    // guards the fields below
 	current *rpcConn      // nil if there is no connection
+	dialing *pendingDial  // nil if no dial is in progress
 	backoff time.Duration // doubled by each failed dial; 0 after a successful one
 	retryAt time.Time     // no dial before this time
 }
 
+// pendingDial is a dial that concurrent calls share. It goes on if a call ends before it.
+type pendingDial struct {
+	done chan struct{}
+	conn *rpcConn // valid once done is closed, like err
+	err  error
+}
+
 // rpcConn is one open connection to a peer.
 type rpcConn struct {
 	rpc      *jsonrpc2.Conn
@@ -46,16 +54,33 @@
 	openedAt time.Time
 }
 
-// conn returns the current connection if it is usable, and dials otherwise. After a
-// failed dial it returns errBackoff for 0.5 to 1.5 times the backoff.
-func (p *peerClient) conn(ctx context.Context) (*rpcConn, error) {
+// conn returns the current connection if it is usable, and dials otherwise, which takes at most
+// the limit. After a failed dial it returns errBackoff for 0.5 to 1.5 times the backoff.
+func (p *peerClient) conn(ctx context.Context, limit time.Duration) (*rpcConn, error) {
+	current, d, err := p.currentOrDial(ctx, limit)
+	if d == nil {
+		return current, err
+	}
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for the dial: %w", ctx.Err())
+	}
+}
+
+// currentOrDial returns the current connection if it is usable, and otherwise the dial in progress,
+// which it begins if there is none.
+func (p *peerClient) currentOrDial(ctx context.Context, limit time.Duration) (*rpcConn, *pendingDial, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.usable() {
-		return p.current, nil
-	}
-	if time.Now().Before(p.retryAt) {
-		return nil, errBackoff
+	switch {
+	case p.usable():
+		return p.current, nil, nil
+	case p.dialing != nil:
+		return nil, p.dialing, nil
+	case time.Now().Before(p.retryAt):
+		return nil, nil, errBackoff
 	}
 	if p.current != nil {
 		// Calls in flight on the old connection last at most callTimeout and still get
@@ -64,15 +89,27 @@
 		time.AfterFunc(2*callTimeout, func() { _ = old.rpc.Close() })
 		p.current = nil
 	}
-	dialed, err := p.dial(ctx)
-	if err != nil {
+	p.dialing = &pendingDial{done: make(chan struct{})}
+	go p.runDial(context.WithoutCancel(ctx), limit, p.dialing)
+	return nil, p.dialing, nil
+}
+
+// runDial dials once and wakes the calls that wait for it.
+func (p *peerClient) runDial(ctx context.Context, limit time.Duration, d *pendingDial) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	d.conn, d.err = p.dial(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(d.done)
+	p.dialing = nil
+	if d.err != nil {
 		p.backoff = min(max(2*p.backoff, minBackoff), maxBackoff)
 		p.retryAt = time.Now().Add(p.backoff/2 + rand.N(p.backoff))
-		return nil, err
+		return
 	}
 	p.backoff = 0
-	p.current = dialed
-	return dialed, nil
+	p.current = d.conn
 }
 
 // usable reports whether the current connection is open and at most MaxConnAge old. The
@@ -127,12 +164,17 @@
 	_ = c.rpc.Close()
 }
 
-// close closes the current connection, if any.
+// close closes the current connection, or that of the dial in progress when it has ended.
 func (p *peerClient) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.current != nil {
-		_ = p.current.rpc.Close()
+	current, d := p.current, p.dialing
+	p.mu.Unlock()
+	if d != nil {
+		<-d.done
+		current = d.conn
+	}
+	if current != nil {
+		_ = current.rpc.Close()
 	}
 }
 
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -177,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	p := t.peer(peerKey{addr: addr})
-	conn, err := p.conn(ctx)
+	conn, err := p.conn(ctx, callTimeout)
 	if err != nil {
 		return fmt.Errorf("call %s at %s: %w: %w", method, addr, ErrNotSent, err)
 	}
@@ -208,7 +208,7 @@
 	p := t.peer(peerKey{addr: addr, bulk: true})
 	dialCtx, cancelDial := context.WithTimeout(ctx, limit)
 	defer cancelDial()
-	conn, err := p.conn(dialCtx)
+	conn, err := p.conn(dialCtx, limit)
 	if err != nil {
 		if dialCtx.Err() != nil && ctx.Err() == nil {
 			t.fetchLatency.ObserveTimeout(limit)
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -127,6 +127,25 @@
 	assertEcho(t, client, addr)
 }
 
+// TestCallEndsBesideASlowDial guards against a call that waits beyond its own time for the dial of
+// another one, to a router that is silent.
+func TestCallEndsBesideASlowDial(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	client, addr := newClient(nil), listener.Addr().String()
+	var calls sync.WaitGroup
+	calls.Go(func() { assert.Check(t, client.Call(context.Background(), addr, methodEcho, 1, nil) != nil) })
+	_, err = listener.Accept() // The dial of the first call has begun.
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), shortTimeout)
+	defer cancel()
+	start := time.Now()
+	assert.Assert(t, errors.Is(client.Call(ctx, addr, methodEcho, 1, nil), ErrNotSent))
+	assert.Assert(t, time.Since(start) < callTimeout/2, "ended after %v", time.Since(start))
+	calls.Wait()
+}
+
 func TestCallThatWasNotBegun(t *testing.T) {
 	addr := startServer(t, &Transport{})
 	client := newClient(nil)
