Chat API: a stop logs each run that it cuts off once

TestCutOffAtTheChatAPIIsLogged failed (three lines in place of one) since the reasons of early ends are logged: the stop, the dispatcher and the stream each told of the same run. Those who are told the answer of the canceller leave the line to it; counters are as before. The new test of the reasons expects the stop's own line now.

--- a/internal/request/dispatch/ends.go
+++ b/internal/request/dispatch/ends.go
@@ -73,13 +73,15 @@
 	d.Log.Info("attempt failed", "attempt", loc.RunID, "target", loc.Target, "end", end, "run", runner.RunStateOf(err), "events", events, "cause", firstErr, "err", err)
 }
 
-// reportGivenUp counts, and logs if there were attempts, that a request gets no further one.
+// reportGivenUp counts, and logs if there were attempts, that a request gets no further one. Whoever has
+// cancelled the request with an answer for its caller logs that.
 func (d *Dispatcher) reportGivenUp(ctx context.Context, runID string, attempts int, reason giveUp) {
 	if ctx.Err() != nil {
 		reason = requestEnded
 	}
 	requestsGivenUp.Add(reason.String(), 1)
-	if d.Log != nil && attempts > 0 {
+	var cancelledWith *answer.Error
+	if d.Log != nil && attempts > 0 && !errors.As(context.Cause(ctx), &cancelledWith) {
 		d.Log.Info("request given up", "request_id", runID, "attempts", attempts, "reason", reason)
 	}
 }
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -154,7 +154,8 @@
 }
 
 // reportBroken counts and logs a stream that has begun and was closed without the end of its answer.
-// The reason is the code of the run's failure, or else the caller has left or does not read.
+// The reason is the code of the run's failure, or else the caller has left or does not read. A stop logs the runs
+// that it cuts off itself.
 func (g *Gateway) reportBroken(in *inboundRequest, r *streamBody) {
 	reason, run := callerLeft, answer.Unknown
 	switch {
@@ -164,6 +165,9 @@
 		return
 	}
 	brokenStreams.Add(reason, 1)
+	if reason == errStopped.Code {
+		return
+	}
 	g.Log.Info("stream broken", "request_id", in.run.ID(), "reason", reason, "run", run, "events", r.offset,
 		"took_ms", time.Since(in.run.Began()).Milliseconds(), "to_router", in.fromRouter)
 }
