--- a/internal/request/gateway/testfleet_test.go
+++ b/internal/request/gateway/testfleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,7 +86,8 @@
 	draining  atomic.Bool
 	admission drain.Admission
 	dead      bool
-	conns     []net.Conn
+	accepted  []net.Conn // of callers and other routers
+	conns     []net.Conn // opened by the router
 }
 
 var errTableDown = fmt.Errorf("down: %w", table.ErrUnavailable)
@@ -242,11 +244,12 @@
 	return n.dead
 }
 
-// kill closes all connections of the router and makes its dials and table operations fail.
+// kill closes all connections of the router and makes its dials and table operations fail. Those of its
+// callers and of other routers come first: a process that has ended tells nobody that its own connections broke.
 func (n *node) kill() {
 	n.fleet.mu.Lock()
 	n.dead = true
-	conns := n.conns
+	conns := slices.Concat(n.accepted, n.conns)
 	n.fleet.mu.Unlock()
 	for _, c := range conns {
 		_ = c.Close()
@@ -324,7 +327,7 @@
 	f.conns = append(f.conns, conn)
 	for _, n := range f.nodes {
 		if n.addr == addr {
-			n.conns = append(n.conns, conn)
+			n.accepted = append(n.accepted, conn)
 		}
 	}
 	return conn, nil
