--- a/internal/target/runner/stall.go
+++ b/internal/target/runner/stall.go
@@ -94,8 +94,8 @@
 // begins first, which must be released, and drops the other.
 //
 // A connection may have stopped responding while it was idle, but its target may also be silent for
-// a moment and not know the run yet. The stalled connection is therefore kept until the run is found on the new one,
-// or until the target has answered there that it has no such run, and has had time to answer here too.
+// a moment and not know the run yet. The stalled connection is therefore kept until the run is found on the new one.
+// If that fails, most often since the target has no such run, it is kept for stallThreshold longer.
 //
 // The error is an *Error.
 func (c *Client) awaitFirst(ctx context.Context, conn sentConn, addr, runID string) (*fasthttp.Response, error) {
