--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -81,14 +81,17 @@
 	_ = os.RemoveAll(w.dir)
 }
 
-// freeAddr returns a free address of a loopback host.
-func freeAddr(host string) (string, error) {
-	l, err := net.Listen("tcp4", host+":0")
-	if err != nil {
-		return "", err
+// freeAddrs sets each address to another free one of a loopback host.
+func freeAddrs(host string, addrs ...*string) error {
+	for _, addr := range addrs {
+		l, err := net.Listen("tcp4", host+":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }()
+		*addr = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return nil
 }
 
 // addEngine starts a runner of service e, each of whose answers is a stream of that many events, and announces it.
@@ -157,11 +160,8 @@
 func (w *world) addRouter(name string, side int) (*router, error) {
 	r := &router{w: w, name: name, zone: "z" + name}
 	host := fmt.Sprintf("127.0.%d.%d", os.Getpid()%200+10, len(w.routers)+10)
-	for _, addr := range []*string{&r.frontend, &r.directory, &r.control, &r.ready, &r.metrics} {
-		var err error
-		if *addr, err = freeAddr(host); err != nil {
-			return nil, err
-		}
+	if err := freeAddrs(host, &r.frontend, &r.directory, &r.control, &r.ready, &r.metrics); err != nil {
+		return nil, err
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -257,7 +257,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	return fmt.Errorf("router %s is not ready", r.name)
+	return fmt.Errorf("router %s is not ready; its process %s", r.name, r.exited())
 }
 
 // noteTokens records the router's own count of its tokens.
@@ -290,16 +290,17 @@
 
 // exited tells whether the process has ended by itself, with the last lines of its log.
 func (r *router) exited() string {
+	state := "runs"
 	select {
 	case <-r.ended:
+		state = "has ended by itself"
 	default:
-		return "runs"
 	}
 	text, err := os.ReadFile(filepath.Join(r.w.dir, r.name+".log"))
 	if err != nil {
 		return err.Error()
 	}
-	return "has ended by itself: " + string(text[max(0, len(text)-700):])
+	return state + "; its log ends with: " + string(text[max(0, len(text)-700):])
 }
 
 // kill ends the process at once.
