--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -71,7 +71,7 @@
 	}
 	for _, r := range w.runners {
 		for _, in := range r.Received() {
-			w.log("runner %s ran %s of tenant %s", r.ID, in.Attempt, in.Tenant)
+			w.log("runner %s got %s of tenant %s", r.ID, in.Attempt, in.Tenant)
 		}
 	}
 	w.mu.Lock()
