Choose targets by the speed that their own answers have shown

Where the targets of a service differ in speed (0.7, 0.7 and 1.7 of the mean at the yearbooks customer), each router estimated only the mean of the service, so that a slow target was avoided only once it had kept many requests. Now the expected wait at a target is multiplied by how long its own answers have taken compared with the mean. target_speeds = differ switches it on; by default targets count as alike.

Ruled out: sharing the figure between routers (a message for each target and router for what a few answers show).

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -90,6 +90,7 @@
 		OnHealthChange: e.recordHealth,
 		OnNotice:       e.recordNotice,
 		OnEngineSpeed:  e.recordEngineSpeed,
+		CompareSpeeds:  e.Settings.Edge.TargetSpeeds == "differ",
 	}
 	e.oddTargets = make(map[string]bool)
 	e.targetTable = e.follow(platform.TableTargets, e.applyTargets)
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -135,7 +135,7 @@
 func instanceStatePairs(r placement.InstanceState) []any {
 	pairs := []any{
 		"running", int64(r.Running), "reading_tokens", int64(r.PendingPrefill), "missing_tokens", r.UncachedTokens,
-		"failing_percent", int64(percent * r.FailureRate),
+		"failing_percent", int64(percent * r.FailureRate), "relative_delay_percent", int64(percent * r.RelativeDelay),
 	}
 	if r.HasReport {
 		pairs = append(pairs, "report_age_ms", r.ReportAge.Milliseconds())
--- a/internal/fleet/settings/edge.go
+++ b/internal/fleet/settings/edge.go
@@ -29,6 +29,9 @@
 	RetrySlack float64
 	// RetryWindow is the time window over which requests and retries are counted.
 	RetryWindow time.Duration
+	// TargetSpeeds is "alike" if the targets of a service are equally fast, or "differ" if they are
+	// chosen by the speed that their own answers have shown.
+	TargetSpeeds string
 }
 
 func (s *Edge) options() []*Option {
@@ -45,5 +48,6 @@
 		numberOption("edge", "retry_ratio", "0.2", "retries that each request of a service adds to the retry budget", 0, 1, &s.RetryRatio),
 		numberOption("edge", "retry_slack", "10", "retries of a service that all routers together may make in addition", 0, 1e6, &s.RetrySlack),
 		durationOption("edge", "retry_window", "10s", "time window over which requests and retries are counted", time.Second, time.Hour, &s.RetryWindow),
+		choiceOption("edge", "target_speeds", "alike", "whether the targets of a service are equally fast, or differ and are chosen by the speed of their answers", []string{"alike", "differ"}, &s.TargetSpeeds),
 	}
 }
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -137,7 +137,7 @@
 
 // startDelay estimates the time until the instance begins its answer: the prefill of
 // this and earlier prompts, the slowdown by running requests, and the wait for free
-// capacity.
+// capacity, all at the speed of the instance.
 func (c candidate) startDelay(r Requirements, speed EngineSpeed) time.Duration {
 	s := c.snapshot
 	unshared := float64(r.InputTokens - r.sharedTokens())
@@ -146,7 +146,7 @@
 	if excess := s.occupied + 1 - capacity; capacity > 0 && excess > 0 {
 		delay += scale(speed.AttemptTime, excess/capacity)
 	}
-	return delay
+	return scale(delay, s.relativeDelay)
 }
 
 // scale returns d multiplied by factor.
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -31,6 +31,7 @@
 	onHealth      func(HealthChange)                  // may be nil
 	onNotice      func(Notice)                        // may be nil
 	onEngineSpeed func(service string, s EngineSpeed) // may be nil
+	compareSpeeds bool                                // as Placement.CompareSpeeds
 
 	mu              sync.Mutex // guards the fields below
 	running         int        // attempts of this router that have not ended
@@ -45,6 +46,7 @@
 	leaving         bool      // announced in an answer; final for this incarnation
 	pausedUntil     time.Time // no request is sent before this time
 	unlistedSince   time.Time // when it disappeared from the roster; zero while it is listed
+	delay           relativeDelay
 }
 
 // newInstance returns the state of an instance that has not been used yet. The caller
@@ -59,6 +61,7 @@
 		onHealth:      p.OnHealthChange,
 		onNotice:      p.OnNotice,
 		onEngineSpeed: p.OnEngineSpeed,
+		compareSpeeds: p.CompareSpeeds,
 		cached:        make(map[uint64]time.Time),
 	}
 	out.pool = &upstream.Pool{
@@ -79,6 +82,7 @@
 	admits         bool    // the breaker allows another request
 	uncached       int64   // shared prompt tokens that are not known to be cached there
 	rtt            time.Duration
+	relativeDelay  float64 // of its answers, compared with the mean of the service
 }
 
 // snapshot returns the state of the instance for a request. It half-opens the breaker if a
@@ -100,9 +104,19 @@
 		admits:         i.breaker.Allows(i.running),
 		uncached:       i.uncachedTokens(r),
 		rtt:            i.rtt.value(),
+		relativeDelay:  i.relativeDelay(),
 	}
 }
 
+// relativeDelay returns how long the instance takes for its work compared with the mean of its
+// service, or 1 if speeds are not compared. The caller holds mu.
+func (i *instance) relativeDelay() float64 {
+	if !i.compareSpeeds {
+		return 1
+	}
+	return i.delay.value()
+}
+
 // uncachedTokens returns the number of shared prompt tokens that are not known to be in
 // the instance's cache. A part counts as cached only if all parts before it are. The
 // caller holds mu.
@@ -165,7 +179,10 @@
 func (i *instance) answerStarted(s *Slot, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	speed, changed := i.estimator.observeFirstEvent(s.prefillAhead, float64(s.pendingPrefill), now.Sub(s.startedAt)-i.rtt.value())
+	took := now.Sub(s.startedAt) - i.rtt.value()
+	before := i.estimator.speed()
+	i.delay.observe(took, before.BaseLatency+before.prefillTime(s.prefillAhead))
+	speed, changed := i.estimator.observeFirstEvent(s.prefillAhead, float64(s.pendingPrefill), took)
 	if changed && i.onEngineSpeed != nil {
 		i.onEngineSpeed(i.Service, speed)
 	}
@@ -173,6 +190,18 @@
 	s.pendingPrefill = 0
 }
 
+// observeStream updates the engine speed of the service and the instance's own with the time that
+// a number of tokens of an answer took after its first event.
+func (i *instance) observeStream(tokens int64, took time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	i.mu.Lock()
+	i.delay.observe(took, scale(i.estimator.speed().TokenInterval, float64(tokens)))
+	i.mu.Unlock()
+	i.estimator.observeStream(tokens, took)
+}
+
 // end removes an attempt from the load and updates the breaker, the failure rate and the
 // cached parts by its outcome.
 func (i *instance) end(s *Slot, o Outcome, now time.Time) {
--- a/internal/target/placement/instance_state.go
+++ b/internal/target/placement/instance_state.go
@@ -18,6 +18,9 @@
 	UncachedTokens int64
 	// FailureRate is the recent failure rate, from 0 to 1.
 	FailureRate float64
+	// RelativeDelay is how long the instance takes for its work compared with the mean of its service;
+	// 1 if speeds are not compared.
+	RelativeDelay float64
 	// HasReport is set if a load report was recent enough to count; ReportAge is its age.
 	HasReport bool
 	ReportAge time.Duration
@@ -32,6 +35,7 @@
 		PendingPrefill: pendingPrefill,
 		UncachedTokens: i.uncachedTokens(r),
 		FailureRate:    i.failureRateAt(now),
+		RelativeDelay:  i.relativeDelay(),
 		HasReport:      age < reportMaxAge,
 		ReportAge:      age,
 	}
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -123,6 +123,9 @@
 	// OnEngineSpeed is called when the engine speed of a service has changed considerably; it
 	// must not block.
 	OnEngineSpeed func(service string, s EngineSpeed)
+	// CompareSpeeds is set if instances of one service may differ in speed, and are chosen by the
+	// speed that their own answers have shown.
+	CompareSpeeds bool
 	// Rand returns a random number in [0, n); nil selects math/rand/v2.
 	Rand func(n int) int
 
@@ -196,7 +199,7 @@
 // ObserveStream records the number of tokens of the answer after its first event, and the time
 // from the first to the last event.
 func (s *Slot) ObserveStream(tokens int64, took time.Duration) {
-	s.instance.estimator.observeStream(tokens, took)
+	s.instance.observeStream(tokens, took)
 }
 
 // End records the outcome of the attempt and releases the slot. Later calls have no effect.
