Send nothing to targets of evacuated failure domains

Placement asks whether a domain is evacuated when it lists the candidates, before it requests a report, and again when a request that was placed gets its connection, so that first attempts, repeats, hedges and resumed streams all avoid it. A request that lost its target before it was sent goes to another one without drawing on the retry budget. If nothing else is left, it is refused at once: 503 failure_domains_evacuated, not run, Retry-After 1 s. Streams in flight go on. Nothing sets the seam yet.

--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -130,7 +130,7 @@
 func (ar *activeRequest) outcomeOf(err error) placement.Outcome {
 	var runErr *runner.Error
 	switch {
-	case ar.interrupted() || errors.Is(err, placement.ErrLeft):
+	case ar.interrupted() || errors.Is(err, placement.ErrLeft) || errors.Is(err, placement.ErrEvacuated):
 		return placement.Inconclusive
 	case !errors.As(err, &runErr) || runErr.RunState != answer.NotRun:
 		return placement.Failed
@@ -192,6 +192,8 @@
 		return blocked.refusal()
 	case ar.runState == answer.NotRun && errors.As(lastErr, &paused):
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "targets_paused", max(time.Millisecond, time.Until(paused.Until)), "no target takes requests now: %v", lastErr)
+	case ar.runState == answer.NotRun && errors.Is(lastErr, placement.ErrEvacuated):
+		return answer.Retryable(fasthttp.StatusServiceUnavailable, EvacuatedCode, evacuatedRetryAfter, "no target can take the request now: %v", lastErr)
 	case ar.runState == answer.NotRun:
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "no_target", busyRetryAfter, "no target can take the request now: %v", lastErr)
 	default:
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -26,11 +26,16 @@
 	overloadedRetryAfter = time.Second
 	// busyRetryAfter is the Retry-After when no instance can take the request.
 	busyRetryAfter = 150 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After when all targets are in evacuated failure domains. The operator takes an
+	// evacuation back after minutes rather than seconds, but may do so at any moment.
+	evacuatedRetryAfter = time.Second
 	// stoppingRetryAfter is the Retry-After of a router that stops; other routers can take the
 	// request at once.
 	stoppingRetryAfter = 10 * time.Millisecond
 	// stoppingCode is the code of answers to requests that a stop has refused or cut off.
 	stoppingCode = "router_stopping"
+	// EvacuatedCode is the code of answers to requests whose targets are all in evacuated failure domains.
+	EvacuatedCode = "failure_domains_evacuated"
 	// maxTokensRetryAfter is the longest Retry-After when tokens could not be reserved.
 	maxTokensRetryAfter = 2 * time.Second
 	// reservationWaitShare is the fraction of the route's latency goal that a request may
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -75,10 +75,13 @@
 // candidates returns the instances that accept requests and that this request was not
 // sent to before. The list starts at a random instance, which breaks ties in cost.
 func (p *Placement) candidates(s *service, r Requirements, speed EngineSpeed, now time.Time) []candidate {
-	list := s.instances
+	list := p.outsideEvacuations(s.instances)
 	out := make([]candidate, 0, len(list))
 	key, keyed := r.affinityKey()
 	longLane := s.lanes.longLaneSize(len(list))
+	if len(list) == 0 {
+		return nil
+	}
 	offset := p.intN(len(list))
 	for n := range list {
 		index := (n + offset) % len(list)
--- a/internal/target/placement/notice.go
+++ b/internal/target/placement/notice.go
@@ -86,20 +86,31 @@
 	return i.pausedUntil
 }
 
-// noInstanceError returns a *PausedError if a paused instance would be left for the request,
-// and ErrNoInstance otherwise.
-func (s *service) noInstanceError(r Requirements, now time.Time) error {
+// noInstanceError returns a *PausedError if a paused instance would be left for the request, an error that wraps
+// ErrEvacuated if one in an evacuated failure domain would be, and ErrNoInstance otherwise.
+func (p *Placement) noInstanceError(s *service, r Requirements, now time.Time) error {
 	var first time.Time
+	evacuated := false
 	for _, i := range s.instances {
+		if slices.Contains(r.Exclude, i.ID) {
+			continue
+		}
+		if p.evacuated(i) {
+			evacuated = true
+			continue
+		}
 		until := i.pauseEnd(now)
-		if until.IsZero() || slices.Contains(r.Exclude, i.ID) {
+		if until.IsZero() {
 			continue
 		}
 		if first.IsZero() || until.Before(first) {
 			first = until
 		}
 	}
-	if first.IsZero() {
+	switch {
+	case first.IsZero() && evacuated:
+		return evacuatedError{}
+	case first.IsZero():
 		return ErrNoInstance
 	}
 	return &PausedError{Until: first}
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -123,6 +123,9 @@
 	// OnEngineSpeed is called when the engine speed of a service has changed considerably; it
 	// must not block.
 	OnEngineSpeed func(service string, s EngineSpeed)
+	// Evacuated reports whether the operator has had a failure domain evacuated, so that its instances receive nothing;
+	// nil if none is. It is asked for each choice.
+	Evacuated func(domain string) bool
 	// Rand returns a random number in [0, n); nil selects math/rand/v2.
 	Rand func(n int) int
 
@@ -145,6 +148,7 @@
 // Slot is the reservation of an instance for one attempt. End must be called on it.
 type Slot struct {
 	instance       *instance
+	evacuated      func(i *instance) bool
 	conn           *upstream.Conn // connection from the report request, not yet used; nil if there is none
 	state          InstanceState
 	pendingPrefill int64   // uncached prompt tokens of the attempt; 0 once it is answering
@@ -172,10 +176,16 @@
 // still open, or else one from the connection pool, which is always new if fresh is set.
 //
 // The error is a *runner.Error which states that nothing was sent. It wraps ErrLeft if the instance has left while the
-// request waited.
+// request waited, and ErrEvacuated if its failure domain was evacuated.
 func (s *Slot) Conn(ctx context.Context, fresh bool) (*upstream.Conn, error) {
 	conn := s.conn
 	s.conn = nil
+	if err := s.checkEvacuation(); err != nil {
+		if conn != nil {
+			conn.Release()
+		}
+		return nil, err
+	}
 	if conn == nil || !conn.Usable() {
 		var err error
 		if conn, err = s.instance.pool.Acquire(ctx, fresh); err != nil {
@@ -187,6 +197,10 @@
 		s.instance.pool.CloseIdle()
 		return nil, &runner.Error{RunState: answer.NotRun, Err: ErrLeft}
 	}
+	if err := s.checkEvacuation(); err != nil {
+		conn.Release()
+		return nil, err
+	}
 	return conn, nil
 }
 
@@ -275,8 +289,8 @@
 
 // Choose selects an instance of the service for the request and reserves a slot there.
 //
-// The error is ErrNoInstance, or a *PausedError if all instances left for the request have
-// paused.
+// The error is ErrNoInstance, a *PausedError if all instances left for the request have
+// paused, or wraps ErrEvacuated if all that are left are in evacuated failure domains.
 func (p *Placement) Choose(ctx context.Context, service string, r Requirements) (*Slot, error) {
 	p.mu.RLock()
 	s := p.services[service]
@@ -284,15 +298,15 @@
 	if s == nil {
 		return nil, ErrNoInstance
 	}
-	s.lanes.record(r, s.estimator.speed(), s.instances, time.Now())
-	slot := &Slot{}
+	s.lanes.record(r, s.estimator.speed(), p.outsideEvacuations(s.instances), time.Now())
+	slot := &Slot{evacuated: p.evacuated}
 	if r.RequireReport && p.FetchReport != nil {
 		slot.instance, slot.conn = p.chooseByReport(ctx, s, r)
 	} else {
 		slot.instance = p.choose(s, r, time.Now())
 	}
 	if slot.instance == nil {
-		return nil, s.noInstanceError(r, time.Now())
+		return nil, p.noInstanceError(s, r, time.Now())
 	}
 	slot.instance.begin(slot, r, time.Now())
 	return slot, nil
