Put the operator's evacuations in force on the users' platform

The rows come with the operator's table, before the configuration, so that no router serves before it knows them. Heartbeats tell of the newest row about an evacuation; a router whose copy of the table does not reach there asks that peer for the changes, so that routers which the store refuses learn of it too. Older routers ignore the field, and nothing is added to heartbeats before the first evacuation. Gauges, counters and log lines.

--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"rosevalve/internal/budget/prepaid"
+	"rosevalve/internal/fleet/evacuation"
 	"rosevalve/internal/protocol/httpjson"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/target/placement"
@@ -36,6 +37,8 @@
 	Members      []inner.Member                   `json:"members"`
 	// Blocks are the prompts that are kept from the engines.
 	Blocks []BlockState `json:"blocks,omitempty"`
+	// Evacuations are the failure domains whose targets receive nothing.
+	Evacuations []evacuation.Evacuation `json:"evacuations,omitempty"`
 	// Tables are the copies of tables of the store.
 	Tables []TableState `json:"tables"`
 }
@@ -119,6 +122,7 @@
 		EngineSpeeds: e.placement.EngineSpeeds(),
 		Members:      e.view.Members(),
 		Blocks:       e.blockStates(),
+		Evacuations:  e.evacuations.List(),
 		Tables:       e.tableStates(),
 	}
 	if p := e.plan.Load(); p != nil {
--- a/internal/fleet/edge/configuration.go
+++ b/internal/fleet/edge/configuration.go
@@ -11,7 +11,7 @@
 )
 
 func (e *Edge) connectConfig() {
-	e.configTable = e.follow(platform.TableOperator, e.applyConfig)
+	e.configTable = e.follow(platform.TableOperator, e.applyOperatorRows)
 	e.configTable.Newer = platform.IsNewerConfig
 	e.metrics.addGauge("rosevalve_plan_version", func() float64 { return float64(e.planVersion()) })
 	e.metrics.addGauge("rosevalve_plan_announced_version", func() float64 { return float64(e.announced.highestVersion()) })
@@ -38,6 +38,13 @@
 	e.configTable.HintPeer(addr, func() bool { return version > e.planVersion() })
 }
 
+// applyOperatorRows puts changed rows of the operator in force. The evacuations go first, since a router serves requests
+// once it has a configuration.
+func (e *Edge) applyOperatorRows(rows []table.Row, from follow.Source) {
+	e.applyEvacuations(rows, from)
+	e.applyConfig(rows, from)
+}
+
 // applyConfig puts a configuration in force if it is newer than the current one.
 func (e *Edge) applyConfig(rows []table.Row, from follow.Source) {
 	for _, r := range rows {
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -43,6 +43,7 @@
 	e.connectStore()
 	e.connectConfig()
 	e.connectTargets()
+	e.connectEvacuations()
 	e.connectQuarantine()
 	e.connectTokens()
 	e.connectFleet()
@@ -90,6 +91,7 @@
 		OnHealthChange: e.recordHealth,
 		OnNotice:       e.recordNotice,
 		OnEngineSpeed:  e.recordEngineSpeed,
+		Evacuated:      e.evacuations.Contains,
 	}
 	e.oddTargets = make(map[string]bool)
 	e.targetTable = e.follow(platform.TableTargets, e.applyTargets)
@@ -149,6 +151,8 @@
 		Call:            e.transport.Call,
 		ConfigVersion:   e.planVersion,
 		OnConfigVersion: e.notePeerConfigVersion,
+		Evacuation:      e.evacuations.Latest,
+		OnEvacuation:    e.notePeerEvacuation,
 	}
 	e.fleet = &entry.Selector{Members: e.view.Members}
 	e.transport.Self = e.view.Self
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -15,6 +15,7 @@
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/fleet/drain"
 	"rosevalve/internal/fleet/entry"
+	"rosevalve/internal/fleet/evacuation"
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/fleet/membership"
 	"rosevalve/internal/fleet/peer"
@@ -68,6 +69,7 @@
 	configTable     *follow.Table   // local copy of the store's operator table, which holds the configuration
 	targetTable     *follow.Table   // local copy of the store's table of target announcements
 	oddTargets      map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
+	evacuations     evacuation.Set
 	announced       announcements
 	wasOutdated     bool                       // used only by maintain
 	slowReads       map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
@@ -188,6 +190,7 @@
 	e.forwarder.RetryBudget.SetRouterCount(len(e.view.Members()))
 	e.logSlowReads()
 	e.logOutdated()
+	e.recordEvacuations(e.evacuations.Expire(now), false)
 	e.memberLog.update(e.innerAddr(), e.view.Members(), e.Events.Emit)
 }
 
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/request/forward"
+	"rosevalve/internal/target/placement"
 )
 
 const (
@@ -109,12 +111,18 @@
 	case forward.AttemptSent:
 		m.count("rosevalve_attempts_total", 1, "instance", d.Instance)
 	case forward.AttemptFailed:
+		if errors.Is(d.Err, placement.ErrEvacuated) {
+			m.count("rosevalve_evacuation_requests_total", 1, "effect", "moved")
+		}
 		m.count("rosevalve_attempts_failed_total", 1, "instance", d.Instance, "outcome", d.Outcome.String())
 	case forward.Retried:
 		m.count("rosevalve_repeats_total", 1, "service", d.Service)
 	case forward.RetryDenied:
 		m.count("rosevalve_repeats_denied_total", 1, "service", d.Service)
 	case forward.Refused:
+		if d.Refusal.Code == forward.EvacuatedCode {
+			m.count("rosevalve_evacuation_requests_total", 1, "effect", "refused")
+		}
 		m.count("rosevalve_refusals_total", 1, "code", d.Refusal.Code, "run", d.Run.String())
 		m.count("rosevalve_requests_total", 1, "route", d.Route, "outcome", d.Kind.String())
 		m.observe("rosevalve_refusal_seconds", d.Elapsed, "code", d.Refusal.Code)
--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rosevalve/internal/protocol/inner"
 )
 
 //go:generate ../../../bin/stringer -type=Kind -linecomment
@@ -61,19 +63,11 @@
 	Until time.Time `json:"until,omitzero"`
 }
 
-// Position is a point in the history of the operator's table.
-type Position struct {
-	// Era is the store era of the version.
-	Era uint64
-	// Version is the version of a row.
-	Version uint64
-}
-
 // Set is the set of evacuations in force. Its zero value is empty and ready for use.
 type Set struct {
 	mu      sync.Mutex                            // guards the writing of the fields below
 	inForce atomic.Pointer[map[string]Evacuation] // by domain; nil before the first one, and never changed
-	latest  atomic.Pointer[Position]              // of the newest change; nil before the first one
+	latest  atomic.Pointer[inner.TablePosition]   // of the newest change; nil before the first one
 }
 
 // Contains reports whether a failure domain is evacuated.
@@ -96,11 +90,11 @@
 }
 
 // Latest returns the position of the newest change, which is zero before the first one.
-func (s *Set) Latest() Position {
+func (s *Set) Latest() inner.TablePosition {
 	if p := s.latest.Load(); p != nil {
 		return *p
 	}
-	return Position{}
+	return inner.TablePosition{}
 }
 
 // Apply puts changes in force, which must be in the order of their versions and newer than those before, and returns the
@@ -112,7 +106,7 @@
 			if t, ok := apply(in, c, now); ok {
 				out = append(out, t)
 			}
-			s.latest.Store(&Position{Era: c.Era, Version: c.Version})
+			s.latest.Store(&inner.TablePosition{Era: c.Era, Version: c.Version})
 		}
 	})
 	return out
--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"rosevalve/internal/protocol/inner"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -37,7 +39,7 @@
 	var s Set
 	assertInForce(t, &s)
 	assert.Assert(t, !s.Contains("a"))
-	assert.Equal(t, s.Latest(), Position{})
+	assert.Equal(t, s.Latest(), inner.TablePosition{})
 }
 
 func TestTwoDomainsAtOnce(t *testing.T) {
@@ -46,7 +48,7 @@
 	assertInForce(t, &s, "a", "b")
 	assert.DeepEqual(t, s.Apply([]Change{restore("b", 6)}, start), []Transition{{Ended, "b", 6}})
 	assertInForce(t, &s, "a")
-	assert.Equal(t, s.Latest(), Position{Version: 6})
+	assert.Equal(t, s.Latest(), inner.TablePosition{Version: 6})
 }
 
 func TestRowWrittenAgain(t *testing.T) {
@@ -82,7 +84,7 @@
 		s.Apply([]Change{{Domain: "a", Evacuated: true, Era: 1, Version: 12}}, start)
 		assert.Equal(t, len(s.Expire(start.Add(2*rollbackGrace))), 0)
 		assertInForce(t, s, "a")
-		assert.Equal(t, s.Latest(), Position{Era: 1, Version: 12})
+		assert.Equal(t, s.Latest(), inner.TablePosition{Era: 1, Version: 12})
 	})
 }
 
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -34,6 +34,10 @@
 	PlanInForce                       // plan_in_force
 	PlanOutdated                      // plan_outdated
 	PlanUnreadable                    // plan_unreadable
+	EvacuationBegan                   // evacuation_began
+	EvacuationChanged                 // evacuation_changed
+	EvacuationEnded                   // evacuation_ended
+	EvacuationUnreadable              // evacuation_unreadable
 	TargetAnnounced                   // target_announced
 	TargetGone                        // target_gone
 	TargetUnreadable                  // target_unreadable
@@ -153,6 +157,10 @@
 	PlanInForce:          {component: Plan, doc: "a new routing plan is in effect; it arrived from the store or from_peers, as a part of bytes in read_ms, was decoded in decode_ms and had been announced by another router announced_ms before", fields: "plan_version, row_version, routes, workspaces, from_peers, bytes, wait_ms, read_ms, decode_ms, announced_ms"},
 	PlanOutdated:         {component: Plan, warning: true, doc: "requests are refused with `configuration_outdated` from now on until the configuration arrives that other routers have had for 2 s", fields: "plan_version, in_force"},
 	PlanUnreadable:       {component: Plan, warning: true, doc: "a configuration cannot be decoded; the previous one stays in effect", fields: "row_version, err"},
+	EvacuationBegan:      {component: Targets, warning: true, doc: "the operator has had a failure domain evacuated: nothing more is sent to its instances, of which there are as many; none of them may be known, if the domain does not exist", fields: "failure_domain, row_version, instances, from_peers"},
+	EvacuationChanged:    {component: Targets, doc: "change is rewritten (the operator has written the row of an evacuation again) or missing (the store was rolled back to a copy without the row; the evacuation stays in force for 10 s, in which the operator can write it again)", fields: "failure_domain, row_version, change, from_peers"},
+	EvacuationEnded:      {component: Targets, doc: "an evacuation was taken back, or its row was missing for too long; the instances of the failure domain get requests again", fields: "failure_domain, row_version, instances"},
+	EvacuationUnreadable: {component: Targets, warning: true, doc: "a row of the operator about an evacuation can't be used; what was in force for that failure domain stays so", fields: "key, row_version, err"},
 	TargetAnnounced:      {component: Targets, doc: "an instance announced itself or changed its announcement", fields: "instance, addr, service, draining, row_version"},
 	TargetGone:           {component: Targets, doc: "the announcement of an instance was removed", fields: "instance, row_version"},
 	TargetUnreadable:     {component: Targets, warning: true, doc: "an announcement names no instance; logged once as long as that is so", fields: "instance, row_version, err"},
--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -22,6 +22,7 @@
 		return fmt.Errorf("router at %s reports inner address %s", addr, ack.Sender.InnerAddr)
 	}
 	v.notifyConfigVersion(ack.Sender, ack.Config)
+	v.notifyEvacuation(ack.Sender, ack.Evacuation)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.recordContact(ack.Sender)
@@ -39,10 +40,11 @@
 		return nil, fmt.Errorf("decode heartbeat: %w", err)
 	}
 	v.notifyConfigVersion(in.Sender, in.Config)
-	config := v.configVersion()
+	v.notifyEvacuation(in.Sender, in.Evacuation)
+	config, evacuation := v.configVersion(), v.evacuation()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	ack := inner.HeartbeatAck{Config: config}
+	ack := inner.HeartbeatAck{Config: config, Evacuation: evacuation}
 	if e, ok := v.members[in.Sender.InnerAddr]; ok && v.mustRefute(e, in.Sender) {
 		ack.Events = append(ack.Events, v.claimToRefute(e))
 	}
@@ -78,10 +80,10 @@
 
 // newHeartbeat returns the next heartbeat and counts its updates as sent.
 func (v *View) newHeartbeat() inner.Heartbeat {
-	config := v.configVersion()
+	config, evacuation := v.configVersion(), v.evacuation()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := inner.Heartbeat{Sender: v.self, Events: v.nextEvents(nil), Config: config}
+	out := inner.Heartbeat{Sender: v.self, Events: v.nextEvents(nil), Config: config, Evacuation: evacuation}
 	if v.pagesDiffer || v.rounds%pageRounds == 0 {
 		out.Page = v.nextPage()
 	}
@@ -103,6 +105,25 @@
 	}
 }
 
+// evacuation returns the position of this router's newest row about an evacuation, or nil if it has none.
+func (v *View) evacuation() *inner.TablePosition {
+	if v.Evacuation == nil {
+		return nil
+	}
+	p := v.Evacuation()
+	if p.Version == 0 {
+		return nil
+	}
+	return &p
+}
+
+// notifyEvacuation passes the position of a peer's newest row about an evacuation to OnEvacuation.
+func (v *View) notifyEvacuation(sender inner.Member, p *inner.TablePosition) {
+	if v.OnEvacuation != nil && p != nil {
+		v.OnEvacuation(sender.InnerAddr, *p)
+	}
+}
+
 // recordContact merges a peer's own entry and records the time of the contact. The caller holds
 // mu.
 func (v *View) recordContact(sender inner.Member) {
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -52,6 +52,11 @@
 	// OnConfigVersion is called with the configuration version of a peer from each heartbeat and
 	// each answer to one. It must not block.
 	OnConfigVersion func(innerAddr string, version uint64)
+	// Evacuation returns the position of this router's newest row about an evacuation, which heartbeats carry; zero if
+	// it has none.
+	Evacuation func() inner.TablePosition
+	// OnEvacuation is called with that position of a peer from each heartbeat and each answer to one. It must not block.
+	OnEvacuation func(innerAddr string, p inner.TablePosition)
 	// OnReplaced is called once if another router answers at this router's address.
 	OnReplaced func()
 
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -87,6 +87,8 @@
 type Source struct {
 	// FromPeer reports that another router sent the rows rather than the store.
 	FromPeer bool
+	// Era is the store era of the rows' versions.
+	Era uint64
 	// RolledBack reports that the rows come from a store that was rolled back to an older snapshot.
 	RolledBack bool
 	// Transfer is the call that the rows answer.
--- a/internal/platform/follow/peers.go
+++ b/internal/platform/follow/peers.go
@@ -16,6 +16,8 @@
 	addr string
 	// needed reports whether this router still lacks them.
 	needed func() bool
+	// whole requests all rows rather than those that changed after the position of the copy.
+	whole bool
 }
 
 // pollPeers requests rows from other routers periodically while the store fails, and at once
@@ -29,22 +31,22 @@
 			return
 		case h := <-t.peerHints:
 			if h.needed() {
-				t.pull(ctx, h.addr)
+				t.pull(ctx, h.addr, h.whole)
 			}
 		case <-tick.C:
 			if t.failing.Load() {
-				t.pull(ctx, "")
+				t.pull(ctx, "", false)
 			}
 		}
 	}
 }
 
 // pull requests the rows that this copy lacks from the router at addr, or from any router if
-// addr is empty. A router that is known to have newer rows is asked for all rows, since
-// those with newer content may have older versions.
-func (t *Table) pull(ctx context.Context, addr string) {
+// addr is empty. If whole is set, it requests all rows, since those with newer content may have older
+// versions.
+func (t *Table) pull(ctx context.Context, addr string, whole bool) {
 	era, since := t.local.position()
-	if addr != "" {
+	if whole {
 		since = 0
 	}
 	transfer := table.NewTransfer()
@@ -81,8 +83,25 @@
 // HintPeer records that the router at addr has newer rows, which are then requested from it if they are still needed.
 // At most one router is pending; it drops addr if there is one already.
 func (t *Table) HintPeer(addr string, needed func() bool) {
+	t.hint(hint{addr: addr, needed: needed, whole: true})
+}
+
+// HintPosition records that the router at addr has a row with a version of an era. The changes are requested from it if
+// this copy does not reach there yet; like HintPeer, it drops addr if another router is pending.
+func (t *Table) HintPosition(addr string, era, version uint64) {
+	lacks := func() bool {
+		myEra, mine := t.local.position()
+		return era > myEra || era == myEra && version > mine
+	}
+	if lacks() {
+		t.hint(hint{addr: addr, needed: lacks})
+	}
+}
+
+// hint adds a router to the pending ones unless there is one already.
+func (t *Table) hint(h hint) {
 	select {
-	case t.peerHints <- hint{addr: addr, needed: needed}:
+	case t.peerHints <- h:
 	default:
 	}
 }
--- a/internal/platform/follow/rowset.go
+++ b/internal/platform/follow/rowset.go
@@ -96,7 +96,7 @@
 	s.limitTombstones()
 	slices.SortStableFunc(changed, func(a, b table.Row) int { return cmp.Compare(a.Version, b.Version) })
 	if len(changed) > 0 {
-		from.RolledBack = newEra
+		from.Era, from.RolledBack = c.era, newEra
 		onRows(changed, from)
 	}
 	return len(changed), newEra
--- a/internal/protocol/inner/membership.go
+++ b/internal/protocol/inner/membership.go
@@ -10,6 +10,8 @@
 	Page *Page `json:"page,omitempty"`
 	// Config is the sender's configuration version.
 	Config uint64 `json:"config,omitempty"`
+	// Evacuation is the sender's newest row about an evacuation; nil if it has none.
+	Evacuation *TablePosition `json:"evacuation,omitempty"`
 }
 
 // HeartbeatAck answers a heartbeat.
@@ -22,6 +24,16 @@
 	Missing []Member `json:"missing,omitempty"`
 	// Config is the responding router's configuration version.
 	Config uint64 `json:"config,omitempty"`
+	// Evacuation is the responding router's newest row about an evacuation; nil if it has none.
+	Evacuation *TablePosition `json:"evacuation,omitempty"`
+}
+
+// TablePosition is a point in the history of a table of the store.
+type TablePosition struct {
+	// Era is the store era of the version.
+	Era uint64 `json:"era,omitempty"`
+	// Version is the version of a row.
+	Version uint64 `json:"version"`
 }
 
 // Page lists the versions of the members that the sender knows in a range of inner addresses.
