Keep requests in the home regions of their routes and workspaces

Routes and workspaces may name the regions whose targets run their requests; where both do, both bind. If no target is left in a home, the request is refused at once: 503 no_home_region, not run, Retry-After 1 s. While the configuration has homes, callers are told of routers of their own region, if there are any. Without homes nothing changes.

--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -80,7 +80,7 @@
 		}
 		return
 	case platform.EndpointDirectory:
-		if err := platform.WriteDirectory(&ctx.Response, e.addresses(platform.CallerFailureDomain(ctx.QueryArgs())), e.settings().Edge.DirectoryMaxAge); err != nil {
+		if err := platform.WriteDirectory(&ctx.Response, e.addresses(platform.CallerFailureDomain(ctx.QueryArgs()), platform.CallerRegion(ctx.QueryArgs())), e.settings().Edge.DirectoryMaxAge); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		}
 		return
@@ -99,9 +99,13 @@
 }
 
 // addresses returns the addresses of the routers that serve callers of a failure domain, at
-// most maxAddresses, in random order.
-func (e *Edge) addresses(domain string) []string {
+// most maxAddresses, in random order. While routes or workspaces have homes, callers get
+// routers of their region.
+func (e *Edge) addresses(domain, region string) []string {
 	serving := slices.Clone(e.fleet.ServingDomain(domain))
+	if p := e.plan.Load(); p != nil && p.HasHomes() {
+		serving = slices.Clone(e.fleet.ServingRegion(domain, region))
+	}
 	rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
 	out := make([]string, 0, len(serving))
 	for _, m := range serving[:min(maxAddresses, len(serving))] {
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -186,6 +186,7 @@
 		Crashes:      &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
 		Plan:         e.plan.Load,
 		PlanOutdated: e.outdated,
+		RegionOf:     e.regionOf,
 		Overloaded:   e.refusesForOverload,
 		Tokens:       e.tokens,
 		Placement:    e.placement,
@@ -218,6 +219,18 @@
 	return e.Settings.Router.InnerListen
 }
 
+// regionOf returns the region of a failure domain, or "" if it is not known.
+func (e *Edge) regionOf(domain string) string {
+	cfg := e.settings().Router
+	if region, ok := cfg.Regions[domain]; ok {
+		return region
+	}
+	if domain == cfg.FailureDomain {
+		return cfg.Region
+	}
+	return ""
+}
+
 // reachablePeers returns the inner addresses of the alive and leaving routers, in random order.
 func (e *Edge) reachablePeers() []string {
 	self := e.innerAddr()
--- a/internal/fleet/entry/selector.go
+++ b/internal/fleet/entry/selector.go
@@ -49,6 +49,16 @@
 	return s.serving
 }
 
+// ServingRegion is like ServingDomain, but leaves out the routers of other regions than the caller's if there are any in
+// that, so that requests which must stay there are not sent elsewhere.
+func (s *Selector) ServingRegion(domain, region string) []inner.Member {
+	near := s.ServingDomain(domain)
+	if own := filter(near, func(m inner.Member) bool { return m.Region == region }); len(own) > 0 {
+		return own
+	}
+	return near
+}
+
 // TopRanked returns the n serving routers that rank highest for the key by rendezvous hashing, the
 // highest first. All calls must pass the same n, since results are cached by key. The slice is
 // shared and must not be changed.
--- a/internal/fleet/settings/option.go
+++ b/internal/fleet/settings/option.go
@@ -103,6 +103,29 @@
 	}
 }
 
+// pairsOption accepts a list of pairs of words.
+func pairsOption(section, key, defaultValue, doc string, out *map[string]string) *Option {
+	return &Option{
+		section: section, key: key, defaultValue: defaultValue, doc: doc,
+		allowed: "pairs NAME:VALUE, separated by commas, or empty",
+		parse: func(text string) error {
+			*out = make(map[string]string)
+			for part := range strings.SplitSeq(text, ",") {
+				part = strings.TrimSpace(part)
+				if part == "" {
+					continue
+				}
+				name, value, ok := strings.Cut(part, ":")
+				if !ok || name == "" || value == "" {
+					return fmt.Errorf("%q is not a pair NAME:VALUE", part)
+				}
+				(*out)[name] = value
+			}
+			return nil
+		},
+	}
+}
+
 // wordOption accepts text without spaces, tabs and slashes, or the empty text.
 func wordOption(section, key, defaultValue, doc string, out *string) *Option {
 	return &Option{
--- a/internal/fleet/settings/router.go
+++ b/internal/fleet/settings/router.go
@@ -12,6 +12,8 @@
 	FailureDomain string
 	// Region is the region of the VM, a group of failure domains.
 	Region string
+	// Regions are the regions of failure domains, by domain.
+	Regions map[string]string
 	// EntryMaxAge is how long callers may cache a list of routers.
 	EntryMaxAge time.Duration
 	// DrainTimeout is the longest duration of a graceful shutdown.
@@ -24,6 +26,7 @@
 		addrOption("router", "inner_listen", "127.0.0.1:7101", "address for other routers", &s.InnerListen),
 		wordOption("router", "failure_domain", "fd-1", "failure domain of this VM", &s.FailureDomain),
 		wordOption("router", "region", "region-1", "region of this VM", &s.Region),
+		pairsOption("router", "regions", "", "region of each failure domain, for routes and workspaces with home regions; that of this VM need not be given", &s.Regions),
 		durationOption("router", "entry_max_age", "5s", "how long callers may cache a list of routers", time.Second, time.Hour, &s.EntryMaxAge),
 		durationOption("router", "drain_limit", "5m", "longest duration of a graceful shutdown", time.Second, time.Hour, &s.DrainTimeout),
 	}
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -24,6 +24,7 @@
 	route     *plan.Route
 	service   *plan.Service
 	workspace *plan.Workspace // nil for anonymous requests
+	homes     plan.Homes
 	priority  int
 	deadline  time.Time
 	ctx       context.Context
@@ -101,6 +102,9 @@
 // requirements describes the request for the choice of an instance.
 func (ar *activeRequest) requirements() placement.Requirements {
 	d := placement.Requirements{Exclude: ar.triedInstances, LatencyGoal: ar.route.LatencyGoal, AtMostOnce: !ar.route.Retryable()}
+	if ar.homes.Restricted {
+		d.Allowed = func(domain string) bool { return ar.homes.Allow(ar.f.RegionOf(domain)) }
+	}
 	if ar.r.Prompt == nil || ar.service.Engine == nil {
 		return d
 	}
@@ -194,6 +198,8 @@
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "targets_paused", max(time.Millisecond, time.Until(paused.Until)), "no target takes requests now: %v", lastErr)
 	case ar.runState == answer.NotRun && errors.Is(lastErr, placement.ErrEvacuated):
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, EvacuatedCode, evacuatedRetryAfter, "no target can take the request now: %v", lastErr)
+	case ar.runState == answer.NotRun && errors.Is(lastErr, placement.ErrNotAllowed):
+		return answer.Retryable(fasthttp.StatusServiceUnavailable, homesCode, homesRetryAfter, "no target is in a home region of the request: %v", ar.homes.Regions)
 	case ar.runState == answer.NotRun:
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "no_target", busyRetryAfter, "no target can take the request now: %v", lastErr)
 	default:
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -36,6 +36,10 @@
 	stoppingCode = "router_stopping"
 	// EvacuatedCode is the code of answers to requests whose targets are all in evacuated failure domains.
 	EvacuatedCode = "failure_domains_evacuated"
+	// homesRetryAfter is the Retry-After when no target is in a home region of the request.
+	homesRetryAfter = time.Second
+	// homesCode is the code of answers to such requests.
+	homesCode = "no_home_region"
 	// maxTokensRetryAfter is the longest Retry-After when tokens could not be reserved.
 	maxTokensRetryAfter = 2 * time.Second
 	// reservationWaitShare is the fraction of the route's latency goal that a request may
@@ -53,6 +57,8 @@
 	Plan func() *plan.Plan
 	// PlanOutdated reports whether the current plan must not be used any longer.
 	PlanOutdated func() bool
+	// RegionOf returns the region of a failure domain, or "" if it is not known; nil if no route has homes.
+	RegionOf func(domain string) string
 	// Overloaded decides whether a new request is refused since the router is overloaded.
 	Overloaded func() bool
 	// Tokens reserves tokens of the workspaces' prepaid budgets and bills what was used.
@@ -163,6 +169,7 @@
 	if ar.service == nil {
 		return nil, answer.Retryable(fasthttp.StatusServiceUnavailable, "no_service", busyRetryAfter, "route %q leads to no service", route.Name)
 	}
+	ar.homes = plan.HomesOf(route, ar.workspace)
 	timeout := route.Timeout
 	if r.Timeout > 0 && (timeout == 0 || r.Timeout < timeout) {
 		timeout = r.Timeout
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -75,7 +75,7 @@
 // candidates returns the instances that accept requests and that this request was not
 // sent to before. The list starts at a random instance, which breaks ties in cost.
 func (p *Placement) candidates(s *service, r Requirements, speed EngineSpeed, now time.Time) []candidate {
-	list := p.outsideEvacuations(s.instances)
+	list := p.usable(s.instances, r)
 	out := make([]candidate, 0, len(list))
 	key, keyed := r.affinityKey()
 	longLane := s.lanes.longLaneSize(len(list))
--- a/internal/target/placement/evacuation.go
+++ b/internal/target/placement/evacuation.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"slices"
-
 	"github.com/cockroachdb/errors"
 
 	"rosevalve/internal/request/answer"
@@ -28,14 +26,6 @@
 	return p.Evacuated != nil && p.Evacuated(i.FailureDomain)
 }
 
-// outsideEvacuations returns the instances whose failure domains are not evacuated, in the same order.
-func (p *Placement) outsideEvacuations(list []*instance) []*instance {
-	if !slices.ContainsFunc(list, p.evacuated) {
-		return list
-	}
-	return slices.DeleteFunc(slices.Clone(list), p.evacuated)
-}
-
 // CountIn returns the number of instances in a failure domain.
 func (p *Placement) CountIn(domain string) int {
 	p.mu.RLock()
--- a/internal/target/placement/notice.go
+++ b/internal/target/placement/notice.go
@@ -87,14 +87,19 @@
 }
 
 // noInstanceError returns a *PausedError if a paused instance would be left for the request, an error that wraps
-// ErrEvacuated if one in an evacuated failure domain would be, and ErrNoInstance otherwise.
+// ErrEvacuated if one in an evacuated failure domain would be, ErrNotAllowed if others would be but for their failure
+// domains, and ErrNoInstance otherwise.
 func (p *Placement) noInstanceError(s *service, r Requirements, now time.Time) error {
 	var first time.Time
-	evacuated := false
+	evacuated, barred := false, false
 	for _, i := range s.instances {
 		if slices.Contains(r.Exclude, i.ID) {
 			continue
 		}
+		if !r.allows(i) {
+			barred = true
+			continue
+		}
 		if p.evacuated(i) {
 			evacuated = true
 			continue
@@ -110,6 +115,8 @@
 	switch {
 	case first.IsZero() && evacuated:
 		return evacuatedError{}
+	case first.IsZero() && barred && len(r.Exclude) == 0:
+		return fmt.Errorf("%w: %w", ErrNoInstance, ErrNotAllowed)
 	case first.IsZero():
 		return ErrNoInstance
 	}
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -75,6 +75,8 @@
 	// RequireReport is set if the instance must report its load, and so show that it is alive,
 	// before the request is sent.
 	RequireReport bool
+	// Allowed reports whether an instance in a failure domain may run the request; nil if all may.
+	Allowed func(domain string) bool
 	// Exclude holds the IDs of the instances that the request was sent to before.
 	Exclude []string
 }
@@ -290,7 +292,8 @@
 // Choose selects an instance of the service for the request and reserves a slot there.
 //
 // The error is ErrNoInstance, a *PausedError if all instances left for the request have
-// paused, or wraps ErrEvacuated if all that are left are in evacuated failure domains.
+// paused, wraps ErrEvacuated if all that are left are in evacuated failure domains, or is
+// ErrNotAllowed if all that are left may not run the request.
 func (p *Placement) Choose(ctx context.Context, service string, r Requirements) (*Slot, error) {
 	p.mu.RLock()
 	s := p.services[service]
@@ -298,7 +301,7 @@
 	if s == nil {
 		return nil, ErrNoInstance
 	}
-	s.lanes.record(r, s.estimator.speed(), p.outsideEvacuations(s.instances), time.Now())
+	s.lanes.record(r, s.estimator.speed(), p.usable(s.instances, r), time.Now())
 	slot := &Slot{evacuated: p.evacuated}
 	if r.RequireReport && p.FetchReport != nil {
 		slot.instance, slot.conn = p.chooseByReport(ctx, s, r)
--- a/internal/workspace/plan/config.go
+++ b/internal/workspace/plan/config.go
@@ -62,6 +62,8 @@
 	// CacheAffinity is set if requests benefit from a target that has served the same prompt parts
 	// before.
 	CacheAffinity bool
+	// HomeRegions are the regions whose targets may run the requests; if it is empty, all may.
+	HomeRegions []string
 }
 
 // Split is the share of one service in the requests of a route.
@@ -106,6 +108,8 @@
 	PrepaidTokens int64
 	// HasPrepaid is set if the tokens of the workspace are limited to PrepaidTokens.
 	HasPrepaid bool
+	// HomeRegions are the regions whose targets may run the requests; if it is empty, all may.
+	HomeRegions []string
 }
 
 // Limits are the limits of requests and connections of callers.
--- a/internal/workspace/plan/plan.go
+++ b/internal/workspace/plan/plan.go
@@ -14,6 +14,7 @@
 	workspaces map[string]*Workspace // by name
 	keys       map[string]*Workspace // by API key
 	limits     Limits
+	hasHomes   bool
 }
 
 // New returns the plan of the configuration. The plan refers to the slices of cfg, which
@@ -26,6 +27,7 @@
 		workspaces: make(map[string]*Workspace, len(cfg.Workspaces)),
 		keys:       make(map[string]*Workspace),
 		limits:     cfg.Limits,
+		hasHomes:   cfg.hasHomes(),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
