--- a/internal/target/placement/evacuation_test.go
+++ b/internal/target/placement/evacuation_test.go
@@ -115,3 +115,13 @@
 	assert.ErrorIs(t, err, ErrEvacuated)
 	assert.Equal(t, runner.RunStateOf(err), answer.NotRun)
 }
+
+// TestInstanceWhoseDomainIsCorrected guards against requests to an instance that is announced in another domain than
+// before, which is evacuated.
+func TestInstanceWhoseDomainIsCorrected(t *testing.T) {
+	p, evacuated := newDomainPlacement(t, 1)
+	evacuated["d-9"] = true
+	p.Update(roster.New([]roster.Instance{{ID: "i-0", Service: writer, FailureDomain: "d-9", Addr: "10.0.0.0:80", Capacity: 8}}))
+	_, err := p.Choose(t.Context(), writer, Requirements{})
+	assert.ErrorIs(t, err, ErrEvacuated)
+}
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -225,7 +225,7 @@
 }
 
 // Update replaces the roster. The state of an instance is kept as long as its incarnation
-// stays the same.
+// and its failure domain stay the same.
 func (p *Placement) Update(r *roster.Roster) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -240,7 +240,7 @@
 	p.services = make(map[string]*service)
 	for _, i := range r.Instances() {
 		state, ok := known[i.ID]
-		if !ok || !state.SameIncarnation(i) {
+		if !ok || !state.SameIncarnation(i) || state.FailureDomain != i.FailureDomain {
 			state = newInstance(i, p, p.estimatorFor(i.Service))
 		} else {
 			delete(known, i.ID)
