Commands evacuate and restore for a failure domain of our own deployments

An evacuation is an item of the configuration of its own kind, which older routers keep and ignore. The pool counts targets of an evacuated domain as leaving: no new requests, those that run go on. evacuate refuses a domain without targets, restore one that is not evacuated; create, set and delete refuse the kind. show evacuations lists them. With the check in the pool switched off its test fails.

--- a/internal/target/pool/pool.go
+++ b/internal/target/pool/pool.go
@@ -84,10 +84,30 @@
 	mu            sync.Mutex      // guards the fields below, and orders updates of index
 	vmLeaving     map[string]bool // leaving VMs, by IP address or by address and port
 	latestTargets []catalogue.Target
+	evacuated     map[string]bool // keys are failure domains
 }
 
-// Update replaces the targets with those of a configuration snapshot.
-func (p *Pool) Update(s *catalogue.Snapshot) { p.SetTargets(s.Targets()) }
+// Update replaces the targets and the evacuated failure domains with those of a configuration snapshot.
+func (p *Pool) Update(s *catalogue.Snapshot) {
+	evacuated := make(map[string]bool)
+	for _, domain := range s.Evacuations() {
+		evacuated[domain] = true
+	}
+	p.mu.Lock()
+	p.latestTargets, p.evacuated = s.Targets(), evacuated
+	p.rebuild()
+	p.mu.Unlock()
+	p.notifyAllFreeSlots()
+}
+
+// SetEvacuated replaces the evacuated failure domains, whose targets receive no new requests.
+func (p *Pool) SetEvacuated(domains map[string]bool) {
+	p.mu.Lock()
+	p.evacuated = domains
+	p.rebuild()
+	p.mu.Unlock()
+	p.notifyAllFreeSlots()
+}
 
 // SetTargets replaces the targets. A target whose address stays keeps its state.
 func (p *Pool) SetTargets(targets []catalogue.Target) {
@@ -140,6 +160,7 @@
 		t.info = info
 		t.urgentReserve = p.urgentReserve()
 		t.vmLeaving = isVMLeaving(p.vmLeaving, info.Addr)
+		t.evacuated = p.evacuated[info.FailureDomain]
 		t.mu.Unlock()
 		all[info.Addr] = t
 	}
--- a/internal/target/pool/state.go
+++ b/internal/target/pool/state.go
@@ -24,6 +24,7 @@
 	Silent          bool     `json:"silent"`
 	Leaving         bool     `json:"leaving"`
 	VMLeaving       bool     `json:"vm_leaving"`
+	Evacuated       bool     `json:"evacuated,omitempty"`
 	OtherRequests   int      `json:"others_hint"`
 	InSubset        bool     `json:"in_subset"`
 }
@@ -66,6 +67,7 @@
 		Silent:          t.progress.Silent(now, t.outstanding),
 		Leaving:         t.info.Leaving,
 		VMLeaving:       t.vmLeaving,
+		Evacuated:       t.evacuated,
 		OtherRequests:   t.hint.otherRequests,
 	}
 }
--- a/internal/target/pool/target.go
+++ b/internal/target/pool/target.go
@@ -22,6 +22,7 @@
 	mu                sync.Mutex // guards the fields below
 	info              catalogue.Target
 	vmLeaving         bool    // its VM is leaving
+	evacuated         bool    // its failure domain is evacuated
 	urgentReserve     float64 // share of the limit that long requests may not use
 	outstanding       int     // requests of this router
 	outstandingLong   int     // those that are not urgent
@@ -33,9 +34,9 @@
 	probing           bool // a probe is in progress
 }
 
-// leaving reports whether the target, or its VM, is leaving and receives no new requests.
+// leaving reports whether the target, its VM or its failure domain is being emptied, so that it receives no new requests.
 // The caller holds mu.
-func (t *target) leaving() bool { return t.info.Leaving || t.vmLeaving }
+func (t *target) leaving() bool { return t.info.Leaving || t.vmLeaving || t.evacuated }
 
 // usable reports whether the target is neither leaving nor ejected. The caller holds mu.
 func (t *target) usable() bool { return !t.leaving() && t.breaker.State() != health.Open }
--- a/internal/workspace/catalogue/enum_string.go
+++ b/internal/workspace/catalogue/enum_string.go
@@ -13,11 +13,12 @@
 	_ = x[KindService-2]
 	_ = x[KindModel-3]
 	_ = x[KindOperator-4]
+	_ = x[KindEvacuation-5]
 }
 
-const _Kind_name = "workspacetargetservicemodeloperator"
+const _Kind_name = "workspacetargetservicemodeloperatorevacuation"
 
-var _Kind_index = [...]uint8{0, 9, 15, 22, 27, 35}
+var _Kind_index = [...]uint8{0, 9, 15, 22, 27, 35, 45}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/workspace/catalogue/index.go
+++ b/internal/workspace/catalogue/index.go
@@ -18,6 +18,8 @@
 		return s.indexModel(item)
 	case KindOperator:
 		return s.indexOperator(item)
+	case KindEvacuation:
+		return s.indexEvacuation(item)
 	default:
 		return fmt.Errorf("kind %s has no index", kind)
 	}
@@ -108,6 +110,19 @@
 	return nil
 }
 
+func (s *Snapshot) indexEvacuation(item Item) error {
+	var e Evacuation
+	if err := decodeItem(item, &e); err != nil {
+		return err
+	}
+	if item.Deleted {
+		delete(s.evacuations, item.Name)
+		return nil
+	}
+	s.evacuations[item.Name] = e
+	return nil
+}
+
 // decodeItem decodes the value of the item into v; a deleted item has none.
 func decodeItem(item Item, v any) error {
 	if item.Deleted {
--- a/internal/workspace/catalogue/items.go
+++ b/internal/workspace/catalogue/items.go
@@ -95,6 +95,11 @@
 	return method == "GET" || method == "HEAD"
 }
 
+// Evacuation has the targets of a failure domain receive no new requests.
+type Evacuation struct {
+	FailureDomain string `json:"failure_domain"`
+}
+
 // HashKey returns the hexadecimal SHA-256 hash of a key, the form in which keys are stored.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/internal/workspace/catalogue/kind.go
+++ b/internal/workspace/catalogue/kind.go
@@ -12,15 +12,16 @@
 
 // The kinds of configuration items.
 const (
-	KindWorkspace Kind = iota // workspace
-	KindTarget                // target
-	KindService               // service
-	KindModel                 // model
-	KindOperator              // operator
+	KindWorkspace  Kind = iota // workspace
+	KindTarget                 // target
+	KindService                // service
+	KindModel                  // model
+	KindOperator               // operator
+	KindEvacuation             // evacuation
 )
 
 // Kinds contains every kind.
-var Kinds = []Kind{KindWorkspace, KindTarget, KindService, KindModel, KindOperator}
+var Kinds = []Kind{KindWorkspace, KindTarget, KindService, KindModel, KindOperator, KindEvacuation}
 
 // ParseKind returns the kind with the name.
 func ParseKind(name string) (Kind, error) {
--- a/internal/workspace/catalogue/snapshot.go
+++ b/internal/workspace/catalogue/snapshot.go
@@ -25,8 +25,9 @@
 	services      map[string]Service
 	models        map[string]Model
 	operators     map[string]Operator
-	workspaceKeys map[string]keyOwner // by hash of the key
-	operatorKeys  map[string]keyOwner // by hash of the key
+	evacuations   map[string]Evacuation // by failure domain
+	workspaceKeys map[string]keyOwner   // by hash of the key
+	operatorKeys  map[string]keyOwner   // by hash of the key
 }
 
 // itemID identifies an item. The kind is a string because a newer release may write kinds
@@ -145,6 +146,15 @@
 	return out
 }
 
+// Evacuated reports whether the targets of a failure domain receive no new requests.
+func (s *Snapshot) Evacuated(domain string) bool {
+	_, ok := s.evacuations[domain]
+	return ok
+}
+
+// Evacuations returns the evacuated failure domains, in order.
+func (s *Snapshot) Evacuations() []string { return slices.Sorted(maps.Keys(s.evacuations)) }
+
 // ServedModels returns the names of the models that targets serve, in order.
 func (s *Snapshot) ServedModels() []string {
 	set := make(map[string]bool)
@@ -183,6 +193,7 @@
 		services:      make(map[string]Service),
 		models:        make(map[string]Model),
 		operators:     make(map[string]Operator),
+		evacuations:   make(map[string]Evacuation),
 		workspaceKeys: make(map[string]keyOwner),
 		operatorKeys:  make(map[string]keyOwner),
 	}
@@ -231,6 +242,7 @@
 		services:      maps.Clone(s.services),
 		models:        maps.Clone(s.models),
 		operators:     maps.Clone(s.operators),
+		evacuations:   maps.Clone(s.evacuations),
 		workspaceKeys: maps.Clone(s.workspaceKeys),
 		operatorKeys:  maps.Clone(s.operatorKeys),
 	}
--- a/internal/workspace/operator/change.go
+++ b/internal/workspace/operator/change.go
@@ -185,10 +185,10 @@
 	return nil
 }
 
-// parseKind returns the kind of configuration item with the name.
+// parseKind returns the kind of configuration item with the name. Evacuations have commands of their own.
 func parseKind(pos lexer.Position, name string) (catalogue.Kind, error) {
 	kind, err := catalogue.ParseKind(name)
-	if err != nil {
+	if err != nil || kind == catalogue.KindEvacuation {
 		return 0, errUnknownName(pos, "kind", name, itemKinds)
 	}
 	return kind, nil
--- a/internal/workspace/operator/execute.go
+++ b/internal/workspace/operator/execute.go
@@ -108,7 +108,7 @@
 	switch {
 	case s.Show != nil, s.Help != nil, s.Explain != nil, s.Usage != nil:
 		return catalogue.RoleRead
-	case s.TopUp != nil, s.Drain != nil, s.Undrain != nil, s.Release != nil, s.Cancel != nil, s.Order != nil:
+	case s.TopUp != nil, s.Drain != nil, s.Undrain != nil, s.Evacuate != nil, s.Restore != nil, s.Release != nil, s.Cancel != nil, s.Order != nil:
 		return catalogue.RoleOperate
 	default:
 		return catalogue.RoleAdminister
@@ -134,6 +134,10 @@
 		return e.drain(ctx, cmd, s.Drain, true)
 	case s.Undrain != nil:
 		return e.drain(ctx, cmd, s.Undrain, false)
+	case s.Evacuate != nil:
+		return e.evacuate(ctx, cmd, s.Evacuate)
+	case s.Restore != nil:
+		return e.restore(ctx, cmd, s.Restore)
 	case s.Order != nil:
 		return e.orderTarget(ctx, cmd, s.Order)
 	case s.Release != nil && s.Release.Kind == "target":
--- a/internal/workspace/operator/grammar.go
+++ b/internal/workspace/operator/grammar.go
@@ -8,20 +8,22 @@
 
 // Statement is one parsed command; exactly one field is set.
 type Statement struct {
-	Create  *ChangeStatement  `parser:"(  'create' @@"`
-	Set     *ChangeStatement  `parser:" | 'set' @@"`
-	Delete  *DeleteStatement  `parser:" | 'delete' @@"`
-	TopUp   *TopUpStatement   `parser:" | 'top' 'up' 'budget' @@"`
-	Drain   *DrainStatement   `parser:" | 'drain' @@"`
-	Undrain *DrainStatement   `parser:" | 'undrain' @@"`
-	Order   *OrderStatement   `parser:" | 'order' 'target' @@"`
-	Release *ReleaseStatement `parser:" | 'release' @@"`
-	Rotate  *RotateStatement  `parser:" | 'rotate' 'key' @@"`
-	Cancel  *RequestStatement `parser:" | 'cancel' 'request' @@"`
-	Explain *RequestStatement `parser:" | 'explain' 'request' @@"`
-	Usage   *UsageStatement   `parser:" | @@"`
-	Show    *ShowStatement    `parser:" | 'show' @@"`
-	Help    *HelpStatement    `parser:" | @@ )"`
+	Create   *ChangeStatement   `parser:"(  'create' @@"`
+	Set      *ChangeStatement   `parser:" | 'set' @@"`
+	Delete   *DeleteStatement   `parser:" | 'delete' @@"`
+	TopUp    *TopUpStatement    `parser:" | 'top' 'up' 'budget' @@"`
+	Drain    *DrainStatement    `parser:" | 'drain' @@"`
+	Undrain  *DrainStatement    `parser:" | 'undrain' @@"`
+	Evacuate *EvacuateStatement `parser:" | 'evacuate' @@"`
+	Restore  *EvacuateStatement `parser:" | 'restore' @@"`
+	Order    *OrderStatement    `parser:" | 'order' 'target' @@"`
+	Release  *ReleaseStatement  `parser:" | 'release' @@"`
+	Rotate   *RotateStatement   `parser:" | 'rotate' 'key' @@"`
+	Cancel   *RequestStatement  `parser:" | 'cancel' 'request' @@"`
+	Explain  *RequestStatement  `parser:" | 'explain' 'request' @@"`
+	Usage    *UsageStatement    `parser:" | @@"`
+	Show     *ShowStatement     `parser:" | 'show' @@"`
+	Help     *HelpStatement     `parser:" | @@ )"`
 }
 
 // ChangeStatement creates or changes a configuration item, or creates a budget. Version,
@@ -73,6 +75,12 @@
 	Name string `parser:"@String"`
 }
 
+// EvacuateStatement evacuates a failure domain, or takes that back.
+type EvacuateStatement struct {
+	Pos    lexer.Position
+	Domain string `parser:"@String"`
+}
+
 // OrderStatement sends an order to a target, such as to load a model.
 type OrderStatement struct {
 	Pos    lexer.Position
--- a/internal/workspace/operator/help.go
+++ b/internal/workspace/operator/help.go
@@ -41,6 +41,8 @@
 	{"top", "adds tokens to a budget", []string{`top up budget "flitch-2026" workspace "gorenjska" by 200000`}},
 	{"drain", "gives a target or a VM no new work", []string{`drain target "10.0.0.9:8000"`, `drain vm "10.0.0.7"`}},
 	{"undrain", "gives a target or a VM work again", []string{`undrain target "10.0.0.9:8000"`, `undrain vm "10.0.0.7"`}},
+	{"evacuate", "gives the targets of a failure domain no new work", []string{`evacuate "fd-1"`, `show evacuations`}},
+	{"restore", "gives the targets of a failure domain work again", []string{`restore "fd-1"`}},
 	{"order", "tells a target to do something", []string{`order target "10.0.0.9:8000" "load oak"`}},
 	{"release", "gives a holding in doubt back to its budget, or frees a target whose router is gone", []string{
 		`release holding "HOLDING" confirmed`,
--- a/internal/workspace/operator/show.go
+++ b/internal/workspace/operator/show.go
@@ -11,7 +11,7 @@
 
 const (
 	// showKinds are the kinds of rows that show lists.
-	showKinds = "workspaces, budgets, holdings, bills, requests, blocks, targets, vms, routers, services, models, commands, config, operators"
+	showKinds = "workspaces, budgets, holdings, bills, requests, blocks, targets, evacuations, vms, routers, services, models, commands, config, operators"
 	// maxAuditRecords bounds the records of the audit trail in one result.
 	maxAuditRecords = 500
 )
@@ -48,6 +48,8 @@
 		return workspaceTable(snap), nil
 	case "targets":
 		return targetTable(snap), nil
+	case "evacuations":
+		return evacuationTable(snap), nil
 	case "services":
 		return serviceTable(snap), nil
 	case "models":
