--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -43,6 +43,7 @@
 	e.connectStore()
 	e.connectConfig()
 	e.connectTargets()
+	e.connectEvacuations()
 	e.connectQuarantine()
 	e.connectTokens()
 	e.connectFleet()
@@ -91,6 +92,7 @@
 		OnNotice:       e.recordNotice,
 		OnEngineSpeed:  e.recordEngineSpeed,
 		CompareSpeeds:  e.Settings.Edge.TargetSpeeds == "differ",
+		Evacuated:      e.evacuations.Contains,
 	}
 	e.oddTargets = make(map[string]bool)
 	e.targetTable = e.follow(platform.TableTargets, e.applyTargets)
@@ -150,6 +152,8 @@
 		Call:            e.transport.Call,
 		ConfigVersion:   e.planVersion,
 		OnConfigVersion: e.notePeerConfigVersion,
+		Evacuation:      e.evacuations.Latest,
+		OnEvacuation:    e.notePeerEvacuation,
 	}
 	e.fleet = &entry.Selector{Members: e.view.Members}
 	e.transport.Self = e.view.Self
@@ -183,6 +187,7 @@
 		Crashes:      &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
 		Plan:         e.plan.Load,
 		PlanOutdated: e.outdated,
+		RegionOf:     e.regionOf,
 		Overloaded:   e.refusesForOverload,
 		Tokens:       e.tokens,
 		Placement:    e.placement,
@@ -215,6 +220,18 @@
 	return e.Settings.Router.InnerListen
 }
 
+// regionOf returns the region of a failure domain, or "" if it is not known.
+func (e *Edge) regionOf(domain string) string {
+	cfg := e.settings().Router
+	if region, ok := cfg.Regions[domain]; ok {
+		return region
+	}
+	if domain == cfg.FailureDomain {
+		return cfg.Region
+	}
+	return ""
+}
+
 // reachablePeers returns the inner addresses of the alive and leaving routers, in random order.
 func (e *Edge) reachablePeers() []string {
 	self := e.innerAddr()
--- a/internal/fleet/membership/exchange.go
+++ b/internal/fleet/membership/exchange.go
@@ -22,12 +22,14 @@
 		return fmt.Errorf("router at %s reports inner address %s", addr, ack.Sender.InnerAddr)
 	}
 	v.notifyConfigVersion(ack.Sender, ack.Config)
+	v.notifyEvacuation(ack.Sender, ack.Evacuation)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.recordContact(ack.Sender)
 	v.discountKnown(out.Events, ack.Known)
 	v.mergeAll(ack.Events)
 	v.mergeMissing(ack.Missing)
+	v.suspectOutdated(ack.Unknown)
 	v.advancePage(out.Page, ack.Missing)
 	return nil
 }
@@ -39,10 +41,11 @@
 		return nil, fmt.Errorf("decode heartbeat: %w", err)
 	}
 	v.notifyConfigVersion(in.Sender, in.Config)
-	config := v.configVersion()
+	v.notifyEvacuation(in.Sender, in.Evacuation)
+	config, evacuation := v.configVersion(), v.evacuation()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	ack := inner.HeartbeatAck{Config: config}
+	ack := inner.HeartbeatAck{Config: config, Evacuation: evacuation}
 	if e, ok := v.members[in.Sender.InnerAddr]; ok && v.mustRefute(e, in.Sender) {
 		ack.Events = append(ack.Events, v.claimToRefute(e))
 	}
@@ -51,6 +54,7 @@
 	ack.Events = append(ack.Events, v.nextEvents(in.Events)...)
 	if in.Page != nil {
 		ack.Missing = v.missingFrom(*in.Page)
+		ack.Unknown = v.unknownFrom(*in.Page)
 	}
 	ack.Sender = v.self
 	return ack, nil
@@ -78,11 +82,11 @@
 
 // newHeartbeat returns the next heartbeat and counts its updates as sent.
 func (v *View) newHeartbeat() inner.Heartbeat {
-	config := v.configVersion()
+	config, evacuation := v.configVersion(), v.evacuation()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := inner.Heartbeat{Sender: v.self, Events: v.nextEvents(nil), Config: config}
-	if v.pagesDiffer || v.rounds%pageRounds == 0 {
+	out := inner.Heartbeat{Sender: v.self, Events: v.nextEvents(nil), Config: config, Evacuation: evacuation}
+	if v.pagesDiffer || v.sweepPages > 0 || v.rounds%pageRounds == 0 {
 		out.Page = v.nextPage()
 	}
 	return out
@@ -103,12 +107,32 @@
 	}
 }
 
+// evacuation returns the position of this router's newest row about an evacuation, or nil if it has none.
+func (v *View) evacuation() *inner.TablePosition {
+	if v.Evacuation == nil {
+		return nil
+	}
+	p := v.Evacuation()
+	if p.Version == 0 {
+		return nil
+	}
+	return &p
+}
+
+// notifyEvacuation passes the position of a peer's newest row about an evacuation to OnEvacuation.
+func (v *View) notifyEvacuation(sender inner.Member, p *inner.TablePosition) {
+	if v.OnEvacuation != nil && p != nil {
+		v.OnEvacuation(sender.InnerAddr, *p)
+	}
+}
+
 // recordContact merges a peer's own entry and records the time of the contact. The caller holds
 // mu.
 func (v *View) recordContact(sender inner.Member) {
 	v.merge(sender)
 	if e, ok := v.members[sender.InnerAddr]; ok && e.member.ID == sender.ID {
 		e.lastContact = v.activeTime
+		e.outdated = false
 	}
 }
 
@@ -163,7 +187,7 @@
 // nextPage returns the versions of the next part of the view, by which a peer finds the updates
 // that this view lacks. The caller holds mu.
 func (v *View) nextPage() *inner.Page {
-	p := &inner.Page{After: v.pageCursor}
+	p := &inner.Page{After: v.pageCursor, Outdated: v.sweepPages > 0}
 	i, found := slices.BinarySearch(v.sortedAddrs, v.pageCursor)
 	if found {
 		i++
@@ -183,6 +207,7 @@
 	if p == nil || p.After != v.pageCursor {
 		return
 	}
+	v.sweepPages = max(0, v.sweepPages-1)
 	v.pagesDiffer = len(received) > 0
 	v.pageCursor = p.Upto
 	if len(received) == maxMissing {
@@ -191,7 +216,8 @@
 }
 
 // missingFrom returns the updates of this view in the range of page p that p lacks or has in an
-// older version, in the order of their addresses, at most maxMissing. The caller holds mu.
+// older version, in the order of their addresses, at most maxMissing. Of a router that was removed it
+// returns that only if p has it. The caller holds mu.
 func (v *View) missingFrom(p inner.Page) []inner.Member {
 	known := make(map[string]inner.Version, len(p.Versions))
 	for _, version := range p.Versions {
@@ -205,10 +231,41 @@
 			break
 		}
 		e := v.members[addr]
-		if version, ok := known[addr]; addr == p.After || e.removed || ok && !v.newer(e.member.Version(), version) {
+		version, ok := known[addr]
+		if ok && version == e.member.Version() {
+			e.outdated = false
+		}
+		if addr == p.After || !ok && (e.removed || e.outdated) || ok && !v.newer(e.member.Version(), version) {
 			continue
 		}
 		out = append(out, e.member)
 	}
 	return out
 }
+
+// unknownFrom returns the addresses of a page that this view does not have, if the sender was paused. The caller holds
+// mu.
+func (v *View) unknownFrom(p inner.Page) []string {
+	if !p.Outdated {
+		return nil
+	}
+	var out []string
+	for _, version := range p.Versions {
+		if _, ok := v.members[version.InnerAddr]; !ok && version.InnerAddr != v.self.InnerAddr {
+			out = append(out, version.InnerAddr)
+		}
+	}
+	return out
+}
+
+// suspectOutdated marks as suspected the routers of which nothing was heard since a pause of this process and which a
+// peer does not know: they may have ended so long ago that it has forgotten them. The caller holds mu.
+func (v *View) suspectOutdated(addrs []string) {
+	for _, addr := range addrs {
+		if e, ok := v.members[addr]; ok && e.outdated && !e.removed && e.member.State == inner.Alive {
+			e.member.State = inner.Suspect
+			e.stateSince = v.activeTime
+			v.snapshot = nil
+		}
+	}
+}
--- a/internal/protocol/inner/membership.go
+++ b/internal/protocol/inner/membership.go
@@ -10,6 +10,8 @@
 	Page *Page `json:"page,omitempty"`
 	// Config is the sender's configuration version.
 	Config uint64 `json:"config,omitempty"`
+	// Evacuation is the sender's newest row about an evacuation; nil if it has none.
+	Evacuation *TablePosition `json:"evacuation,omitempty"`
 }
 
 // HeartbeatAck answers a heartbeat.
@@ -20,8 +22,20 @@
 	Known uint64 `json:"known,omitempty"`
 	// Missing are updates that the heartbeat's page lacks, limited in number.
 	Missing []Member `json:"missing,omitempty"`
+	// Unknown are the addresses of a page with Outdated set that the receiver does not know.
+	Unknown []string `json:"unknown,omitempty"`
 	// Config is the responding router's configuration version.
 	Config uint64 `json:"config,omitempty"`
+	// Evacuation is the responding router's newest row about an evacuation; nil if it has none.
+	Evacuation *TablePosition `json:"evacuation,omitempty"`
+}
+
+// TablePosition is a point in the history of a table of the store.
+type TablePosition struct {
+	// Era is the store era of the version.
+	Era uint64 `json:"era,omitempty"`
+	// Version is the version of a row.
+	Version uint64 `json:"version"`
 }
 
 // Page lists the versions of the members that the sender knows in a range of inner addresses.
@@ -31,6 +45,8 @@
 	// Upto is the last address of the range; empty for the end of the list.
 	Upto     string    `json:"upto,omitempty"`
 	Versions []Version `json:"versions,omitempty"`
+	// Outdated reports that the sender was paused, and requests the addresses that the receiver does not know.
+	Outdated bool `json:"outdated,omitempty"`
 }
 
 // Version orders the updates about one router.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -26,11 +26,20 @@
 	overloadedRetryAfter = time.Second
 	// busyRetryAfter is the Retry-After when no instance can take the request.
 	busyRetryAfter = 150 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After when all targets are in evacuated failure domains. The operator takes an
+	// evacuation back after minutes rather than seconds, but may do so at any moment.
+	evacuatedRetryAfter = time.Second
 	// stoppingRetryAfter is the Retry-After of a router that stops; other routers can take the
 	// request at once.
 	stoppingRetryAfter = 10 * time.Millisecond
 	// stoppingCode is the code of answers to requests that a stop has refused or cut off.
 	stoppingCode = "router_stopping"
+	// EvacuatedCode is the code of answers to requests whose targets are all in evacuated failure domains.
+	EvacuatedCode = "failure_domains_evacuated"
+	// homesRetryAfter is the Retry-After when no target is in a home region of the request.
+	homesRetryAfter = time.Second
+	// homesCode is the code of answers to such requests.
+	homesCode = "no_home_region"
 	// maxTokensRetryAfter is the longest Retry-After when tokens could not be reserved.
 	maxTokensRetryAfter = 2 * time.Second
 	// reservationWaitShare is the fraction of the route's latency goal that a request may
@@ -48,6 +57,8 @@
 	Plan func() *plan.Plan
 	// PlanOutdated reports whether the current plan must not be used any longer.
 	PlanOutdated func() bool
+	// RegionOf returns the region of a failure domain, or "" if it is not known; nil if no route has homes.
+	RegionOf func(domain string) string
 	// Overloaded decides whether a new request is refused since the router is overloaded.
 	Overloaded func() bool
 	// Tokens reserves tokens of the workspaces' prepaid budgets and bills what was used.
@@ -158,6 +169,7 @@
 	if ar.service == nil {
 		return nil, answer.Retryable(fasthttp.StatusServiceUnavailable, "no_service", busyRetryAfter, "route %q leads to no service", route.Name)
 	}
+	ar.homes = plan.HomesOf(route, ar.workspace)
 	timeout := route.Timeout
 	if r.Timeout > 0 && (timeout == 0 || r.Timeout < timeout) {
 		timeout = r.Timeout
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -75,6 +75,8 @@
 	// RequireReport is set if the instance must report its load, and so show that it is alive,
 	// before the request is sent.
 	RequireReport bool
+	// Allowed reports whether an instance in a failure domain may run the request; nil if all may.
+	Allowed func(domain string) bool
 	// Exclude holds the IDs of the instances that the request was sent to before.
 	Exclude []string
 }
@@ -126,6 +128,9 @@
 	// CompareSpeeds is set if instances of one service may differ in speed, and are chosen by the
 	// speed that their own answers have shown.
 	CompareSpeeds bool
+	// Evacuated reports whether the operator has had a failure domain evacuated, so that its instances receive nothing;
+	// nil if none is. It is asked for each choice.
+	Evacuated func(domain string) bool
 	// Rand returns a random number in [0, n); nil selects math/rand/v2.
 	Rand func(n int) int
 
@@ -148,6 +153,7 @@
 // Slot is the reservation of an instance for one attempt. End must be called on it.
 type Slot struct {
 	instance       *instance
+	evacuated      func(i *instance) bool
 	conn           *upstream.Conn // connection from the report request, not yet used; nil if there is none
 	state          InstanceState
 	pendingPrefill int64   // uncached prompt tokens of the attempt; 0 once it is answering
@@ -175,10 +181,16 @@
 // still open, or else one from the connection pool, which is always new if fresh is set.
 //
 // The error is a *runner.Error which states that nothing was sent. It wraps ErrLeft if the instance has left while the
-// request waited.
+// request waited, and ErrEvacuated if its failure domain was evacuated.
 func (s *Slot) Conn(ctx context.Context, fresh bool) (*upstream.Conn, error) {
 	conn := s.conn
 	s.conn = nil
+	if err := s.checkEvacuation(); err != nil {
+		if conn != nil {
+			conn.Release()
+		}
+		return nil, err
+	}
 	if conn == nil || !conn.Usable() {
 		var err error
 		if conn, err = s.instance.pool.Acquire(ctx, fresh); err != nil {
@@ -190,6 +202,10 @@
 		s.instance.pool.CloseIdle()
 		return nil, &runner.Error{RunState: answer.NotRun, Err: ErrLeft}
 	}
+	if err := s.checkEvacuation(); err != nil {
+		conn.Release()
+		return nil, err
+	}
 	return conn, nil
 }
 
@@ -212,7 +228,7 @@
 }
 
 // Update replaces the roster. The state of an instance is kept as long as its incarnation
-// stays the same.
+// and its failure domain stay the same.
 func (p *Placement) Update(r *roster.Roster) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -227,7 +243,7 @@
 	p.services = make(map[string]*service)
 	for _, i := range r.Instances() {
 		state, ok := known[i.ID]
-		if !ok || !state.SameIncarnation(i) {
+		if !ok || !state.SameIncarnation(i) || state.FailureDomain != i.FailureDomain {
 			state = newInstance(i, p, p.estimatorFor(i.Service))
 		} else {
 			delete(known, i.ID)
@@ -278,8 +294,9 @@
 
 // Choose selects an instance of the service for the request and reserves a slot there.
 //
-// The error is ErrNoInstance, or a *PausedError if all instances left for the request have
-// paused.
+// The error is ErrNoInstance, a *PausedError if all instances left for the request have
+// paused, wraps ErrEvacuated if all that are left are in evacuated failure domains, or is
+// ErrNotAllowed if all that are left may not run the request.
 func (p *Placement) Choose(ctx context.Context, service string, r Requirements) (*Slot, error) {
 	p.mu.RLock()
 	s := p.services[service]
@@ -287,15 +304,15 @@
 	if s == nil {
 		return nil, ErrNoInstance
 	}
-	s.lanes.record(r, s.estimator.speed(), s.instances, time.Now())
-	slot := &Slot{}
+	s.lanes.record(r, s.estimator.speed(), p.usable(s.instances, r), time.Now())
+	slot := &Slot{evacuated: p.evacuated}
 	if r.RequireReport && p.FetchReport != nil {
 		slot.instance, slot.conn = p.chooseByReport(ctx, s, r)
 	} else {
 		slot.instance = p.choose(s, r, time.Now())
 	}
 	if slot.instance == nil {
-		return nil, s.noInstanceError(r, time.Now())
+		return nil, p.noInstanceError(s, r, time.Now())
 	}
 	slot.instance.begin(slot, r, time.Now())
 	return slot, nil
