--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -83,7 +83,9 @@
 
 func (e *Edge) connectTargets() {
 	dialer := socket.Dialer{Timeout: placement.MaxDialTime, UserTimeout: targetAckTimeout}
+	e.warmup = e.newWarmup()
 	e.placement = &placement.Placement{
+		Warmup:         e.warmup,
 		Dial:           dialer.Dial,
 		ParseHeader:    platform.DecodeResponseHeader,
 		FetchReport:    platform.FetchReport,
@@ -92,6 +94,7 @@
 		OnEngineSpeed:  e.recordEngineSpeed,
 	}
 	e.oddTargets = make(map[string]bool)
+	e.vagueTargets = make(map[string]bool)
 	e.targetTable = e.follow(platform.TableTargets, e.applyTargets)
 	e.targetTable.Valid = platform.IsTarget
 	e.roster = &roster.Tracker{LastOutageEnd: e.targetTable.RecoveredAt, OnRoster: e.placement.Update}
@@ -112,6 +115,7 @@
 func (e *Edge) announcementChange(r table.Row) roster.AnnouncementChange {
 	if r.Deleted {
 		delete(e.oddTargets, r.Key)
+		delete(e.vagueTargets, r.Key)
 		e.Events.Emit(eventlog.TargetGone, "instance", r.Key, "row_version", r.Version)
 		return roster.AnnouncementChange{ID: r.Key, Deleted: true}
 	}
@@ -121,8 +125,12 @@
 		return roster.AnnouncementChange{ID: r.Key, Deleted: true}
 	}
 	delete(e.oddTargets, r.Key)
+	if i.ColdFor > 0 {
+		i.ColdUntil = time.Now().Add(i.ColdFor)
+	}
+	e.recordVagueTarget(r, i)
 	e.Events.Emit(eventlog.TargetAnnounced, "instance", r.Key, "addr", i.Addr, "service", i.Service,
-		"draining", i.Draining, "row_version", r.Version)
+		"draining", i.Draining, "cold_ms", i.ColdFor.Milliseconds(), "row_version", r.Version)
 	return roster.AnnouncementChange{ID: r.Key, Instance: i}
 }
 
@@ -136,6 +144,19 @@
 	e.Events.Emit(eventlog.TargetUnreadable, "instance", r.Key, "row_version", r.Version, "err", err)
 }
 
+// recordVagueTarget logs that a target does not tell whether it is cold, unless its previous row did not
+// either.
+func (e *Edge) recordVagueTarget(r table.Row, i roster.Instance) {
+	if i.TellsCold || e.coldRate(i.Service).PerSecond == 0 {
+		delete(e.vagueTargets, r.Key)
+		return
+	}
+	if !e.vagueTargets[r.Key] {
+		e.vagueTargets[r.Key] = true
+		e.Events.Emit(eventlog.TargetWarmthUnknown, "instance", r.Key, "service", i.Service, "row_version", r.Version)
+	}
+}
+
 func (e *Edge) connectFleet() {
 	cfg := e.Settings
 	e.transport = &peer.Transport{AllowPlaintext: cfg.Fleet.PlaintextScope == "anywhere", Log: libraryLog{log: e.Events, event: eventlog.PeerConnectionFailed}}
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -27,6 +27,7 @@
 	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/roster"
+	"rosevalve/internal/target/warmup"
 	"rosevalve/internal/workspace/plan"
 	"rosevalve/platform"
 )
@@ -72,6 +73,8 @@
 	wasOutdated     bool                       // used only by maintain
 	slowReads       map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
 	roster          *roster.Tracker
+	warmup          *warmup.Limiter
+	vagueTargets    map[string]bool // IDs of the targets that don't tell whether they are cold; used only by OnRows of targetTable
 	placement       *placement.Placement
 	tokens          *prepaid.Manager // prepaid tokens held by this router
 	quarantine      *quarantine.Quarantine
@@ -184,6 +187,7 @@
 // current members on to the components that depend on them.
 func (e *Edge) maintain(now time.Time) {
 	e.placement.Prune(now)
+	e.warmup.Observe(now)
 	e.view.SetReady(e.ready())
 	e.forwarder.RetryBudget.SetRouterCount(len(e.view.Members()))
 	e.logSlowReads()
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -42,6 +42,9 @@
 	TargetLeaving                     // target_leaving
 	TargetPaused                      // target_paused
 	TargetCrashed                     // target_crashed
+	TargetCold                        // target_cold
+	TargetWarm                        // target_warm
+	TargetWarmthUnknown               // target_warmth_unknown
 	EngineSpeedChanged                // service_pace
 	PromptBlocked                     // prompt_blocked
 	BlockLearned                      // block_learnt
@@ -153,7 +156,7 @@
 	PlanInForce:          {component: Plan, doc: "a new routing plan is in effect; it arrived from the store or from_peers, as a part of bytes in read_ms, was decoded in decode_ms and had been announced by another router announced_ms before", fields: "plan_version, row_version, routes, workspaces, from_peers, bytes, wait_ms, read_ms, decode_ms, announced_ms"},
 	PlanOutdated:         {component: Plan, warning: true, doc: "requests are refused with `configuration_outdated` from now on until the configuration arrives that other routers have had for 2 s", fields: "plan_version, in_force"},
 	PlanUnreadable:       {component: Plan, warning: true, doc: "a configuration cannot be decoded; the previous one stays in effect", fields: "row_version, err"},
-	TargetAnnounced:      {component: Targets, doc: "an instance announced itself or changed its announcement", fields: "instance, addr, service, draining, row_version"},
+	TargetAnnounced:      {component: Targets, doc: "an instance announced itself or changed its announcement", fields: "instance, addr, service, draining, cold_ms, row_version"},
 	TargetGone:           {component: Targets, doc: "the announcement of an instance was removed", fields: "instance, row_version"},
 	TargetUnreadable:     {component: Targets, warning: true, doc: "an announcement names no instance; logged once as long as that is so", fields: "instance, row_version, err"},
 	TargetEjected:        {component: Targets, warning: true, doc: "an instance failed too often and gets no new requests for until_ms", fields: "instance, addr, failing_percent, until_ms"},
@@ -161,6 +164,9 @@
 	TargetLeaving:        {component: Targets, doc: "an instance announced in a response that it is shutting down; it gets no new requests", fields: "instance, addr, running"},
 	TargetPaused:         {component: Targets, warning: true, doc: "an instance responded that it is overloaded; this router sends it no requests for pause_ms", fields: "instance, addr, running, pause_ms"},
 	TargetCrashed:        {component: Targets, warning: true, doc: "an instance closed its connections and refuses new ones; parts are the shared parts of the prompts whose answers it had not begun", fields: "instance, addr, service, lost_attempts, parts"},
+	TargetCold:           {component: Targets, doc: "an instance is cold for cold_ms and gets few requests; it told so (reason told), or may have restarted (reason presumed); owner: this router may send it some", fields: "instance, service, reason, cold_ms, owner"},
+	TargetWarm:           {component: Targets, doc: "an instance is no longer cold; sent is the number of requests that this router sent it meanwhile", fields: "instance, service, sent"},
+	TargetWarmthUnknown:  {component: Targets, warning: true, doc: "an announcement does not tell, within the range that can be meant, for how long its instance is cold; what was known before holds", fields: "instance, service, row_version"},
 	EngineSpeedChanged:   {component: Targets, doc: "the measured speed of a service's engines has changed", fields: "service, tokens_per_ms, base_ms, step_us, stay_ms, samples"},
 	PromptBlocked:        {component: Targets, warning: true, doc: "this router has decided that prompts with all of parts crash engines; requests with them are refused", fields: "parts, service, crashes, addrs, decided_by"},
 	BlockLearned:         {component: Targets, warning: true, doc: "this router has learnt of such a decision from the store or another router", fields: "parts, service, crashes, addrs, decided_by"},
--- a/internal/fleet/settings/edge.go
+++ b/internal/fleet/settings/edge.go
@@ -29,6 +29,9 @@
 	RetrySlack float64
 	// RetryWindow is the time window over which requests and retries are counted.
 	RetryWindow time.Duration
+	// ColdOvershoot and ColdSlack bound the requests of all routers to a cold target in one second: its rate
+	// times the first plus the second.
+	ColdOvershoot, ColdSlack float64
 }
 
 func (s *Edge) options() []*Option {
@@ -44,6 +47,8 @@
 		durationOption("edge", "max_age", "1s", "how long callers may cache the list of routers", 100*time.Millisecond, time.Hour, &s.DirectoryMaxAge),
 		numberOption("edge", "retry_ratio", "0.2", "retries that each request of a service adds to the retry budget", 0, 1, &s.RetryRatio),
 		numberOption("edge", "retry_slack", "10", "retries of a service that all routers together may make in addition", 0, 1e6, &s.RetrySlack),
+		orDefault(numberOption("edge", "cold_overshoot", "1.5", "by what factor all routers together may exceed the rate of requests that a cold target bears", 1, 1e3, &s.ColdOvershoot)),
+		orDefault(numberOption("edge", "cold_slack", "5", "requests to a cold target that all routers together may send in one second in addition", 0, 1e6, &s.ColdSlack)),
 		durationOption("edge", "retry_window", "10s", "time window over which requests and retries are counted", time.Second, time.Hour, &s.RetryWindow),
 	}
 }
--- a/internal/fleet/settings/option.go
+++ b/internal/fleet/settings/option.go
@@ -182,6 +182,19 @@
 	}
 }
 
+// orDefault makes an option accept the empty text, which stands for its default value.
+func orDefault(o *Option) *Option {
+	parse := o.parse
+	o.allowed += ", or empty for the default"
+	o.parse = func(text string) error {
+		if text == "" {
+			return parse(o.defaultValue)
+		}
+		return parse(text)
+	}
+	return o
+}
+
 // choiceOption accepts one of the choices.
 func choiceOption(section, key, defaultValue, doc string, choices []string, out *string) *Option {
 	return &Option{
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -130,7 +130,7 @@
 func (ar *activeRequest) outcomeOf(err error) placement.Outcome {
 	var runErr *runner.Error
 	switch {
-	case ar.interrupted() || errors.Is(err, placement.ErrLeft):
+	case ar.interrupted() || errors.Is(err, placement.ErrLeft) || errors.Is(err, placement.ErrCold):
 		return placement.Inconclusive
 	case !errors.As(err, &runErr) || runErr.RunState != answer.NotRun:
 		return placement.Failed
@@ -184,6 +184,7 @@
 // error of the last attempt.
 func (ar *activeRequest) failure(lastErr error) *answer.Error {
 	var paused *placement.PausedError
+	var cold *placement.ColdError
 	var blocked *blockedError
 	switch {
 	case ar.ctx.Err() != nil:
@@ -192,6 +193,8 @@
 		return blocked.refusal()
 	case ar.runState == answer.NotRun && errors.As(lastErr, &paused):
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "targets_paused", max(time.Millisecond, time.Until(paused.Until)), "no target takes requests now: %v", lastErr)
+	case ar.runState == answer.NotRun && errors.As(lastErr, &cold):
+		return answer.Retryable(fasthttp.StatusServiceUnavailable, "targets_cold", max(time.Millisecond, time.Until(cold.Until)), "no target takes requests now: %v", lastErr)
 	case ar.runState == answer.NotRun:
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "no_target", busyRetryAfter, "no target can take the request now: %v", lastErr)
 	default:
--- a/internal/request/forward/quarantine.go
+++ b/internal/request/forward/quarantine.go
@@ -67,11 +67,15 @@
 	}
 }
 
-// reportBrokenOff reports an attempt that failed with err to the crash detector if its connection
-// may have broken because the target crashed. shownSound is set if the answer shows that the
+// reportBrokenOff reports an attempt that failed with err to the placement and the crash detector if its
+// connection may have broken because the target crashed. shownSound is set if the answer shows that the
 // request did not cause that.
 func (ar *activeRequest) reportBrokenOff(slot *placement.Slot, err error, shownSound bool) {
-	if ar.service.Engine == nil || ar.ctx.Err() != nil || !upstream.BrokenOff(err) {
+	if ar.ctx.Err() != nil || !upstream.BrokenOff(err) {
+		return
+	}
+	slot.ConnectionLost()
+	if ar.service.Engine == nil {
 		return
 	}
 	lost := crash.Lost{Service: ar.service.Name, Instance: slot.ID(), Addr: slot.Addr(), Incarnation: slot.Incarnation()}
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -80,12 +80,17 @@
 	key, keyed := r.affinityKey()
 	longLane := s.lanes.longLaneSize(len(list))
 	offset := p.intN(len(list))
+	withheld := false
 	for n := range list {
 		index := (n + offset) % len(list)
 		i := list[index]
 		if slices.Contains(r.Exclude, i.ID) || !i.acceptsRequests(now) {
 			continue
 		}
+		if p.Warmup.Withheld(i.Service, i.ID, now) {
+			withheld = true
+			continue
+		}
 		c := candidate{instance: i, snapshot: i.snapshot(r, speed, now)}
 		c.wrongLane = r.EventGapGoal > 0 && r.longPrompt(speed) != (index < longLane)
 		if keyed {
@@ -93,6 +98,9 @@
 		}
 		out = append(out, c)
 	}
+	if withheld && len(out) > 0 {
+		p.Warmup.Diverted()
+	}
 	return out
 }
 
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -9,6 +9,7 @@
 	"rosevalve/internal/target/health"
 	"rosevalve/internal/target/roster"
 	"rosevalve/internal/target/upstream"
+	"rosevalve/internal/target/warmup"
 )
 
 const (
@@ -28,6 +29,7 @@
 	rtt           *rttEstimator                       // of its failure domain
 	hash          uint64                              // of the ID, for ranking
 	estimator     *speedEstimator                     // shared by all instances of the service
+	warmup        *warmup.Limiter                     // may be nil
 	onHealth      func(HealthChange)                  // may be nil
 	onNotice      func(Notice)                        // may be nil
 	onEngineSpeed func(service string, s EngineSpeed) // may be nil
@@ -56,6 +58,7 @@
 		rtt:           rtt,
 		hash:          balance.Hash(i.ID),
 		estimator:     e,
+		warmup:        p.Warmup,
 		onHealth:      p.OnHealthChange,
 		onNotice:      p.OnNotice,
 		onEngineSpeed: p.OnEngineSpeed,
@@ -187,6 +190,7 @@
 		return
 	case Served:
 		i.estimator.observeAttempt(now.Sub(s.startedAt))
+		i.warmup.Served(i.Service, i.ID, s.connectedAt, now)
 		i.breaker.Succeeded()
 		i.updateFailureRate(0, now)
 	case Declined:
@@ -198,6 +202,7 @@
 		i.breaker.Failed(now, true)
 		i.updateFailureRate(1, now)
 		clear(i.cached)
+		i.warmup.Presume(i.Service, i.ID, now)
 	}
 }
 
--- a/internal/target/placement/notice.go
+++ b/internal/target/placement/notice.go
@@ -44,6 +44,9 @@
 // replace a longer one, since answers may arrive out of order.
 func (i *instance) handleNotice(n upstream.Notice) {
 	now := time.Now()
+	if n.TellsCold {
+		i.warmup.Answered(i.Service, i.ID, n.ColdFor, now)
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	notice := Notice{Instance: i.ID, Addr: i.Addr, Running: i.running}
@@ -86,9 +89,12 @@
 	return i.pausedUntil
 }
 
-// noInstanceError returns a *PausedError if a paused instance would be left for the request,
-// and ErrNoInstance otherwise.
+// noInstanceError returns a *ColdError if a cold instance would be left for the request, a *PausedError
+// if only paused ones would, and ErrNoInstance otherwise.
 func (s *service) noInstanceError(r Requirements, now time.Time) error {
+	if err := s.coldError(r, now); err != nil {
+		return err
+	}
 	var first time.Time
 	for _, i := range s.instances {
 		until := i.pauseEnd(now)
--- a/internal/target/placement/placement.go
+++ b/internal/target/placement/placement.go
@@ -17,6 +17,7 @@
 	"rosevalve/internal/target/roster"
 	"rosevalve/internal/target/runner"
 	"rosevalve/internal/target/upstream"
+	"rosevalve/internal/target/warmup"
 )
 
 // ErrNoInstance reports that no instance of the service can be sent the request.
@@ -123,6 +124,8 @@
 	// OnEngineSpeed is called when the engine speed of a service has changed considerably; it
 	// must not block.
 	OnEngineSpeed func(service string, s EngineSpeed)
+	// Warmup limits the requests to cold instances; nil sets no limit.
+	Warmup *warmup.Limiter
 	// Rand returns a random number in [0, n); nil selects math/rand/v2.
 	Rand func(n int) int
 
@@ -151,6 +154,7 @@
 	prefillAhead   float64 // prompt tokens to prefill before its answer, including its own
 	reservedTokens int64   // upper bound of prompt and answer
 	startedAt      time.Time
+	connectedAt    time.Time // when its connection was open; zero before that
 	ended          bool
 }
 
@@ -172,7 +176,8 @@
 // still open, or else one from the connection pool, which is always new if fresh is set.
 //
 // The error is a *runner.Error which states that nothing was sent. It wraps ErrLeft if the instance has left while the
-// request waited.
+// request waited, and ErrCold if it is cold and may get no request of this router now. The connection must be used
+// at once.
 func (s *Slot) Conn(ctx context.Context, fresh bool) (*upstream.Conn, error) {
 	conn := s.conn
 	s.conn = nil
@@ -187,6 +192,11 @@
 		s.instance.pool.CloseIdle()
 		return nil, &runner.Error{RunState: answer.NotRun, Err: ErrLeft}
 	}
+	if !s.instance.takeColdShare(time.Now()) {
+		conn.Release()
+		return nil, &runner.Error{RunState: answer.NotRun, Err: ErrCold}
+	}
+	s.connectedAt = time.Now()
 	return conn, nil
 }
 
@@ -213,6 +223,7 @@
 func (p *Placement) Update(r *roster.Roster) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	known := make(map[string]*instance)
 	maps.Copy(known, p.unlisted)
 	for _, s := range p.services {
@@ -226,10 +237,15 @@
 		state, ok := known[i.ID]
 		if !ok || !state.SameIncarnation(i) {
 			state = newInstance(i, p, p.estimatorFor(i.Service))
+			if !i.TellsCold && old != nil {
+				// It is new, and may have started just now.
+				p.Warmup.Presume(i.Service, i.ID, now)
+			}
 		} else {
 			delete(known, i.ID)
 			state.markListed()
 		}
+		p.Warmup.Announced(i.Service, i.ID, i.ColdUntil, now)
 		s := p.services[i.Service]
 		if s == nil {
 			s = &service{lanes: &lanes{}, estimator: p.estimatorFor(i.Service)}
@@ -243,7 +259,6 @@
 	for _, s := range p.services {
 		s.instances = sortByHash(s.instances)
 	}
-	now := time.Now()
 	maps.DeleteFunc(known, func(_ string, i *instance) bool { return !i.markUnlisted(now) })
 	p.unlisted = known
 }
@@ -275,8 +290,8 @@
 
 // Choose selects an instance of the service for the request and reserves a slot there.
 //
-// The error is ErrNoInstance, or a *PausedError if all instances left for the request have
-// paused.
+// The error is ErrNoInstance, a *PausedError if all instances left for the request have
+// paused, or a *ColdError if some of them are cold.
 func (p *Placement) Choose(ctx context.Context, service string, r Requirements) (*Slot, error) {
 	p.mu.RLock()
 	s := p.services[service]
--- a/internal/target/placement/report.go
+++ b/internal/target/placement/report.go
@@ -64,6 +64,9 @@
 	conn, err := i.pool.Acquire(ctx, false)
 	if err != nil {
 		i.recordReportFailure(true)
+		if ctx.Err() == nil {
+			i.warmup.Presume(i.Service, i.ID, time.Now())
+		}
 		return nil
 	}
 	if i.hasFreshReport(time.Now()) {
@@ -73,6 +76,9 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			i.recordReportFailure(false)
+			if upstream.BrokenOff(err) {
+				i.warmup.Presume(i.Service, i.ID, time.Now())
+			}
 		}
 		return nil
 	}
--- a/internal/target/roster/roster.go
+++ b/internal/target/roster/roster.go
@@ -23,6 +23,12 @@
 	// StartedAt is the start of this incarnation by the instance's own clock. It orders the
 	// incarnations of one ID.
 	StartedAt time.Time
+	// TellsCold is set if the instance says whether it is cold, and ColdFor is for how long it was
+	// when it announced itself; 0 if it was not.
+	TellsCold bool
+	ColdFor   time.Duration
+	// ColdUntil is ColdFor after the arrival of the announcement; zero if it was not cold.
+	ColdUntil time.Time
 }
 
 // SameIncarnation reports whether i and other describe the same incarnation at the same address.
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -73,6 +73,9 @@
 	Leaving bool
 	// PauseFor is the time during which this router must not send anything to the target.
 	PauseFor time.Duration
+	// TellsCold is set if the target says whether it is cold, and ColdFor is for how long; 0 if it is not.
+	TellsCold bool
+	ColdFor   time.Duration
 }
 
 // Response is a response of a target whose header has been read and whose body has not. The
--- a/internal/target/upstream/pool.go
+++ b/internal/target/upstream/pool.go
@@ -139,11 +139,11 @@
 	return p.dialer.Connect(ctx, p.DialTimeout(), func(ctx context.Context) (net.Conn, error) { return p.Dial(ctx, p.Addr) })
 }
 
-// heedNotice passes the notice of a response to OnNotice. The pause in a response that does not
-// match its request is left out, since it may have been over before.
+// heedNotice passes the notice of a response to OnNotice. The pause and the warmth in a response that
+// does not match its request are left out, since they may have been over before.
 func (p *Pool) heedNotice(n Notice, matches bool) {
 	if !matches {
-		n.PauseFor = 0
+		n = Notice{Leaving: n.Leaving}
 	}
 	if n != (Notice{}) {
 		p.OnNotice(n)
--- a/internal/workspace/plan/config.go
+++ b/internal/workspace/plan/config.go
@@ -78,6 +78,11 @@
 	Name string
 	// MaxConnections is the maximum number of connections to one target, from all routers.
 	MaxConnections int
+	// ColdRate is the number of requests a second that a target bears while it is cold; 0 if that
+	// is not limited.
+	ColdRate float64
+	// ColdTime is how long a target is cold after its start; 0 if that is not known.
+	ColdTime time.Duration
 	// Engine describes the targets if they are model engines, and is nil otherwise.
 	Engine *Engine
 }
