--- a/internal/target/warmup/fleet.go
+++ b/internal/target/warmup/fleet.go
@@ -1,6 +1,7 @@
 package warmup
 
 import (
+	"slices"
 	"time"
 
 	"rosevalve/internal/target/balance"
@@ -23,47 +24,64 @@
 type fleet struct {
 	observedAt time.Time            // of the last observation
 	active     time.Duration        // time without a pause until observedAt
-	lastSeen   map[string]time.Time // by address, without this router
-	hashes     map[string]uint64    // of the keys of lastSeen
-	generation uint64               // grows when the routers change
+	view       []string             // of the last observation, sorted
+	hashes     map[string]uint64    // of all routers that are remembered, without this one
+	absent     map[string]time.Time // those that are not in the view, with when they were last
+	generation uint64               // grows when the keys of hashes change
+
+	// Mechanisms that tests disable.
+	settle, retention, maxGap time.Duration
 }
 
-// observe records the routers in the view, without this one.
-func (f *fleet) observe(routers []string, now time.Time) {
-	if f.lastSeen == nil {
-		f.lastSeen = make(map[string]time.Time)
+// observe records the sorted view, without this router.
+func (f *fleet) observe(view []string, now time.Time) {
+	if f.hashes == nil {
 		f.hashes = make(map[string]uint64)
+		f.absent = make(map[string]time.Time)
+		f.observedAt = now
 	}
 	f.active += now.Sub(f.observedAt)
-	if now.Sub(f.observedAt) > maxObserveGap {
+	if now.Sub(f.observedAt) > f.maxGap {
 		f.active = 0
 	}
+	if !slices.Equal(view, f.view) {
+		f.replaceView(view)
+	}
 	f.observedAt = now
-	for _, addr := range routers {
-		if _, ok := f.hashes[addr]; !ok {
-			f.hashes[addr] = balance.Hash(addr)
+	for addr, last := range f.absent {
+		if now.Sub(last) > f.retention {
+			delete(f.absent, addr)
+			delete(f.hashes, addr)
 			f.generation++
 		}
-		f.lastSeen[addr] = now
 	}
-	for addr, seen := range f.lastSeen {
-		if now.Sub(seen) > memberRetention {
-			delete(f.lastSeen, addr)
-			delete(f.hashes, addr)
+}
+
+// replaceView remembers the routers of a new view, and since when the others are absent.
+func (f *fleet) replaceView(view []string) {
+	for _, addr := range f.view {
+		f.absent[addr] = f.observedAt
+	}
+	for _, addr := range view {
+		delete(f.absent, addr)
+		if _, ok := f.hashes[addr]; !ok {
+			f.hashes[addr] = balance.Hash(addr)
 			f.generation++
 		}
 	}
+	f.view = view
 }
 
-// settled reports whether the router has run without a pause for long enough and has met at least half of the
-// seeds, those without itself. One that has met none may have been cut off since its start.
+// settled reports whether the router has run without a pause for long enough and has met at
+// least half of the seeds, those without itself. One that has met none may have been cut off
+// since its start.
 func (f *fleet) settled(seeds []string, now time.Time) bool {
-	if f.lastSeen == nil || f.active < settleTime || now.Sub(f.observedAt) > maxObserveGap {
+	if f.active < f.settle || now.Sub(f.observedAt) > f.maxGap {
 		return false
 	}
 	met := 0
 	for _, seed := range seeds {
-		if _, ok := f.lastSeen[seed]; ok {
+		if _, ok := f.hashes[seed]; ok {
 			met++
 		}
 	}
@@ -71,7 +89,7 @@
 }
 
 // size returns the number of routers, with this one.
-func (f *fleet) size() int { return len(f.lastSeen) + 1 }
+func (f *fleet) size() int { return len(f.hashes) + 1 }
 
 // rank returns how many routers rank before the one with the hash self for a target.
 func (f *fleet) rank(target, self uint64) int {
--- a/internal/target/warmup/limiter.go
+++ b/internal/target/warmup/limiter.go
@@ -32,6 +32,9 @@
 	fleet   fleet
 	targets map[string]*target // by ID; those that are or were cold lately
 	sent    int64
+
+	// divide is Bounds.divide; tests replace it.
+	divide func(b Bounds, rate float64, routers int) share
 }
 
 // Change describes that a target has become cold or warm.
@@ -161,7 +164,7 @@
 	if rate.PerSecond <= 0 || !until.After(now) {
 		return now
 	}
-	s := l.Bounds().divide(rate.PerSecond, l.fleet.size())
+	s := l.share(rate.PerSecond)
 	if !l.owns(t, s, now) {
 		return until
 	}
@@ -174,7 +177,28 @@
 
 // owns reports whether this router is an owner of the share of a target. The caller holds mu.
 func (l *Limiter) owns(t *target, s share, now time.Time) bool {
-	return l.fleet.settled(l.otherSeeds(), now) && t.rankIn(&l.fleet, balance.Hash(l.Self)) < s.owners
+	return !l.fleet.observedAt.IsZero() && l.fleet.settled(l.otherSeeds(), now) && t.rankIn(&l.fleet, balance.Hash(l.Self)) < s.owners
+}
+
+// setDefaults sets the mechanisms that tests may disable. The caller holds mu.
+func (l *Limiter) setDefaults() {
+	if l.fleet.settle == 0 {
+		l.fleet.settle = settleTime
+	}
+	if l.fleet.retention == 0 {
+		l.fleet.retention = memberRetention
+	}
+	if l.fleet.maxGap == 0 {
+		l.fleet.maxGap = maxObserveGap
+	}
+}
+
+// share returns the share of a target that bears a rate. The caller holds mu.
+func (l *Limiter) share(rate float64) share {
+	if l.divide != nil {
+		return l.divide(l.Bounds(), rate, l.fleet.size())
+	}
+	return l.Bounds().divide(rate, l.fleet.size())
 }
 
 // otherSeeds returns the seeds without this router.
--- a/internal/target/warmup/observe.go
+++ b/internal/target/warmup/observe.go
@@ -10,10 +10,12 @@
 	if l == nil {
 		return
 	}
-	routers := slices.DeleteFunc(slices.Clone(l.Routers()), func(addr string) bool { return addr == l.Self })
+	view := slices.DeleteFunc(slices.Clone(l.Routers()), func(addr string) bool { return addr == l.Self })
+	slices.Sort(view)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet.observe(routers, now)
+	l.setDefaults()
+	l.fleet.observe(view, now)
 	for id, t := range l.targets {
 		l.report(id, t, now)
 		if !t.cold && !l.paced(t, now) {
@@ -27,7 +29,7 @@
 // The caller holds mu.
 func (l *Limiter) paced(t *target, now time.Time) bool {
 	rate := l.Rate(t.service).PerSecond
-	return rate > 0 && now.Sub(t.lastTaken) < l.Bounds().divide(rate, l.fleet.size()).pace
+	return rate > 0 && now.Sub(t.lastTaken) < l.share(rate).pace
 }
 
 // report tells OnChange whether a target is cold if that has changed. The caller holds mu.
@@ -40,7 +42,7 @@
 	t.cold = cold
 	c := Change{Service: t.service, Instance: id, Cold: cold, Until: t.coldUntil(), Presumed: !t.toldUntil.After(now), Sent: t.taken}
 	if cold {
-		c.Owner = l.owns(t, l.Bounds().divide(rate.PerSecond, l.fleet.size()), now)
+		c.Owner = l.owns(t, l.share(rate.PerSecond), now)
 		t.taken, c.Sent = 0, 0
 	}
 	if l.OnChange != nil {
@@ -74,7 +76,7 @@
 			continue
 		}
 		out.Cold++
-		if s := l.Bounds().divide(rate, l.fleet.size()); l.owns(t, s, now) {
+		if s := l.share(rate); l.owns(t, s, now) {
 			out.Owned++
 			out.PerSecond += 1 / s.pace.Seconds()
 		}
