--- a/internal/fleet/settings/option.go
+++ b/internal/fleet/settings/option.go
@@ -173,7 +173,7 @@
 			if err != nil {
 				return fmt.Errorf("not a number")
 			}
-			if n < minValue || n > maxValue {
+			if !(n >= minValue && n <= maxValue) { // NaN is out of range too
 				return fmt.Errorf("out of range")
 			}
 			*out = n
--- a/internal/fleet/settings/settings_test.go
+++ b/internal/fleet/settings/settings_test.go
@@ -78,3 +78,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), want.String(), "docs/CONFIGURATION.md is stale: run make generate")
 }
+
+// TestBoundsOfColdTargets checks that the bounds may be empty, as on sites that do not name them.
+func TestBoundsOfColdTargets(t *testing.T) {
+	for text, want := range map[string][2]float64{
+		"": {1.5, 5},
+		"[edge]\ncold_overshoot =\ncold_slack =\n":     {1.5, 5},
+		"[edge]\ncold_overshoot = 2\ncold_slack = 0\n": {2, 0},
+	} {
+		s, err := load(t, text)
+		assert.NilError(t, err)
+		assert.Equal(t, [2]float64{s.Edge.ColdOvershoot, s.Edge.ColdSlack}, want)
+	}
+	for _, wrong := range []string{"-1", "NaN", "many"} {
+		_, err := load(t, "[edge]\ncold_slack = "+wrong+"\n")
+		assert.ErrorContains(t, err, "cold_slack")
+	}
+}
