--- a/internal/fleet/explain/cause.go
+++ b/internal/fleet/explain/cause.go
@@ -76,6 +76,8 @@
 		}
 		return fmt.Sprintf("Attempt %s at instance %s %s: %s%s.",
 			ended.str("attempt"), ended.str("instance"), ended.str("outcome"), ended.str("err"), whyNotRetried(request))
+	case "targets_cold":
+		return fmt.Sprintf("All instances that could get the request were cold and took none of this router: %s.", last.str("err"))
 	case "prompt_blocked":
 		return fmt.Sprintf("The request was not sent to protect the engines: %s; such requests are refused for %s ms at least.", last.str("err"), last.str("retry_after_ms"))
 	case "deadline_exceeded":
--- a/internal/fleet/explain/state.go
+++ b/internal/fleet/explain/state.go
@@ -35,6 +35,9 @@
 		if parts := l.str("parts"); parts != "" && l.event != "target_crashed" {
 			return "block " + parts
 		}
+		if l.event == "target_cold" || l.event == "target_warm" {
+			return "warmth " + l.str("instance")
+		}
 		if strings.HasPrefix(l.event, "target_ejected") || strings.HasPrefix(l.event, "target_readmitted") {
 			return "health " + l.str("instance")
 		}
@@ -57,13 +60,16 @@
 		if instance := l.str("instance"); instance != "" {
 			relevant["target "+instance] = true
 			relevant["health "+instance] = true
+			relevant["warmth "+instance] = true
 		}
 	}
 	var out []line
 	for subject, l := range s {
 		isStore := strings.HasPrefix(subject, "store ")
 		peerUnreachable := l.event == "peer_suspected" || l.event == "peer_lost"
-		if relevant[subject] || isStore || peerUnreachable || strings.HasPrefix(subject, "block ") && refusedByBlock(request) {
+		ofAll := strings.HasPrefix(subject, "block ") && refusedWith(request, "prompt_blocked") ||
+			l.event == "target_cold" && refusedWith(request, "targets_cold")
+		if relevant[subject] || isStore || peerUnreachable || ofAll {
 			out = append(out, l)
 		}
 	}
@@ -71,10 +77,10 @@
 	return out
 }
 
-// refusedByBlock reports whether the request was refused because its prompt is blocked.
-func refusedByBlock(request []line) bool {
+// refusedWith reports whether the router refused the request with the code.
+func refusedWith(request []line, code string) bool {
 	last, ok := lastOf(request, "request_refused")
-	return ok && last.str("code") == "prompt_blocked"
+	return ok && last.str("code") == code
 }
 
 func byTime(a, b line) int { return a.at.Compare(b.at) }
