--- a/internal/target/warmup/share.go
+++ b/internal/target/warmup/share.go
@@ -34,7 +34,7 @@
 // one group together keep to the rate, and in each window to their part of the bound.
 func (b Bounds) divide(rate float64, routers int) share {
 	bound := (rate*b.Overshoot + b.Slack) / groups
-	owners := max(1, math.Floor(min(rate, bound, float64(routers))))
+	owners := max(1, math.Floor(min(rate*paceMargin, bound, float64(routers))))
 	burst := max(1, math.Floor(bound/owners))
 	pace := max(owners/rate, paceMargin*window.Seconds()/burst)
 	return share{owners: int(owners), pace: time.Duration(min(pace, maxPace.Seconds()) * float64(time.Second))}
