--- a/internal/fleet/explain/cold_test.go
+++ b/internal/fleet/explain/cold_test.go
@@ -12,7 +12,7 @@
 func TestRefusedSinceTargetsAreCold(t *testing.T) {
 	log := logLine("00.100000", "process_started", "process", "") +
 		logLine("00.300000", "target_cold", "targets", `,"instance":"i-1","reason":"told"`) +
-		logLine("00.300000", "target_cold", "targets", `,"instance":"i-2","reason":"presumed"`) +
+		logLine("00.320000", "target_cold", "targets", `,"instance":"i-2","reason":"presumed"`) +
 		logLine("00.350000", "target_cold", "targets", `,"instance":"i-3","reason":"told"`) +
 		logLine("00.400000", "target_warm", "targets", `,"instance":"i-3","sent":2`) +
 		logLine("01.000000", "request_refused", "requests", `,"request_id":"r1","code":"targets_cold","err":"2 are cold"`)
