--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -46,6 +46,7 @@
 	snapshot  snapshot
 	rank      uint64 // score for the affinity key; 0 if the request has no key
 	wrongLane bool   // the instance belongs to the lane of the other prompt length
+	cold      bool   // the instance is cold, and a share of it is free
 }
 
 // choose returns the instance with the lowest cost, or nil if no instance accepts the request.
@@ -65,6 +66,10 @@
 		case second:
 			prefillWeight = 1
 		}
+		if c.cold {
+			// Its cache has to be filled anyway, and the few routers that may do so must not pass it over.
+			prefillWeight = 0
+		}
 		if cost := c.cost(r, speed, prefillWeight); cost < lowest {
 			best, lowest = c.instance, cost
 		}
@@ -91,7 +96,7 @@
 			withheld = true
 			continue
 		}
-		c := candidate{instance: i, snapshot: i.snapshot(r, speed, now)}
+		c := candidate{instance: i, snapshot: i.snapshot(r, speed, now), cold: p.Warmup.Cold(i.Service, i.ID, now)}
 		c.wrongLane = r.EventGapGoal > 0 && r.longPrompt(speed) != (index < longLane)
 		if keyed {
 			c.rank = rank(key, i)
--- a/internal/target/warmup/limiter.go
+++ b/internal/target/warmup/limiter.go
@@ -123,6 +123,17 @@
 	return l.FreeAt(service, id, now).After(now)
 }
 
+// Cold reports whether a target is cold, as far as is known, and the requests to it are limited.
+func (l *Limiter) Cold(service, id string, now time.Time) bool {
+	if l == nil || l.count.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.targets[id]
+	return t != nil && t.coldUntil().After(now) && l.Rate(service).PerSecond > 0
+}
+
 // FreeAt returns when this router may next send a request to a target; not after now if it may
 // at once.
 func (l *Limiter) FreeAt(service, id string, now time.Time) time.Time {
