--- a/internal/request/forward/cold_test.go
+++ b/internal/request/forward/cold_test.go
@@ -98,3 +98,36 @@
 	}
 	return out
 }
+
+// TestColdTargetIsNotBlamed checks that a request which finds the share of a cold target used up, after it was chosen,
+// goes on elsewhere, and that this does not count as a failure of the target.
+func TestColdTargetIsNotBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := coldStage()
+		defer finish(f)
+		blamed := false
+		f.Placement.OnHealthChange = func(placement.HealthChange) { blamed = true }
+		f.Placement.Update(roster.New(nil))
+		f.Placement.Update(roster.New([]roster.Instance{{ID: "i0", Service: "s", Addr: "addr0", Capacity: 8, FailureDomain: "cold", TellsCold: true}}))
+		f.Placement.PresumeCold("cold")
+		s.scenario.Conducts[0].Dial = 100 * time.Millisecond
+		var slots []*placement.Slot
+		for range 2 {
+			slot, err := f.Placement.Choose(t.Context(), "s", placement.Requirements{})
+			assert.NilError(t, err)
+			slots = append(slots, slot)
+		}
+		ar := &activeRequest{ctx: t.Context(), deadline: time.Now().Add(time.Minute)}
+		for n, slot := range slots {
+			conn, err := slot.Conn(t.Context(), true)
+			assert.Equal(t, err != nil, n == 1)
+			if err == nil {
+				conn.Release()
+				continue
+			}
+			assert.Assert(t, !reachedTarget(err))
+			slot.End(ar.outcomeOf(err))
+		}
+		assert.Assert(t, !blamed)
+	})
+}
--- a/internal/target/placement/cold_test.go
+++ b/internal/target/placement/cold_test.go
@@ -181,3 +181,21 @@
 	t.Helper()
 	return choose(t, p, Requirements{})
 }
+
+// TestOwnerUsesItsShare checks that a router which may send to a cold instance does so, although another one has the
+// prompt in its cache, and that the request after it goes to the cache.
+func TestOwnerUsesItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newColdPlacement(t, 2, true)
+		r := sharedPartRequirements(7)
+		warm := assertSameInstance(t, p, r, 3)
+		other := map[string]string{"i-0": "i-1", "i-1": "i-0"}[warm]
+		p.Warmup.Announced(writer, other, time.Now().Add(3*time.Second), time.Now())
+		s := choose(t, p, r)
+		assert.Equal(t, s.ID(), other)
+		_, err := s.Conn(t.Context(), true)
+		assert.NilError(t, err)
+		s.End(Served)
+		assert.Equal(t, choose(t, p, r).ID(), warm, "while the share is used up")
+	})
+}
