Merge cold targets; those of a domain that was taken back are presumed cold

When an evacuation ends, its targets are presumed cold where the service has a cold rate, so that the work does not return all at once to targets that were restarted meanwhile.

--- a/internal/fleet/edge/evacuation.go
+++ b/internal/fleet/edge/evacuation.go
@@ -50,6 +50,8 @@
 		case evacuation.Began:
 			e.Events.Emit(eventlog.EvacuationBegan, append(pairs, "instances", e.placement.CountIn(t.Domain), "from_peers", fromPeers)...)
 		case evacuation.Ended:
+			// Its targets may have been restarted meanwhile.
+			e.placement.PresumeCold(t.Domain)
 			e.Events.Emit(eventlog.EvacuationEnded, append(pairs, "instances", e.placement.CountIn(t.Domain))...)
 		default:
 			e.Events.Emit(eventlog.EvacuationChanged, append(pairs, "change", t.Kind, "from_peers", fromPeers)...)
--- a/internal/fleet/settings/option.go
+++ b/internal/fleet/settings/option.go
@@ -196,7 +196,7 @@
 			if err != nil {
 				return fmt.Errorf("not a number")
 			}
-			if n < minValue || n > maxValue {
+			if !(n >= minValue && n <= maxValue) { // NaN is out of range too
 				return fmt.Errorf("out of range")
 			}
 			*out = n
@@ -205,6 +205,19 @@
 	}
 }
 
+// orDefault makes an option accept the empty text, which stands for its default value.
+func orDefault(o *Option) *Option {
+	parse := o.parse
+	o.allowed += ", or empty for the default"
+	o.parse = func(text string) error {
+		if text == "" {
+			return parse(o.defaultValue)
+		}
+		return parse(text)
+	}
+	return o
+}
+
 // choiceOption accepts one of the choices.
 func choiceOption(section, key, defaultValue, doc string, choices []string, out *string) *Option {
 	return &Option{
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -134,7 +134,7 @@
 func (ar *activeRequest) outcomeOf(err error) placement.Outcome {
 	var runErr *runner.Error
 	switch {
-	case ar.interrupted() || errors.Is(err, placement.ErrLeft) || errors.Is(err, placement.ErrEvacuated):
+	case ar.interrupted() || errors.Is(err, placement.ErrLeft) || errors.Is(err, placement.ErrEvacuated) || errors.Is(err, placement.ErrCold):
 		return placement.Inconclusive
 	case !errors.As(err, &runErr) || runErr.RunState != answer.NotRun:
 		return placement.Failed
@@ -188,6 +188,7 @@
 // error of the last attempt.
 func (ar *activeRequest) failure(lastErr error) *answer.Error {
 	var paused *placement.PausedError
+	var cold *placement.ColdError
 	var blocked *blockedError
 	switch {
 	case ar.ctx.Err() != nil:
@@ -200,6 +201,8 @@
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, EvacuatedCode, evacuatedRetryAfter, "no target can take the request now: %v", lastErr)
 	case ar.runState == answer.NotRun && errors.Is(lastErr, placement.ErrNotAllowed):
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, homesCode, homesRetryAfter, "no target is in a home region of the request: %v", ar.homes.Regions)
+	case ar.runState == answer.NotRun && errors.As(lastErr, &cold):
+		return answer.Retryable(fasthttp.StatusServiceUnavailable, "targets_cold", max(time.Millisecond, time.Until(cold.Until)), "no target takes requests now: %v", lastErr)
 	case ar.runState == answer.NotRun:
 		return answer.Retryable(fasthttp.StatusServiceUnavailable, "no_target", busyRetryAfter, "no target can take the request now: %v", lastErr)
 	default:
--- a/internal/target/placement/choose.go
+++ b/internal/target/placement/choose.go
@@ -46,6 +46,7 @@
 	snapshot  snapshot
 	rank      uint64 // score for the affinity key; 0 if the request has no key
 	wrongLane bool   // the instance belongs to the lane of the other prompt length
+	cold      bool   // the instance is cold, and a share of it is free
 }
 
 // choose returns the instance with the lowest cost, or nil if no instance accepts the request.
@@ -65,6 +66,10 @@
 		case second:
 			prefillWeight = 1
 		}
+		if c.cold {
+			// Its cache has to be filled anyway, and the few routers that may do so must not pass it over.
+			prefillWeight = 0
+		}
 		if cost := c.cost(r, speed, prefillWeight); cost < lowest {
 			best, lowest = c.instance, cost
 		}
@@ -83,19 +88,27 @@
 		return nil
 	}
 	offset := p.intN(len(list))
+	withheld := false
 	for n := range list {
 		index := (n + offset) % len(list)
 		i := list[index]
 		if slices.Contains(r.Exclude, i.ID) || !i.acceptsRequests(now) {
 			continue
 		}
-		c := candidate{instance: i, snapshot: i.snapshot(r, speed, now)}
+		if p.Warmup.Withheld(i.Service, i.ID, now) {
+			withheld = true
+			continue
+		}
+		c := candidate{instance: i, snapshot: i.snapshot(r, speed, now), cold: p.Warmup.Cold(i.Service, i.ID, now)}
 		c.wrongLane = r.EventGapGoal > 0 && r.longPrompt(speed) != (index < longLane)
 		if keyed {
 			c.rank = rank(key, i)
 		}
 		out = append(out, c)
 	}
+	if withheld && len(out) > 0 {
+		p.Warmup.Diverted()
+	}
 	return out
 }
 
