Withdraw an overloaded router from callers that stay with its address

Cause, traced: a workspace with a third of all requests is sent to one router of a 10 Mbit/s link by all its callers, each request on a new connection, whatever the directory says. Every router named the 6 to 8 large ones all the while, also the choked ones; so what a choked router believes of the fleet (it did lose sight of 24 of 84) is not the cause. The callers leave a router when its readiness check fails, and take the next of an order of their own; it failed by chance after 5 s, when the check did not get through, and the next small router took its turn.

The log says whom a router names and when it withdraws.

--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,11 +13,7 @@
 	"rosevalve/platform"
 )
 
-const (
-	auxIdleTimeout = 10 * time.Second
-	// maxAddresses bounds the router addresses in one directory answer.
-	maxAddresses = 64
-)
+const auxIdleTimeout = 10 * time.Second
 
 // State is the state of the process as dumped by /debug/state.
 type State struct {
@@ -95,18 +89,6 @@
 	}
 }
 
-// addresses returns the addresses of the routers that serve callers of a failure domain, at
-// most maxAddresses, in random order.
-func (e *Edge) addresses(domain string) []string {
-	serving := slices.Clone(e.fleet.ServingDomain(domain))
-	rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
-	out := make([]string, 0, len(serving))
-	for _, m := range serving[:min(maxAddresses, len(serving))] {
-		out = append(out, m.CallerAddr)
-	}
-	return out
-}
-
 // state returns the current state of the process.
 func (e *Edge) state() State {
 	s := State{
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -151,6 +151,7 @@
 		OnConfigVersion: e.notePeerConfigVersion,
 	}
 	e.fleet = &entry.Selector{Members: e.view.Members}
+	e.withdrawal.Hold = cfg.Edge.WithdrawFor
 	e.transport.Self = e.view.Self
 	e.transport.Handlers = map[string]peer.Handler{
 		inner.MethodHeartbeat:       e.view.HandleHeartbeat,
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -69,6 +69,8 @@
 	targetTable     *follow.Table   // local copy of the store's table of target announcements
 	oddTargets      map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
 	announced       announcements
+	withdrawal      entry.Withdrawal           // used only by maintain
+	withdrawn       atomic.Bool                // result of the last update of withdrawal
 	wasOutdated     bool                       // used only by maintain
 	slowReads       map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
 	roster          *roster.Tracker
@@ -84,6 +86,7 @@
 	load            *loadMeter
 	metrics         *metricSet
 	memberLog       memberLogger
+	directoryLog    directoryLogger
 }
 
 // Run serves until ctx ends, then drains and returns. It returns early if a component fails.
@@ -184,11 +187,13 @@
 // current members on to the components that depend on them.
 func (e *Edge) maintain(now time.Time) {
 	e.placement.Prune(now)
+	e.updateWithdrawal(now)
 	e.view.SetReady(e.ready())
 	e.forwarder.RetryBudget.SetRouterCount(len(e.view.Members()))
 	e.logSlowReads()
 	e.logOutdated()
 	e.memberLog.update(e.innerAddr(), e.view.Members(), e.Events.Emit)
+	e.directoryLog.update(e.innerAddr(), e.fleet.ServingDomain(e.Settings.Router.FailureDomain), e.view.Members(), e.Events.Emit)
 }
 
 // measureLoad measures the utilization of the VM and announces when this router becomes busy
@@ -212,9 +217,9 @@
 }
 
 // ready reports whether this router can serve callers: it has the configuration and the targets,
-// and is not leaving.
+// is not leaving, and is not withdrawn because of its load.
 func (e *Edge) ready() bool {
-	return e.plan.Load() != nil && !e.outdated() && e.targetTable.Loaded() && !e.leaving()
+	return e.plan.Load() != nil && !e.outdated() && e.targetTable.Loaded() && !e.leaving() && !e.withdrawn.Load()
 }
 
 // auxServer returns the server of the auxiliary endpoints: readiness, directory, metrics and debug.
--- a/internal/fleet/edge/load.go
+++ b/internal/fleet/edge/load.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"rosevalve/internal/fleet/eventlog"
 )
 
 const (
@@ -86,6 +88,24 @@
 	return e.load.busy.Load() && rand.Float64() >= acceptedShare(e.placement.QueueingDelay())
 }
 
+// overloaded reports whether this router refuses a part of the requests.
+func (e *Edge) overloaded() bool {
+	return e.load.busy.Load() && acceptedShare(e.placement.QueueingDelay()) < 1
+}
+
+// updateWithdrawal decides whether this router stops or begins to be ready because of its load. Only maintain may call it.
+func (e *Edge) updateWithdrawal(now time.Time) {
+	was := e.withdrawn.Load()
+	is := e.withdrawal.Update(now, e.overloaded(), e.innerAddr(), e.view.Members())
+	e.withdrawn.Store(is)
+	switch {
+	case is && !was:
+		e.Events.Emit(eventlog.RouterWithdrawn, "queueing_ms", e.placement.QueueingDelay().Milliseconds())
+	case was && !is:
+		e.Events.Emit(eventlog.RouterReturned)
+	}
+}
+
 // acceptedShare returns the fraction of the requests that a busy router accepts at a queueing delay.
 func acceptedShare(delay time.Duration) float64 {
 	if delay <= maxQueueingDelay {
--- a/internal/fleet/settings/edge.go
+++ b/internal/fleet/settings/edge.go
@@ -23,6 +23,8 @@
 	LinkMbps float64
 	// DirectoryMaxAge is how long callers may cache the list of routers.
 	DirectoryMaxAge time.Duration
+	// WithdrawFor is how long the readiness check fails after this router was overloaded; 0 means never.
+	WithdrawFor time.Duration
 	// RetryRatio is the number of retries that each request of a service adds to the retry budget.
 	RetryRatio float64
 	// RetrySlack is the number of retries of a service that all routers together may make in addition.
@@ -42,6 +44,7 @@
 		numberOption("edge", "memory_mb", "256", "memory available to this process, in megabytes", 32, 1e6, &s.MemoryMB),
 		numberOption("edge", "link_mbps", "1000", "bandwidth of the VM's network link, in megabits per second", 0.1, 1e6, &s.LinkMbps),
 		durationOption("edge", "max_age", "1s", "how long callers may cache the list of routers", 100*time.Millisecond, time.Hour, &s.DirectoryMaxAge),
+		durationOption("edge", "withdraw_for", "0s", "how long the readiness check fails after this router was overloaded while others had room, so that callers leave that stay with one address; 0s means never, and each further overload soon after doubles it", 0, time.Hour, &s.WithdrawFor),
 		numberOption("edge", "retry_ratio", "0.2", "retries that each request of a service adds to the retry budget", 0, 1, &s.RetryRatio),
 		numberOption("edge", "retry_slack", "10", "retries of a service that all routers together may make in addition", 0, 1e6, &s.RetrySlack),
 		durationOption("edge", "retry_window", "10s", "time window over which requests and retries are counted", time.Second, time.Hour, &s.RetryWindow),
