--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -17,12 +17,14 @@
 
 // State is the state of the process as dumped by /debug/state.
 type State struct {
-	Incarnation string          `json:"life"`
-	PlanVersion uint64          `json:"plan_version"`
-	Ready       bool            `json:"ready"`
-	Leaving     bool            `json:"leaving"`
-	InFlight    int64           `json:"in_flight"`
-	Tokens      []prepaid.State `json:"tokens"`
+	Incarnation string `json:"life"`
+	PlanVersion uint64 `json:"plan_version"`
+	Ready       bool   `json:"ready"`
+	// Withdrawn reports whether the readiness check fails because of this router's load.
+	Withdrawn bool            `json:"withdrawn"`
+	Leaving   bool            `json:"leaving"`
+	InFlight  int64           `json:"in_flight"`
+	Tokens    []prepaid.State `json:"tokens"`
 	// Era is the era of the store to which the tokens belong.
 	Era prepaid.EraState `json:"era"`
 	// EngineSpeeds are the measured speeds of the engines, by service.
@@ -94,6 +96,7 @@
 	s := State{
 		Incarnation:  e.incarnation,
 		Ready:        e.ready(),
+		Withdrawn:    e.withdrawn.Load(),
 		Leaving:      e.leaving(),
 		InFlight:     e.ingress.InFlight(),
 		Tokens:       e.tokens.State(),
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -149,9 +149,11 @@
 		Call:            e.transport.Call,
 		ConfigVersion:   e.planVersion,
 		OnConfigVersion: e.notePeerConfigVersion,
+		Impaired:        e.overloaded,
 	}
 	e.fleet = &entry.Selector{Members: e.view.Members}
 	e.withdrawal.Hold = cfg.Edge.WithdrawFor
+	e.metrics.addGauge("rosevalve_router_withdrawn", func() float64 { return float64(boolToInt(e.withdrawn.Load())) })
 	e.transport.Self = e.view.Self
 	e.transport.Handlers = map[string]peer.Handler{
 		inner.MethodHeartbeat:       e.view.HandleHeartbeat,
--- a/internal/fleet/edge/directory.go
+++ b/internal/fleet/edge/directory.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"rosevalve/internal/fleet/entry"
 	"rosevalve/internal/fleet/eventlog"
 	"rosevalve/internal/protocol/inner"
 )
@@ -24,35 +23,37 @@
 	return out
 }
 
-// directoryLogger logs changes of the routers that this router names to callers of its failure domain.
+// directoryLogger logs how many routers this router names to callers of its failure domain.
 type directoryLogger struct {
-	named []inner.Member // at the last update
+	named     int // at the last update
+	namesSelf bool
 }
 
-// update logs the routers that are named now, if they have changed since the last call. members is the whole view, and
-// self this router's inner address.
+// update logs how many routers are named now, if that or whether this router is among them has changed since the last
+// call. members is the whole view, and self this router's inner address.
 func (l *directoryLogger) update(self string, named, members []inner.Member, emit func(ev eventlog.Event, pairs ...any)) {
-	if entry.SameSlice(named, l.named) || slices.EqualFunc(named, l.named, sameIncarnation) {
+	namesSelf := slices.ContainsFunc(named, func(m inner.Member) bool { return m.InnerAddr == self })
+	if len(named) == l.named && namesSelf == l.namesSelf {
 		return
 	}
-	l.named = named
+	l.named, l.namesSelf = len(named), namesSelf
 	var alive, suspected, ready, busy int
 	for _, m := range members {
-		alive += count(m.State == inner.Alive)
-		suspected += count(m.State == inner.Suspect)
-		ready += count(m.State == inner.Alive && m.Ready)
-		busy += count(m.State == inner.Alive && m.Busy)
+		switch m.State {
+		case inner.Alive:
+			alive++
+			ready += boolToInt(m.Ready)
+			busy += boolToInt(m.Busy)
+		case inner.Suspect:
+			suspected++
+		}
 	}
-	namesSelf := slices.ContainsFunc(named, func(m inner.Member) bool { return m.InnerAddr == self })
 	emit(eventlog.DirectoryChanged, "named", len(named), "names_self", namesSelf, "alive", alive, "suspected", suspected, "ready", ready, "busy", busy)
 }
 
-// sameIncarnation reports whether both entries are of one incarnation of a router.
-func sameIncarnation(a, b inner.Member) bool { return a.ID == b.ID }
-
-// count returns 1 if a condition holds, and 0 otherwise.
-func count(holds bool) int {
-	if holds {
+// boolToInt returns 1 for true and 0 for false.
+func boolToInt(b bool) int {
+	if b {
 		return 1
 	}
 	return 0
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -141,7 +141,7 @@
 	RouterWithdrawn:      {component: Process, warning: true, doc: "the router refuses requests since it is overloaded, and its readiness check fails from now on, so that callers leave that stay with its address", fields: "queueing_ms"},
 	RouterReturned:       {component: Process, doc: "the router has not been overloaded for `[edge] withdraw_for`, and its readiness check succeeds again"},
 	LoadReadFailed:       {component: Process, warning: true, doc: "the used processor time cannot be read; the router keeps its previous load state", fields: "err"},
-	DirectoryChanged:     {component: Process, doc: "this router names other routers than before to callers of its own failure domain; alive, suspected, ready and busy count the routers of its view", fields: "named, names_self, alive, suspected, ready, busy"},
+	DirectoryChanged:     {component: Process, doc: "the number of routers that this router names to callers of its own failure domain has changed, or whether it is among them; alive, suspected, ready and busy count the routers of its view", fields: "named, names_self, alive, suspected, ready, busy"},
 	StoreLost:            {component: Store, warning: true, doc: "the store does not answer polls of a table", fields: "table, age_ms, err"},
 	StoreRecovered:       {component: Store, doc: "the store answers polls of the table again", fields: "table, away_ms"},
 	TableReadBroken:      {component: Store, warning: true, doc: "an answer with rows of the table broke off after bytes of it had arrived, which are lost; wait_ms is the time until it began, read_ms the time since", fields: "table, bytes, wait_ms, read_ms, err"},
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -52,6 +52,9 @@
 	// OnConfigVersion is called with the configuration version of a peer from each heartbeat and
 	// each answer to one. It must not block.
 	OnConfigVersion func(innerAddr string, version uint64)
+	// Impaired reports whether this router is so overloaded that a missing answer may be its own fault. It then suspects and
+	// removes no router by itself, and relies on what others report. It may be nil.
+	Impaired func() bool
 	// OnReplaced is called once if another router answers at this router's address.
 	OnReplaced func()
 
@@ -188,6 +191,9 @@
 	return v.Interval
 }
 
+// impaired reports whether a missing answer may be the fault of this router.
+func (v *View) impaired() bool { return v.Impaired != nil && v.Impaired() }
+
 // isolated reports whether the view contains no other router. The caller holds mu.
 func (v *View) isolated() bool {
 	for _, e := range v.members {
@@ -219,13 +225,18 @@
 }
 
 // advance adds the time since the last round to the active time and expires entries. A pause of
-// this process must not count as time without contact, so each round adds at most one interval.
+// this process must not count as time without contact, so each round adds at most one interval, and none while this router
+// is impaired.
 func (v *View) advance(now time.Time) {
+	impaired := v.impaired()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	passed := now.Sub(v.lastRound)
 	v.lastRound = now
 	counted := v.elapsed(passed)
+	if impaired {
+		counted = 0
+	}
 	if passed > 2*v.Interval {
 		v.counts.Pauses++
 	}
--- a/internal/fleet/membership/probe.go
+++ b/internal/fleet/membership/probe.go
@@ -114,7 +114,7 @@
 func (v *View) probe(ctx context.Context, addr string) {
 	defer v.probeDone(addr)
 	probedVersion, known := v.version(addr)
-	began := time.Now()
+	began, wasImpaired := time.Now(), v.impaired()
 	if v.exchange(ctx, addr) == nil || !known {
 		return
 	}
@@ -124,6 +124,9 @@
 	if time.Since(began) > 2*probeTimeout+pauseSlack {
 		return // this process was paused: the missing answer proves nothing
 	}
+	if wasImpaired || v.impaired() {
+		return
+	}
 	v.markSuspect(addr, probedVersion)
 }
 
