--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,20 +14,18 @@
 	"rosevalve/platform"
 )
 
-const (
-	auxIdleTimeout = 10 * time.Second
-	// maxAddresses bounds the router addresses in one directory answer.
-	maxAddresses = 64
-)
+const auxIdleTimeout = 10 * time.Second
 
 // State is the state of the process as dumped by /debug/state.
 type State struct {
-	Incarnation string          `json:"life"`
-	PlanVersion uint64          `json:"plan_version"`
-	Ready       bool            `json:"ready"`
-	Leaving     bool            `json:"leaving"`
-	InFlight    int64           `json:"in_flight"`
-	Tokens      []prepaid.State `json:"tokens"`
+	Incarnation string `json:"life"`
+	PlanVersion uint64 `json:"plan_version"`
+	Ready       bool   `json:"ready"`
+	// Withdrawn reports whether the readiness check fails because of this router's load.
+	Withdrawn bool            `json:"withdrawn"`
+	Leaving   bool            `json:"leaving"`
+	InFlight  int64           `json:"in_flight"`
+	Tokens    []prepaid.State `json:"tokens"`
 	// Era is the era of the store to which the tokens belong.
 	Era prepaid.EraState `json:"era"`
 	// EngineSpeeds are the measured speeds of the engines, by service.
@@ -98,27 +94,12 @@
 	}
 }
 
-// addresses returns the addresses of the routers that serve callers of a failure domain, at
-// most maxAddresses, in random order. While routes or workspaces have homes, callers get
-// routers of their region.
-func (e *Edge) addresses(domain, region string) []string {
-	serving := slices.Clone(e.fleet.ServingDomain(domain))
-	if p := e.plan.Load(); p != nil && p.HasHomes() {
-		serving = slices.Clone(e.fleet.ServingRegion(domain, region))
-	}
-	rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
-	out := make([]string, 0, len(serving))
-	for _, m := range serving[:min(maxAddresses, len(serving))] {
-		out = append(out, m.CallerAddr)
-	}
-	return out
-}
-
 // state returns the current state of the process.
 func (e *Edge) state() State {
 	s := State{
 		Incarnation:  e.incarnation,
 		Ready:        e.ready(),
+		Withdrawn:    e.withdrawn.Load(),
 		Leaving:      e.leaving(),
 		InFlight:     e.ingress.InFlight(),
 		Tokens:       e.tokens.State(),
