Begin a new era for all holdings before an answer of it is used

Cause: the router took note of a new era first and of each holding after it.

Ruled out: late commits of the former era; their keys and stamps name it.

--- a/internal/budget/prepaid/era.go
+++ b/internal/budget/prepaid/era.go
@@ -25,6 +25,10 @@
 
 // eras is what this incarnation knows about the store's current era.
 type eras struct {
+	// starting is held while an era begins, from the first field to the last holding; acquired before all
+	// other locks.
+	starting sync.Mutex
+
 	mu            sync.Mutex // guards the fields below; no other lock of the Manager is acquired under it
 	eraKnown      bool       // an answer of the store has contained the era
 	era           uint64
@@ -152,14 +156,10 @@
 // empty stamp means that the store did not answer.
 func (m *Manager) observeStamp(stamp table.Stamp) {
 	m.journal.updateClock(stamp, time.Now())
-	from, changed := m.eras.observe(stamp, m.RecentIncarnations)
+	from, changed := m.startEra(stamp)
 	if !changed {
 		return
 	}
-	for _, h := range m.allHoldings() {
-		h.startEra(stamp.Era, m.incarnation())
-	}
-	m.journal.startEra(stamp.Era)
 	if !m.journal.isOpen() {
 		return
 	}
@@ -168,6 +168,22 @@
 	m.eras.requestCheck()
 }
 
+// startEra begins the era of a stamp if it is new. Once it returns, no rows that the stamp came with are
+// taken for those of an earlier era: they may be of an older state than the holdings know.
+func (m *Manager) startEra(stamp table.Stamp) (from table.Stamp, changed bool) {
+	m.eras.starting.Lock()
+	defer m.eras.starting.Unlock()
+	from, changed = m.eras.observe(stamp, m.RecentIncarnations)
+	if !changed {
+		return from, false
+	}
+	for _, h := range m.allHoldings() {
+		h.startEra(stamp.Era, m.incarnation())
+	}
+	m.journal.startEra(stamp.Era)
+	return from, true
+}
+
 // ObserveEra records the store's era from the answer to any other call of this router.
 func (m *Manager) ObserveEra(stamp table.Stamp) {
 	m.init()
