--- a/internal/budget/prepaid/bounds.go
+++ b/internal/budget/prepaid/bounds.go
@@ -12,6 +12,7 @@
 	era    uint64 // store era in which it was sent
 	bounds map[string]Bound
 	sent   time.Time
+	sentAt time.Duration // the same by the VM's clock, which continues during a suspend
 	// reclaimers are the incarnations that may reclaim the holdings by this write, and firm is what
 	// may be used of each workspace nonetheless.
 	reclaimers []string
@@ -32,6 +33,17 @@
 	// deferrals are the sequence numbers of the last writes by which reclaimers have agreed not
 	// to reclaim, by the incarnation that a write names.
 	deferrals map[string]int64
+	// deferralsStuck is set if the store failed and too few reclaimers had agreed when they were last
+	// asked.
+	deferralsStuck bool
+}
+
+// maybeStored returns the writes that may be in force: the acknowledged one and the pending ones.
+func (eb *effectiveBounds) maybeStored() []*boundsWrite {
+	if eb.acked == nil {
+		return eb.pending
+	}
+	return append([]*boundsWrite{eb.acked}, eb.pending...)
 }
 
 // usageLimit returns the number of tokens of a holding that may be used at a time: the least
@@ -56,14 +68,9 @@
 	return w.bounds[workspace].limitAfter(drawn, now.Sub(w.sent)-eb.grace)
 }
 
-// isDeferred reports whether all reclaimers have agreed not to reclaim by the write.
+// isDeferred reports whether enough reclaimers have agreed not to reclaim by the write.
 func (eb *effectiveBounds) isDeferred(w *boundsWrite) bool {
-	for _, reclaimer := range w.reclaimers {
-		if eb.deferrals[reclaimer] < w.seq {
-			return false
-		}
-	}
-	return true
+	return len(w.reclaimers)-len(w.missingDeferrals(eb.deferrals)) >= deferralQuorum(len(w.reclaimers))
 }
 
 // timeUntilAllowed returns the time after which the given number of tokens of a holding may be
@@ -86,31 +93,36 @@
 // timeUntilAllowedBy returns the time until one write allows the given number of tokens;
 // negative if it never does.
 func (eb *effectiveBounds) timeUntilAllowedBy(w *boundsWrite, workspace string, tokens int64, now time.Time) time.Duration {
+	deferral := time.Duration(0)
 	if !eb.isDeferred(w) {
-		if tokens <= w.firm[workspace] {
+		switch {
+		case tokens <= w.firm[workspace]:
 			return 0
+		case eb.deferralsStuck:
+			return -1
 		}
-		return -1
+		// Either the next write takes effect soon, or the reclaimers are asked to defer.
+		deferral = max(deferralInterval, w.sent.Add(deferAfter+deferralInterval).Sub(now))
 	}
 	b := w.bounds[workspace]
 	more := tokens - b.Tokens
 	switch {
 	case more <= 0:
-		return 0
+		return deferral
 	case b.Rate <= 0:
 		return -1
 	}
 	atRate := time.Duration(float64(more) / float64(b.Rate) * float64(time.Second))
-	return max(0, w.sent.Add(eb.grace+atRate).Sub(now))
+	return max(deferral, w.sent.Add(eb.grace+atRate).Sub(now))
 }
 
 // begin adds the next write as a pending one and returns it. It allows no less than the
 // pending writes before it.
-func (eb *effectiveBounds) begin(seq int64, bounds map[string]Bound, now time.Time) *boundsWrite {
-	w := &boundsWrite{seq: seq, bounds: bounds, sent: now}
+func (eb *effectiveBounds) begin(seq int64, bounds map[string]Bound, now time.Time, clock time.Duration) *boundsWrite {
+	w := &boundsWrite{seq: seq, bounds: bounds, sent: now, sentAt: clock}
 	if n := len(eb.pending); n > 0 {
 		last := eb.pending[n-1]
-		w.sent = last.sent
+		w.sent, w.sentAt = last.sent, last.sentAt
 		for workspace, b := range last.bounds {
 			own := w.bounds[workspace]
 			w.bounds[workspace] = Bound{Tokens: max(own.Tokens, b.Tokens), Rate: max(own.Rate, b.Rate)}
@@ -122,7 +134,7 @@
 
 // ack records that the write certainly took effect, and that no pending one can any more.
 func (eb *effectiveBounds) ack(w *boundsWrite) {
-	eb.acked = w
+	eb.acked, eb.deferralsStuck = w, false
 	eb.pending = nil
 }
 
--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -51,12 +51,20 @@
 }
 
 // Close returns the free tokens of every holding; no request may hold a reservation any more.
-// It may be repeated after an error.
+// It may be repeated after an error. If the store does not answer, other routers are told what to return.
 func (m *Manager) Close(ctx context.Context) error {
 	m.init()
 	// The next incarnation recovers what is not returned in time, by the bounds of this write.
 	m.journal.requestWrite()
-	return m.returnAll(ctx, keepNothing)
+	if m.journal.isOverdue(time.Now()) {
+		m.tellFinalUsage(ctx)
+		return m.returnAll(ctx, keepNothing)
+	}
+	err := m.returnAll(ctx, keepNothing)
+	if err != nil {
+		m.tellFinalUsage(context.WithoutCancel(ctx))
+	}
+	return err
 }
 
 // keepNothing is the keep function of a holding that is to be closed.
--- a/internal/budget/prepaid/deferral.go
+++ b/internal/budget/prepaid/deferral.go
@@ -10,7 +10,7 @@
 
 // A VM that is cut off can not be told apart from one that is lost. Its holdings are reclaimed by
 // the bounds of its journal, so that an incarnation that can not write its journal must stay
-// within them, unless all that may reclaim have promised not to do so by the rows that may be in
+// within them, unless enough of those that may reclaim have promised not to do so by the rows that may be in
 // the store. The promise is about sequence numbers, not about time.
 
 const (
@@ -53,26 +53,63 @@
 	}
 }
 
-// requestDeferrals asks all reclaimers that have not agreed yet.
+// requestDeferrals asks the reclaimers whose agreement is missing.
 func (m *Manager) requestDeferrals(ctx context.Context) {
+	reclaimers, from, upTo := m.journal.undeferred()
+	m.askToDefer(ctx, reclaimers, from, upTo)
+	m.journal.noteDeferrals()
+}
+
+// noteDeferrals records whether the store fails and too few reclaimers have agreed to defer.
+func (j *journal) noteDeferrals() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.bounds.deferralsStuck = j.lastCallFailed && len(j.undeferredReclaimers()) > 0
+}
+
+// Deferral is the answer of a router that defers.
+type Deferral struct {
+	// Responder is the incarnation of the process that answers, and Uptime the time since that started.
+	Responder string
+	Uptime    time.Duration
+}
+
+// Uptime returns the time since this process started, or less.
+func (m *Manager) Uptime() time.Duration {
+	m.init()
+	return time.Since(m.startedAt)
+}
+
+// askToDefer asks reclaimers to defer, and uses the agreements as they arrive.
+func (m *Manager) askToDefer(ctx context.Context, reclaimers []string, from, upTo int64) {
 	ctx, cancel := context.WithTimeout(ctx, deferralTimeout)
 	defer cancel()
 	incarnation := m.incarnation()
-	reclaimers, upTo := m.journal.undeferred()
 	var all sync.WaitGroup
 	for _, reclaimer := range reclaimers {
 		all.Go(func() {
-			// A later incarnation on its VM shows that the named one has ended.
-			_, err := m.RequestDeferral(ctx, reclaimer, incarnation, upTo)
+			answer, err := m.RequestDeferral(ctx, reclaimer, incarnation, from, upTo)
+			if err == nil && answer.Responder != reclaimer && !m.journal.endedTooEarlyToReclaim(m.Clock()-answer.Uptime) {
+				err = errReclaimerEnded
+			}
 			if err != nil {
 				m.OnEvent(Event{Kind: DeferralFailed, Err: fmt.Errorf("ask incarnation %q to defer: %w", reclaimer, err)})
 				return
 			}
 			m.journal.addDeferral(reclaimer, upTo)
+			m.admitWaiting()
 		})
 	}
 	all.Wait()
-	m.admitWaiting()
+}
+
+// endedTooEarlyToReclaim reports whether a reclaimer that had ended by the given time of the VM's clock
+// can not have reclaimed the holdings. The last acknowledged write was unchanged for too short a time by
+// then.
+func (j *journal) endedTooEarlyToReclaim(ended time.Duration) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.bounds.acked != nil && ended-j.bounds.acked.sentAt < reclaimAfter-reclaimMargin
 }
 
 // isOverdue reports whether the journal can not be written, or not in time, so that the reclaimers
@@ -86,29 +123,55 @@
 	return !j.failingSince.IsZero() || len(j.bounds.pending) > 0 && now.Sub(j.bounds.pending[0].sent) >= deferAfter
 }
 
-// undeferred returns the reclaimers named by the writes that may be in the store that have not
-// agreed to defer, and the last write for which they are asked.
-func (j *journal) undeferred() (reclaimers []string, upTo int64) {
+// undeferred returns the reclaimers that have not agreed to defer, of the writes that may be in the
+// store and lack agreements, and the first and the last write for which they are asked.
+func (j *journal) undeferred() (reclaimers []string, from, upTo int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.deferUpTo <= j.seq {
 		j.deferUpTo = j.seq + deferralSpan
 	}
-	agreed := func(reclaimer string) bool { return j.bounds.deferrals[reclaimer] >= j.deferUpTo }
-	return slices.DeleteFunc(j.namedReclaimers(), agreed), j.deferUpTo
+	if j.bounds.acked != nil {
+		from = j.bounds.acked.seq
+	}
+	return j.undeferredReclaimers(), from, j.deferUpTo
+}
+
+// undeferredReclaimers returns the reclaimers that have not agreed to defer, of the writes that may be
+// in the store and lack agreements; none if enough have agreed. The caller holds mu.
+func (j *journal) undeferredReclaimers() []string {
+	var out []string
+	for _, w := range j.bounds.maybeStored() {
+		if !j.bounds.isDeferred(w) {
+			out = append(out, w.missingDeferrals(j.bounds.deferrals)...)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // namedReclaimers returns the reclaimers named by the writes that may be in the store. The caller holds
 // mu.
 func (j *journal) namedReclaimers() []string {
 	var out []string
-	for _, w := range append([]*boundsWrite{j.bounds.acked}, j.bounds.pending...) {
+	for _, w := range j.bounds.maybeStored() {
 		out = append(out, w.reclaimers...)
 	}
 	slices.Sort(out)
 	return slices.Compact(out)
 }
 
+// missingDeferrals returns the reclaimers that have not agreed to defer.
+func (w *boundsWrite) missingDeferrals(deferrals map[string]int64) []string {
+	var out []string
+	for _, reclaimer := range w.reclaimers {
+		if deferrals[reclaimer] < w.seq {
+			out = append(out, reclaimer)
+		}
+	}
+	return out
+}
+
 // addDeferral records that a reclaimer has agreed to defer up to a write.
 func (j *journal) addDeferral(reclaimer string, upTo int64) {
 	j.mu.Lock()
@@ -119,13 +182,14 @@
 	j.bounds.deferrals[reclaimer] = max(j.bounds.deferrals[reclaimer], upTo)
 }
 
-// Defer promises not to reclaim the holdings of an incarnation of another VM by its journal writes up
-// to a sequence number. It reports false if that may have happened already.
-func (m *Manager) Defer(incarnation string, upTo int64) bool {
+// Defer promises not to agree that the holdings of an incarnation of another VM are reclaimed by its
+// journal writes up to a sequence number. It reports false if this incarnation has agreed to that
+// already for one of them, from the given one on.
+func (m *Manager) Defer(incarnation string, from, upTo int64) bool {
 	r := &m.reclaims
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.fenced[incarnation] {
+	if fenced, ok := r.fenced[incarnation]; ok && fenced >= from {
 		return false
 	}
 	if r.deferred == nil {
--- a/internal/budget/prepaid/directed_test.go
+++ b/internal/budget/prepaid/directed_test.go
@@ -175,6 +175,12 @@
 				}
 				return homeRouters(workspace)
 			}
+			m.RouterAddr = func(incarnation string) string {
+				if !known.Load() {
+					return ""
+				}
+				return VMOf(incarnation)
+			}
 		}
 		f.start("a")
 		f.start("b")
--- a/internal/budget/prepaid/event.go
+++ b/internal/budget/prepaid/event.go
@@ -89,6 +89,9 @@
 	// DeferralFailed means that a reclaimer did not agree to leave this VM's holdings alone while its
 	// journal can not be written; it is asked again.
 	DeferralFailed // deferral_failed
+	// FinalUsageLost means that a reclaimer could not be told what this incarnation has used, which stops
+	// without the store.
+	FinalUsageLost // final_usage_lost
 	// TransferRefused means that another router answered with a number of tokens that it can not have
 	// transferred; they are not used.
 	TransferRefused // gift_refused
--- a/internal/budget/prepaid/eventkind_string.go
+++ b/internal/budget/prepaid/eventkind_string.go
@@ -31,13 +31,14 @@
 	_ = x[HoldingReclaimed-20]
 	_ = x[ReclaimFailed-21]
 	_ = x[DeferralFailed-22]
-	_ = x[TransferRefused-23]
-	_ = x[RestoreFailed-24]
+	_ = x[FinalUsageLost-23]
+	_ = x[TransferRefused-24]
+	_ = x[RestoreFailed-25]
 }
 
-const _EventKind_name = "journal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentdrawndraw_failedstore_emptyformer_closedgift_givengift_takenholding_returnedholding_leftera_beganera_restoredera_settledera_unsettledjournal_reclaimedholding_reclaimedreclaim_faileddeferral_failedgift_refusedrestore_failed"
+const _EventKind_name = "journal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentdrawndraw_failedstore_emptyformer_closedgift_givengift_takenholding_returnedholding_leftera_beganera_restoredera_settledera_unsettledjournal_reclaimedholding_reclaimedreclaim_faileddeferral_failedfinal_usage_lostgift_refusedrestore_failed"
 
-var _EventKind_index = [...]uint16{0, 14, 28, 44, 60, 71, 86, 99, 104, 115, 126, 139, 149, 159, 175, 187, 196, 208, 219, 232, 249, 266, 280, 295, 307, 321}
+var _EventKind_index = [...]uint16{0, 14, 28, 44, 60, 71, 86, 99, 104, 115, 126, 139, 149, 159, 175, 187, 196, 208, 219, 232, 249, 266, 280, 295, 311, 323, 337}
 
 func (i EventKind) String() string {
 	idx := int(i) - 0
--- a/internal/budget/prepaid/exhausted.go
+++ b/internal/budget/prepaid/exhausted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -36,6 +37,9 @@
 	errHoldingOpen = errors.New("holding of an incarnation that is leaving or has ended is not closed yet")
 )
 
+// errTokensArrived reports that a router has transferred tokens that was asked only for the check.
+var errTokensArrived = errors.New("another router has transferred tokens")
+
 // exhaustionCheck is the result of the last check of all holdings of a workspace.
 type exhaustionCheck struct {
 	at  time.Time
@@ -43,24 +47,25 @@
 	// openHolders are the incarnations that have holdings and are leaving or have ended, by ID, and
 	// when they were first seen so.
 	openHolders map[string]time.Time
-	// heldByOthers is set if another incarnation that stays has a holding, and reserveLeft if the
-	// reserve, which can not be drawn yet, covers the request.
-	heldByOthers, reserveLeft bool
+	// holders are the other incarnations that stay and have a holding.
+	holders []string
+	// reserveLeft is set if the reserve, which can not be drawn yet, covers the request.
+	reserveLeft bool
 	// reserveLeftSince is when this was first found, by checks that followed each other closely.
 	reserveLeftSince time.Time
 }
 
 // confirmExhausted checks the store before a request for n tokens is refused because its workspace's
 // tokens are exhausted. It returns nil if they are, but for a reserve that can not be drawn yet. transfers are the answers of the other home
-// routers; if none is known, the holding of any other router may have tokens.
+// routers. Routers that have holdings and are not among them are asked as well.
 //
-// Errors are errTokensLeft, errTokensHeld, errHoldingOpen, and those of the store.
+// Errors are errTokensLeft, errTokensArrived, errTokensHeld, errHoldingOpen, and those of the store.
 func (m *Manager) confirmExhausted(ctx context.Context, h *holding, n int64, transfers transferResult) error {
 	now := time.Now()
 	h.mu.Lock()
 	last := h.lastCheck
 	h.mu.Unlock()
-	valid := now.Sub(last.at) < exhaustionTTL && !errors.Is(last.err, errTokensLeft)
+	valid := now.Sub(last.at) < exhaustionTTL && !errors.Is(last.err, errTokensLeft) && !errors.Is(last.err, errTokensArrived)
 	if valid && (last.err != nil || !transfers.held && !h.mayHold(n)) {
 		return last.err
 	}
@@ -71,9 +76,8 @@
 	}
 	check := exhaustionCheck{at: now, openHolders: make(map[string]time.Time)}
 	check.err = m.checkExhausted(h, n, era, rows, last.openHolders, &check)
-	heldUnasked := transfers.answered == 0 && check.heldByOthers
-	if check.err == nil && (transfers.held || heldUnasked || h.mayHold(n)) {
-		check.err = errTokensHeld
+	if check.err == nil {
+		check.err = m.askHolders(ctx, h, n, check.holders, transfers)
 	}
 	if check.err == nil && check.reserveLeft {
 		check.reserveLeftSince = now
@@ -88,6 +92,30 @@
 	return check.err
 }
 
+// askHolders asks the holders of tokens that have not answered yet. It returns nil if neither they nor
+// this router have any left that a request for n tokens could use.
+func (m *Manager) askHolders(ctx context.Context, h *holding, n int64, holders []string, transfers transferResult) error {
+	var unasked []string
+	for _, holder := range holders {
+		addr := m.RouterAddr(holder)
+		if addr == "" {
+			return errTokensHeld
+		}
+		if !slices.Contains(transfers.answered, addr) {
+			unasked = append(unasked, addr)
+		}
+	}
+	more := m.requestTransfers(ctx, h, unasked, h.shortfall(n, nil))
+	m.acceptTransfer(h, more.received)
+	switch {
+	case more.received > 0:
+		return errTokensArrived
+	case len(more.answered) < len(unasked), transfers.held, more.held, h.mayHold(n):
+		return errTokensHeld
+	}
+	return nil
+}
+
 // readAll reads the total and all holdings of the workspace.
 func (m *Manager) readAll(ctx context.Context, h *holding) ([]table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, exhaustionTimeout)
@@ -115,7 +143,7 @@
 			continue
 		}
 		if m.IsStaying(processOf(row.Incarnation)) {
-			check.heldByOthers = true
+			check.holders = append(check.holders, processOf(row.Incarnation))
 			continue
 		}
 		since, ok := known[row.Incarnation]
--- a/internal/budget/prepaid/fleet_test.go
+++ b/internal/budget/prepaid/fleet_test.go
@@ -273,10 +273,17 @@
 		DrawSize:    demand.SizeByShare(func() int { return 3 }),
 		HomeRouters: func(string) ([]string, bool) { return f.homeRouters(vm) },
 		IsStaying:   func(incarnation string) bool { return f.isStaying(incarnation) && f.reaches(vm, VMOf(incarnation)) },
+		RouterAddr:  VMOf,
 		IsLost:      func(incarnation string) bool { return f.isLost(vm, incarnation) },
 		Reclaimers:  func() []string { return f.reclaimers(vm) },
-		RequestDeferral: func(ctx context.Context, reclaimer, incarnation string, upTo int64) (string, error) {
-			return f.requestDeferral(ctx, vm, reclaimer, incarnation, upTo)
+		RequestDeferral: func(ctx context.Context, reclaimer, incarnation string, from, upTo int64) (Deferral, error) {
+			return f.requestDeferral(ctx, vm, reclaimer, incarnation, from, upTo)
+		},
+		RequestReclaim: func(ctx context.Context, reclaimer, incarnation string, seq int64) (string, bool, error) {
+			return f.requestReclaim(ctx, vm, reclaimer, incarnation, seq)
+		},
+		SendFinalUsage: func(ctx context.Context, reclaimer, incarnation string, usage map[string]Bound) error {
+			return f.sendFinalUsage(ctx, vm, reclaimer, incarnation, usage)
 		},
 		RecentIncarnations: f.recentIncarnations,
 		ChooseMirror:       func(current, avoid string) string { return f.chooseMirror(vm, current, avoid) },
@@ -391,10 +398,17 @@
 	return false
 }
 
+// vmNames returns the sorted names of the VMs that run.
+func (f *testFleet) vmNames() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.incarnations))
+}
+
 // reclaimers returns the incarnations that a VM believes to run.
 func (f *testFleet) reclaimers(vm string) []string {
 	var out []string
-	for _, other := range vms {
+	for _, other := range f.vmNames() {
 		if inc := f.incarnationOf(other); inc != nil && other != vm && !f.isLost(vm, inc.manager.Incarnation) {
 			out = append(out, inc.manager.Incarnation)
 		}
@@ -402,17 +416,37 @@
 	return out
 }
 
-func (f *testFleet) requestDeferral(ctx context.Context, vm, reclaimer, incarnation string, upTo int64) (string, error) {
+func (f *testFleet) requestDeferral(ctx context.Context, vm, reclaimer, incarnation string, from, upTo int64) (Deferral, error) {
 	time.Sleep(time.Millisecond)
 	inc := f.incarnationOf(VMOf(reclaimer))
 	if inc == nil || !f.reaches(vm, VMOf(reclaimer)) {
 		<-ctx.Done()
-		return "", ctx.Err()
+		return Deferral{}, ctx.Err()
+	}
+	if !inc.manager.Defer(incarnation, from, upTo) {
+		return Deferral{}, errReclaimed
 	}
-	if !inc.manager.Defer(incarnation, upTo) {
-		return "", errReclaimed
+	return Deferral{Responder: inc.manager.Incarnation, Uptime: inc.manager.Uptime()}, nil
+}
+
+func (f *testFleet) requestReclaim(ctx context.Context, vm, reclaimer, incarnation string, seq int64) (string, bool, error) {
+	time.Sleep(time.Millisecond)
+	inc := f.incarnationOf(VMOf(reclaimer))
+	if inc == nil || !f.reaches(vm, VMOf(reclaimer)) {
+		<-ctx.Done()
+		return "", false, ctx.Err()
+	}
+	return inc.manager.Incarnation, inc.manager.AgreeToReclaim(incarnation, seq), nil
+}
+
+func (f *testFleet) sendFinalUsage(ctx context.Context, vm, reclaimer, incarnation string, usage map[string]Bound) error {
+	time.Sleep(time.Millisecond)
+	inc := f.incarnationOf(VMOf(reclaimer))
+	if inc == nil || inc.manager.Incarnation != reclaimer || !f.reaches(vm, VMOf(reclaimer)) {
+		<-ctx.Done()
+		return ctx.Err()
 	}
-	return inc.manager.Incarnation, nil
+	return inc.manager.AcceptFinalUsage(incarnation, usage)
 }
 
 // setCut cuts a VM off from the other VMs, or ends that.
--- a/internal/budget/prepaid/history_test.go
+++ b/internal/budget/prepaid/history_test.go
@@ -186,6 +186,7 @@
 		{name: "reclaimers are not asked", apply: ignorePromises, history: reclaimedWhileCutOff},
 		{name: "unknown draws are forgotten", apply: forgetPrior, history: endedAfterCopy},
 		{name: "promises are forgotten", apply: forgetPromises, history: lostAfterPromise},
+		{name: "a life that ended counts as one that defers", apply: trustLaterIncarnations, history: reclaimersRestarted},
 	}
 	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
@@ -271,6 +272,30 @@
 	requestsOf(200, "b", 20, 1, 100*time.Millisecond),
 )
 
+// reclaimersRestarted is a history in which an incarnation that is cut off is reclaimed by others that then
+// restart, and reaches these again, but not the store.
+var reclaimersRestarted = slices.Concat(
+	requestsOf(1, "a", 900, 0, 100*time.Millisecond),
+	requestsOf(10, "a", 20, 1, 100*time.Millisecond),
+	[]step{{kind: stepCut, vm: "a"}, {kind: stepFault, vm: "a", fault: unreachable}},
+	requestsOf(150, "b", 20, 1, 100*time.Millisecond),
+	[]step{
+		{kind: stepKill, vm: "b"}, {kind: stepKill, vm: "c"}, {kind: stepStart, vm: "b", after: 5 * time.Second}, {kind: stepStart, vm: "c"},
+		{kind: stepRejoin, vm: "a", after: time.Second}, {kind: stepFault, vm: "a", fault: unreachable},
+	},
+	requestsOf(100, "a", 20, 1, 100*time.Millisecond),
+)
+
+// trustLaterIncarnations makes an incarnation take the word of any incarnation for that of the one asked.
+func trustLaterIncarnations(m *Manager) {
+	request := m.RequestDeferral
+	m.RequestDeferral = func(ctx context.Context, reclaimer, incarnation string, from, upTo int64) (Deferral, error) {
+		answer, err := request(ctx, reclaimer, incarnation, from, upTo)
+		answer.Responder = reclaimer
+		return answer, err
+	}
+}
+
 // hideEra makes all answers of the store appear to be of one era.
 func hideEra(m *Manager) {
 	commit, read := m.Commit, m.Read
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// slowWrite is how long writes must fail or wait before the store is taken to be out of reach.
+	slowWrite = 500 * time.Millisecond
 	// retryDelay is the delay after a failed write.
 	retryDelay = 100 * time.Millisecond
 	// maxCopyAge is the maximum age of the copy to which the store can be rolled back,
@@ -40,6 +42,7 @@
 	seq          int64
 	epoch        int64
 	open         bool
+	ended        bool // nothing is used of the holdings any more
 	replaced     bool
 	former       map[string]formerIncarnation
 	// abandoned are the former incarnations of this process, with what they have used.
@@ -70,7 +73,7 @@
 func (j *journal) usageLimit(workspace string, drawn int64, now time.Time) int64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !j.open || j.replaced {
+	if !j.open || j.replaced || j.ended {
 		return 0
 	}
 	return min(j.bounds.usageLimit(workspace, drawn, now), j.mirror.usageLimit(workspace, drawn, now))
@@ -118,17 +121,30 @@
 	j.lastCallFailed = false
 }
 
-// timeUntilAllowed returns the time after which the journal allows the given number of tokens
-// of a holding to be used if no further write takes effect; negative if it never does.
-func (j *journal) timeUntilAllowed(workspace string, tokens int64, now time.Time) time.Duration {
+// timeUntilAllowed returns an estimate of the time after which the journal and the mirror allow the
+// given number of drawn tokens of a holding to be used; negative if there is none.
+func (j *journal) timeUntilAllowed(workspace string, tokens, drawn int64, now time.Time) time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !j.open || j.replaced {
+	if !j.open || j.replaced || j.ended {
 		return -1
 	}
+	limit := min(j.bounds.usageLimit(workspace, drawn, now), j.mirror.usageLimit(workspace, drawn, now))
+	if tokens > limit && j.storeAnswers(now) {
+		// The next write allows them, and names another mirror or none if this one does not answer.
+		return deferAfter
+	}
 	return j.bounds.timeUntilAllowed(workspace, tokens, now)
 }
 
+// storeAnswers reports whether writes have neither failed nor waited for long. The caller holds mu.
+func (j *journal) storeAnswers(now time.Time) bool {
+	if len(j.bounds.pending) > 0 && now.Sub(j.bounds.pending[0].sent) >= slowWrite {
+		return false
+	}
+	return j.failingSince.IsZero() || now.Sub(j.failingSince) < slowWrite
+}
+
 // storeUnreachable reports whether the most recent call to the store failed. Requests do not
 // wait for the store then; journal writes continue and detect its return.
 func (j *journal) storeUnreachable() bool {
@@ -263,9 +279,11 @@
 	if err := m.confirmOwned(ctx); err != nil {
 		return fmt.Errorf("write journal: %w", err)
 	}
-	now := time.Now()
+	now, clock := time.Now(), m.Clock()
 	reclaimers, firm := m.Reclaimers(), make(map[string]int64)
-	begin := func(bounds map[string]Bound) *boundsWrite { return m.journal.beginWrite(bounds, reclaimers, firm, now) }
+	begin := func(bounds map[string]Bound) *boundsWrite {
+		return m.journal.beginWrite(bounds, reclaimers, firm, now, clock)
+	}
 	boundOf := func(h *holding, now time.Time) Bound {
 		firm[h.workspace] = m.firmBound(h, now)
 		return m.journalBound(h, now)
@@ -312,11 +330,11 @@
 	return w
 }
 
-func (j *journal) beginWrite(bounds map[string]Bound, reclaimers []string, firm map[string]int64, now time.Time) *boundsWrite {
+func (j *journal) beginWrite(bounds map[string]Bound, reclaimers []string, firm map[string]int64, now time.Time, clock time.Duration) *boundsWrite {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.seq++
-	w := j.bounds.begin(j.seq, bounds, now)
+	w := j.bounds.begin(j.seq, bounds, now, clock)
 	w.reclaimers, w.firm = reclaimers, firm
 	return w
 }
--- a/internal/budget/prepaid/manager.go
+++ b/internal/budget/prepaid/manager.go
@@ -98,16 +98,25 @@
 	// IsStaying reports whether an incarnation of another VM is believed to run and not to be leaving.
 	// The tokens of those that stay are found by asking them.
 	IsStaying func(incarnation string) bool
+	// RouterAddr returns the address of an incarnation that stays, or an empty one if it is not known.
+	RouterAddr func(incarnation string) string
 	// IsLost reports whether an incarnation of another VM is believed to have ended, or was not heard of
 	// for so long that its tokens should be reclaimed if it does not write its journal either.
 	IsLost func(incarnation string) bool
 	// Reclaimers returns the incarnations of other VMs that may reclaim the holdings of this VM if it is
 	// lost.
 	Reclaimers func() []string
-	// RequestDeferral asks a reclaimer, or a later incarnation on its VM, not to reclaim the holdings
-	// of the given incarnation by its journal writes up to a sequence number. It succeeds only if
-	// the responder, which it returns, has not done so and agrees.
-	RequestDeferral func(ctx context.Context, reclaimer, incarnation string, upTo int64) (responder string, err error)
+	// RequestDeferral asks a reclaimer, or a later incarnation on its VM, not to agree that the holdings
+	// of the given incarnation are reclaimed by its journal writes from one sequence number up to
+	// another. It succeeds only if the responder has not done so and agrees.
+	RequestDeferral func(ctx context.Context, reclaimer, incarnation string, from, upTo int64) (Deferral, error)
+	// RequestReclaim asks a reclaimer, or a later incarnation on its VM, to agree that the holdings
+	// of the given incarnation are reclaimed by a write of its journal. It reports the responder, and
+	// whether that agrees.
+	RequestReclaim func(ctx context.Context, reclaimer, incarnation string, seq int64) (responder string, agreed bool, err error)
+	// SendFinalUsage tells a reclaimer what an incarnation of this VM has used of its holdings, of which
+	// it uses nothing any more.
+	SendFinalUsage func(ctx context.Context, reclaimer, incarnation string, usage map[string]Bound) error
 	// RecentIncarnations returns the incarnations of other VMs that are believed to run, or to
 	// have run within the maximum age of a copy of the store. It must not call the Manager.
 	RecentIncarnations func() []string
@@ -164,10 +173,22 @@
 		if m.Reclaimers == nil {
 			m.Reclaimers = func() []string { return nil }
 		}
+		if m.RequestReclaim == nil {
+			m.RequestReclaim = func(context.Context, string, string, int64) (string, bool, error) { return "", false, errUnknownCause }
+		}
+		if m.SendFinalUsage == nil {
+			m.SendFinalUsage = func(context.Context, string, string, map[string]Bound) error { return errUnknownCause }
+		}
+		if m.RouterAddr == nil {
+			m.RouterAddr = func(string) string { return "" }
+		}
 		if m.IsStaying == nil {
 			m.IsStaying = func(string) bool { return false }
 		}
 		m.startedAt = time.Now()
+		if m.Clock == nil {
+			m.Clock = func() time.Duration { return time.Since(m.startedAt) }
+		}
 		m.seed = maphash.MakeSeed()
 		for i := range m.shards {
 			m.shards[i].holdings = make(map[string]*holding)
--- a/internal/budget/prepaid/mirror.go
+++ b/internal/budget/prepaid/mirror.go
@@ -281,7 +281,7 @@
 			return nil
 		}
 		j.mirror.seq++
-		return j.mirror.bounds.begin(j.mirror.seq, bounds, now)
+		return j.mirror.bounds.begin(j.mirror.seq, bounds, now, 0)
 	}, m.mirrorBound, now)
 	if w == nil {
 		return nil, MirrorNote{}
--- a/internal/budget/prepaid/peers.go
+++ b/internal/budget/prepaid/peers.go
@@ -22,12 +22,12 @@
 	lateAnswerTimeout = time.Second
 )
 
-// transferResult sums up the answers of other routers: the tokens received, the number of
+// transferResult sums up the answers of other routers: the tokens received, the addresses of the
 // routers that answered, whether one reported that no tokens are left, and whether one may have
 // tokens that it could not transfer.
 type transferResult struct {
 	received  int64
-	answered  int
+	answered  []string
 	exhausted bool
 	held      bool
 }
@@ -77,7 +77,7 @@
 		if !ok {
 			continue
 		}
-		out.answered++
+		out.answered = append(out.answered, addr)
 		out.received += transfer.Tokens
 		out.exhausted = out.exhausted || transfer.Exhausted
 		out.held = out.held || transfer.Held
--- a/internal/budget/prepaid/reclaim.go
+++ b/internal/budget/prepaid/reclaim.go
@@ -14,7 +14,7 @@
 )
 
 // A VM that is lost has no next incarnation that closes its holdings. The reclaimers that its
-// journal names do so: one of them takes over the journal, which ends all further writes of the
+// journal names do so: one of them, to which others of them must agree, takes over the journal, which ends all further writes of the
 // lost incarnation, and then closes each holding with what that row allowed. If the VM was only
 // cut off, it finds its journal taken over and opens it again.
 
@@ -23,11 +23,20 @@
 	reclaimInterval = time.Second
 	// reclaimAfter is how long the journal of such a VM must stay unwritten. A VM that holds tokens
 	// and reaches the store writes it more often.
-	reclaimAfter = 2 * time.Second
+	reclaimAfter = 4 * time.Second
+	// reclaimMargin is the part of that for which clocks of different VMs may differ.
+	reclaimMargin = time.Second
 )
 
-// errDeferred reports that this router has promised not to reclaim the holdings of a VM.
-var errDeferred = errors.New("this router has agreed to defer")
+var (
+	// errDeferred reports that too many reclaimers, this router or others, have promised not to
+	// reclaim the holdings of a VM, or have ended.
+	errDeferred = errors.New("too many routers have agreed to defer or have ended")
+	// errReclaimerEnded reports that a reclaimer was asked and a later incarnation on its VM answered.
+	errReclaimerEnded = errors.New("another incarnation runs on its VM")
+	// errTooFewReclaimers reports that too few reclaimers could be asked.
+	errTooFewReclaimers = errors.New("too few routers could be asked whether to reclaim")
+)
 
 // reclaims is what this incarnation knows of the VMs whose holdings it may reclaim.
 type reclaims struct {
@@ -35,8 +44,11 @@
 	// deferred are the promises that were made to incarnations, as sequence numbers of their
 	// journal writes.
 	deferred map[string]int64
-	// fenced are the incarnations whose journal this router has taken over, or may have.
-	fenced map[string]bool
+	// fenced are the last journal writes by which this incarnation has agreed to reclaim, by
+	// incarnation.
+	fenced map[string]int64
+	// final is what incarnations have used that have told so before they ended.
+	final map[string]map[string]Bound
 	// watched are the VMs that may be lost, by name.
 	watched map[string]watchedVM
 }
@@ -171,7 +183,8 @@
 func (m *Manager) reclaim(ctx context.Context, vm string, last storedJournal, stamp table.Stamp) error {
 	former := last.row.Former
 	if !isReclaimedID(last.row.Incarnation) {
-		next := fencedJournal(vm, last.row, stamp.Clock)
+		final, _ := m.reclaims.finalUsage(last.row.Incarnation)
+		next := fencedJournal(vm, last.row, final, stamp.Clock)
 		if err := m.fenceJournal(ctx, vm, last, next); err != nil {
 			return fmt.Errorf("take over journal: %w", err)
 		}
@@ -186,8 +199,8 @@
 }
 
 // fencedJournal returns the row by which the journal of a lost VM is taken over. The lost incarnation
-// has used no more than its own row allows without the reclaimers' consent.
-func fencedJournal(vm string, lost journalRow, storeClock time.Duration) journalRow {
+// has used no more than it has told in the end, or than its own row allows whatever the reclaimers do.
+func fencedJournal(vm string, lost journalRow, final map[string]Bound, storeClock time.Duration) journalRow {
 	former := maps.Clone(lost.Former)
 	if former == nil {
 		former = make(map[string]formerIncarnation)
@@ -196,6 +209,7 @@
 	for workspace, b := range lost.Bounds {
 		bounds[workspace] = Bound{Tokens: lost.Firm[workspace], ClosedUsage: b.ClosedUsage}
 	}
+	maps.Copy(bounds, final)
 	former[lost.Incarnation] = formerIncarnation{usageBound: usageBound{Bounds: bounds}, Epoch: lost.Epoch, Since: lost.Since}
 	return journalRow{
 		Incarnation: reclaimedID(vm, lost.Epoch+1), Epoch: lost.Epoch + 1, Since: lost.Since, Accounted: lost.Accounted,
@@ -205,8 +219,8 @@
 
 // fenceJournal replaces the journal's row, so that no later write of the lost incarnation succeeds.
 func (m *Manager) fenceJournal(ctx context.Context, vm string, last storedJournal, next journalRow) error {
-	if !m.reclaims.beginFence(last.row) {
-		return errDeferred
+	if err := m.agreeOnReclaim(ctx, last.row); err != nil {
+		return err
 	}
 	at := journalLocation(vm, last.era)
 	var c table.Commit
@@ -219,35 +233,9 @@
 	if err == nil && stamp.Era != last.era {
 		err = errEraPassed
 	}
-	var conflict *table.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, table.ErrUnavailable) {
-		// It has certainly had no effect.
-		m.reclaims.cancelFence(last.row.Incarnation)
-	}
 	return err
 }
 
-// beginFence reports whether the journal of an incarnation may be taken over in place of its last
-// row. No promise is made to that incarnation any more.
-func (r *reclaims) beginFence(last journalRow) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.deferred[last.Incarnation] >= last.Seq && r.deferred[last.Incarnation] > 0 {
-		return false
-	}
-	if r.fenced == nil {
-		r.fenced = make(map[string]bool)
-	}
-	r.fenced[last.Incarnation] = true
-	return true
-}
-
-func (r *reclaims) cancelFence(incarnation string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.fenced, incarnation)
-}
-
 // workspacesOf returns the sorted names of all workspaces that the former incarnations of a VM
 // list.
 func workspacesOf(former map[string]formerIncarnation) []string {
--- a/internal/budget/prepaid/reclaim_test.go
+++ b/internal/budget/prepaid/reclaim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,7 +167,9 @@
 
 // ignorePromises makes an incarnation believe that all reclaimers have agreed to defer.
 func ignorePromises(m *Manager) {
-	m.RequestDeferral = func(_ context.Context, reclaimer, _ string, _ int64) (string, error) { return reclaimer, nil }
+	m.RequestDeferral = func(_ context.Context, reclaimer, _ string, _, _ int64) (Deferral, error) {
+		return Deferral{Responder: reclaimer}, nil
+	}
 }
 
 // forgetPromises makes an incarnation forget at once what it has promised.
@@ -255,3 +259,89 @@
 		assert.NilError(t, f.result())
 	})
 }
+
+// TestRestartedReclaimerDoesNotAgree guards against overspending: a VM that is cut off is reclaimed by another one, which then
+// restarts and does not know that any more. The VM reaches the others again, but not the store.
+func TestRestartedReclaimerDoesNotAgree(t *testing.T) {
+	for _, fleet := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+		t.Run(fmt.Sprintf("%d VMs", len(fleet)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const total = 100_000
+				f := startFleet(total, fleet...)
+				defer f.end()
+				f.reserveAndRelease(t, "a", total*9/10)
+				f.useMost(total/10, "a")
+				time.Sleep(time.Second)
+				f.setCut("a", true)
+				f.store.setFault("a", unreachable)
+				f.useRest(total, 15*time.Second, fleet[1:]...)
+				for _, vm := range fleet[1:] {
+					f.kill(vm)
+					f.start(vm)
+					time.Sleep(3 * time.Second)
+				}
+				f.setCut("a", false)
+				time.Sleep(5 * time.Second)
+				f.useRest(total, 15*time.Second, fleet...)
+				assert.NilError(t, f.result())
+			})
+		})
+	}
+}
+
+// TestLostReclaimerBlocksNobody guards against refusals in an outage of the store in which one of the VMs is lost that may
+// reclaim: the agreement of the others is enough.
+func TestLostReclaimerBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(1_000_000, "a", "b", "c", "d")
+		defer f.end()
+		assert.Equal(t, f.countServed(t.Context(), "a", 1000, 5), 50)
+		for _, vm := range []string{"a", "b", "c", "d"} {
+			f.store.setFault(vm, unreachable)
+		}
+		f.kill("d")
+		assert.Equal(t, f.countServed(t.Context(), "a", 1000, 15), 150)
+	})
+}
+
+// TestTokensComeBackInALargerFleet loses one VM or two of a fleet in which more than one VM must agree to reclaim.
+func TestTokensComeBackInALargerFleet(t *testing.T) {
+	for _, lost := range [][]string{{"a"}, {"a", "b"}} {
+		t.Run(strings.Join(lost, " and "), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const total = 100_000
+				f := startFleet(total, "a", "b", "c", "d", "e")
+				defer f.end()
+				f.reserveAndRelease(t, "a", total*9/10)
+				f.useMost(total/2, lost...)
+				time.Sleep(time.Second)
+				for _, vm := range lost {
+					f.kill(vm)
+				}
+				used := f.usable(t, total, 60*time.Second, "c", "d", "e")
+				assert.Assert(t, used >= total*97/100, "used %d of %d", used, total)
+				assert.NilError(t, f.result())
+			})
+		})
+	}
+}
+
+// TestNothingIsUsedAfterTheFinalUsage guards against overspending: a VM that stops without the store has told the others
+// what it has used, and gets requests all the same.
+func TestNothingIsUsedAfterTheFinalUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 100_000
+		f := startFleet(total, "a", "b", "c")
+		defer f.end()
+		f.reserveAndRelease(t, "a", total*9/10)
+		f.useMost(total/2, "a")
+		f.store.setFault("a", refusing)
+		f.useMost(total/10, "a")
+		assert.Assert(t, f.incarnationOf("a").manager.Close(t.Context()) != nil)
+		f.setCut("a", true)
+		_, err := f.incarnationOf("a").manager.Reserve(t.Context(), "joiners", 100, time.Second)
+		assert.ErrorIs(t, err, ErrUnavailable)
+		f.useRest(total, 15*time.Second, "a", "b", "c")
+		assert.NilError(t, f.result())
+	})
+}
--- a/internal/budget/prepaid/reopen.go
+++ b/internal/budget/prepaid/reopen.go
@@ -18,7 +18,7 @@
 // those that may have done so are asked, each incarnation by itself, unless the last write was too
 // recent for that. It returns errReclaimed if the holdings were reclaimed, or if that stays unknown.
 func (m *Manager) confirmOwned(ctx context.Context) error {
-	reclaimers, upTo, due := m.journal.unconfirmed()
+	reclaimers, from, upTo, due := m.journal.unconfirmed()
 	if !due {
 		return nil
 	}
@@ -29,40 +29,32 @@
 	if _, mine := last.row.Former[m.incarnation()]; mine && isReclaimedID(last.row.Incarnation) {
 		return m.journal.giveUp(fmt.Errorf("%w: incarnation %q", errReclaimed, last.row.Incarnation))
 	}
-	ctx, cancel := context.WithTimeout(ctx, deferralTimeout)
-	defer cancel()
-	for _, reclaimer := range reclaimers {
-		responder, err := m.RequestDeferral(ctx, reclaimer, m.incarnation(), upTo)
-		if err == nil && responder != reclaimer {
-			return m.journal.giveUp(fmt.Errorf("%w, as far as known: incarnation %q has ended", errReclaimed, reclaimer))
-		}
-		if err == nil {
-			continue
-		}
-		if m.journal.confirmOverdue(time.Now()) {
-			return m.journal.giveUp(fmt.Errorf("%w, as far as known: %w", errReclaimed, err))
-		}
-		return fmt.Errorf("ask incarnation %q whether it has reclaimed: %w: %w", reclaimer, err, table.ErrUnavailable)
+	if m.journal.setConfirmed(m.Clock()) {
+		return nil
+	}
+	m.askToDefer(ctx, reclaimers, from, upTo)
+	switch {
+	case m.journal.setConfirmed(m.Clock()):
+		return nil
+	case m.journal.confirmOverdue(time.Now()):
+		return m.journal.giveUp(fmt.Errorf("%w, as far as known: too few of those that may have done so deny it", errReclaimed))
+	default:
+		return fmt.Errorf("ask whether the holdings were reclaimed: %w: %w", errTooFewReclaimers, table.ErrUnavailable)
 	}
-	m.journal.setConfirmed()
-	return nil
 }
 
 // unconfirmed returns the incarnations that may have reclaimed the holdings without a trace in the current
-// era, and whether a check is due.
-func (j *journal) unconfirmed() (reclaimers []string, upTo int64, due bool) {
+// era, the first and the last write by which they may have, and whether a check is due.
+func (j *journal) unconfirmed() (reclaimers []string, from, upTo int64, due bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.writtenInEra || j.ownedInEra || !j.open {
-		return nil, 0, false
+		return nil, 0, 0, false
 	}
 	if j.confirmSince.IsZero() {
 		j.confirmSince = time.Now()
 	}
-	if j.confirmSince.Sub(j.bounds.acked.sent) < reclaimAfter {
-		return nil, 0, true
-	}
-	return j.namedReclaimers(), j.seq, true
+	return j.undeferredReclaimers(), j.bounds.acked.seq, j.seq, true
 }
 
 // confirmOverdue reports whether the check has taken too long.
@@ -72,11 +64,16 @@
 	return now.Sub(j.confirmSince) > confirmTimeout
 }
 
-// setConfirmed records that the holdings were not reclaimed before the current era.
-func (j *journal) setConfirmed() {
+// setConfirmed records that the holdings were not reclaimed before the current era, if enough
+// reclaimers have denied it or the last write was too recent. It reports whether that is so.
+func (j *journal) setConfirmed(now time.Duration) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if now-j.bounds.acked.sentAt >= reclaimAfter-reclaimMargin && len(j.undeferredReclaimers()) > 0 {
+		return false
+	}
 	j.ownedInEra, j.confirmSince = true, time.Time{}
+	return true
 }
 
 // giveUp ends the use of the holdings for the given reason.
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -87,7 +87,7 @@
 		}
 	}
 	after := m.timeUntilUsable(h, n)
-	if after > 0 && after <= maxWait {
+	if after >= 0 && after <= maxWait {
 		if r, _ := m.reserveHeld(ctx, h, n, maxWait); r != nil {
 			return r, nil
 		}
@@ -123,7 +123,7 @@
 	if r := m.reserveReceived(h, n, result.received); r != nil || result.received >= missing {
 		return r, nil
 	}
-	if result.answered == 0 && !drawn && cause == nil {
+	if len(result.answered) == 0 && !drawn && cause == nil {
 		// No home router answered, so this router draws its own tokens.
 		if cause = m.awaitDraw(ctx, h, n); cause == nil {
 			return nil, nil
@@ -133,7 +133,7 @@
 		// A return was settled meanwhile.
 		return nil, nil
 	}
-	if result.answered == len(homeRouters) && (result.exhausted || isTooFewLeft(cause)) && !errors.Is(cause, errNotAdmitted) && ctx.Err() == nil {
+	if len(result.answered) == len(homeRouters) && (result.exhausted || isTooFewLeft(cause)) && !errors.Is(cause, errNotAdmitted) && ctx.Err() == nil {
 		cause = m.confirmExhausted(ctx, h, n, result)
 		switch {
 		case cause == nil && h.needsReserve():
@@ -144,16 +144,18 @@
 			return nil, fmt.Errorf("%w: only the reserve of the total is left", ErrExhausted)
 		case cause == nil:
 			return nil, fmt.Errorf("%w: no router has enough tokens", ErrExhausted)
+		case errors.Is(cause, errTokensArrived):
+			return nil, nil
 		case errors.Is(cause, errTokensLeft):
 			// The routers that hold tokens may not know this yet.
 			return nil, m.drawRest(ctx, h, n)
 		}
 	}
-	if cause == nil && result.answered > 0 && !m.journal.storeUnreachable() && ctx.Err() == nil {
+	if cause == nil && len(result.answered) > 0 && !m.journal.storeUnreachable() && ctx.Err() == nil {
 		// The routers that hold tokens are drawing.
 		return nil, nil
 	}
-	return nil, fmt.Errorf("%w: %d of %d routers answered with %d of %d tokens: %w", ErrUnavailable, result.answered, len(homeRouters), result.received, missing, orUnknownCause(cause))
+	return nil, fmt.Errorf("%w: %d of %d routers answered with %d of %d tokens: %w", ErrUnavailable, len(result.answered), len(homeRouters), result.received, missing, orUnknownCause(cause))
 }
 
 // drawRest draws what is left in the store, which may be less than n tokens.
@@ -206,7 +208,7 @@
 	if own > h.free() {
 		return -1
 	}
-	return m.journal.timeUntilAllowed(h.workspace, h.spentOrAwaited()+own, time.Now())
+	return m.journal.timeUntilAllowed(h.workspace, h.spentOrAwaited()+own, h.drawn, time.Now())
 }
 
 // reserveHeld reserves n tokens that are held, and waits up to wait until they are within the
--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -113,8 +113,9 @@
 	MirrorFrom int64  `json:"mirror_from,omitempty"`
 	// Reclaimers are the incarnations of other VMs that may reclaim the holdings, and Firm is the
 	// number of tokens of each workspace that may be used whether they do or not. More is used
-	// only after each of them has agreed not to reclaim by this row.
-	Reclaimers []string         `json:"reclaimers,omitempty"`
+	// only after most of them have agreed not to reclaim by this row. Earlier releases reclaim
+	// without the agreement of others, so that they must not find it under its former name.
+	Reclaimers []string         `json:"may_reclaim,omitempty"`
 	Firm       map[string]int64 `json:"firm,omitempty"`
 }
 
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -160,6 +160,8 @@
 		inner.MethodTransfer:        e.handleTransfer,
 		inner.MethodDrawHint:        e.handleDrawHint,
 		inner.MethodDeferReclaim:    e.handleDeferReclaim,
+		inner.MethodAgreeToReclaim:  e.handleAgreeToReclaim,
+		inner.MethodFinalUsage:      e.handleFinalUsage,
 
 		inner.MethodQuarantine: e.handleQuarantineNews,
 
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -39,6 +39,7 @@
 	prepaid.HoldingReclaimed:    eventlog.HoldingReclaimed,
 	prepaid.ReclaimFailed:       eventlog.ReclaimFailed,
 	prepaid.DeferralFailed:      eventlog.DeferralFailed,
+	prepaid.FinalUsageLost:      eventlog.FinalUsageLost,
 	prepaid.TransferRefused:     eventlog.TransferRefused,
 }
 
--- a/internal/fleet/edge/reclaimers.go
+++ b/internal/fleet/edge/reclaimers.go
@@ -5,14 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/target/balance"
 )
 
-// maxReclaimers is the number of routers that may reclaim the tokens of a router that is lost. If all
-// of them are lost with it, nobody does; each of them must be reached while the store is not.
+// maxReclaimers is the number of routers that may reclaim the tokens of a router that is lost. If most
+// of them are lost with it, nobody does; most of them must be reached while the store is not.
 const maxReclaimers = 8
 
 // reclaimers returns the incarnations of the routers that may reclaim the tokens of this one: those
@@ -45,27 +46,55 @@
 	return slices.ContainsFunc(members, func(m inner.Member) bool { return m.ID == incarnation })
 }
 
-// requestDeferral asks a reclaimer not to reclaim the tokens of an incarnation of this VM. A later
-// incarnation on its VM may agree in its place, since the named one has ended then.
-func (e *Edge) requestDeferral(ctx context.Context, reclaimer, incarnation string, upTo int64) (responder string, err error) {
+// requestDeferral asks a reclaimer, or a later incarnation on its VM, to defer.
+func (e *Edge) requestDeferral(ctx context.Context, reclaimer, incarnation string, from, upTo int64) (prepaid.Deferral, error) {
+	var out inner.DeferReclaimResponse
+	err := e.callReclaimer(ctx, reclaimer, inner.MethodDeferReclaim, inner.DeferReclaim{Incarnation: incarnation, From: from, UpTo: upTo}, &out)
+	switch {
+	case err != nil:
+		return prepaid.Deferral{}, err
+	case prepaid.VMOf(out.Responder) != prepaid.VMOf(reclaimer):
+		return prepaid.Deferral{}, fmt.Errorf("router incarnation %q answered in place of %q", out.Responder, reclaimer)
+	case !out.Agreed:
+		return prepaid.Deferral{}, fmt.Errorf("router incarnation %q has agreed to reclaim the tokens", out.Responder)
+	}
+	return prepaid.Deferral{Responder: out.Responder, Uptime: time.Duration(out.UptimeMS) * time.Millisecond}, nil
+}
+
+// requestReclaim asks a reclaimer, or a later incarnation on its VM, to agree to reclaim.
+func (e *Edge) requestReclaim(ctx context.Context, reclaimer, incarnation string, seq int64) (responder string, agreed bool, err error) {
+	var out inner.AgreeToReclaimResponse
+	err = e.callReclaimer(ctx, reclaimer, inner.MethodAgreeToReclaim, inner.AgreeToReclaim{Incarnation: incarnation, Seq: seq}, &out)
+	return out.Responder, out.Agreed, err
+}
+
+// sendFinalUsage tells a reclaimer what an incarnation of this VM has used.
+func (e *Edge) sendFinalUsage(ctx context.Context, reclaimer, incarnation string, usage map[string]prepaid.Bound) error {
+	in := inner.FinalUsage{Incarnation: incarnation, Usage: wireBounds(usage)}
+	return e.callReclaimer(ctx, reclaimer, inner.MethodFinalUsage, in, &inner.FinalUsageAck{})
+}
+
+// handleFinalUsage records what an incarnation of another VM has used.
+func (e *Edge) handleFinalUsage(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.FinalUsage
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode final usage: %w", err)
+	}
+	if err := e.tokens.AcceptFinalUsage(in.Incarnation, prepaidBounds(in.Usage)); err != nil {
+		return nil, fmt.Errorf("accept final usage: %w", err)
+	}
+	return inner.FinalUsageAck{}, nil
+}
+
+// callReclaimer calls the router that runs on the VM of a reclaimer.
+func (e *Edge) callReclaimer(ctx context.Context, reclaimer, method string, params, response any) error {
 	vm := prepaid.VMOf(reclaimer)
 	for _, m := range e.view.Members() {
-		if prepaid.VMOf(m.ID) != vm {
-			continue
-		}
-		var out inner.DeferReclaimResponse
-		err := e.transport.Call(ctx, m.InnerAddr, inner.MethodDeferReclaim, inner.DeferReclaim{Incarnation: incarnation, UpTo: upTo}, &out)
-		switch {
-		case err != nil:
-			return "", err
-		case prepaid.VMOf(out.Responder) != vm:
-			return "", fmt.Errorf("router incarnation %q answered in place of one of VM %q", out.Responder, vm)
-		case !out.Agreed:
-			return "", fmt.Errorf("router incarnation %q may have reclaimed the tokens", out.Responder)
+		if prepaid.VMOf(m.ID) == vm {
+			return e.transport.Call(ctx, m.InnerAddr, method, params, response)
 		}
-		return out.Responder, nil
 	}
-	return "", fmt.Errorf("no router of VM %q is in the membership view", vm)
+	return fmt.Errorf("no router of VM %q is in the membership view", vm)
 }
 
 // handleDeferReclaim agrees not to reclaim the tokens of an incarnation of another VM, if possible.
@@ -74,5 +103,15 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("decode deferral: %w", err)
 	}
-	return inner.DeferReclaimResponse{Responder: e.incarnation, Agreed: e.tokens.Defer(in.Incarnation, in.UpTo)}, nil
+	agreed := e.tokens.Defer(in.Incarnation, in.From, in.UpTo)
+	return inner.DeferReclaimResponse{Responder: e.incarnation, UptimeMS: e.tokens.Uptime().Milliseconds(), Agreed: agreed}, nil
+}
+
+// handleAgreeToReclaim agrees to reclaim the tokens of an incarnation of another VM, if possible.
+func (e *Edge) handleAgreeToReclaim(_ context.Context, params json.RawMessage) (any, error) {
+	var in inner.AgreeToReclaim
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, fmt.Errorf("decode request to reclaim: %w", err)
+	}
+	return inner.AgreeToReclaimResponse{Responder: e.incarnation, Agreed: e.tokens.AgreeToReclaim(in.Incarnation, in.Seq)}, nil
 }
--- a/internal/fleet/edge/tokens.go
+++ b/internal/fleet/edge/tokens.go
@@ -31,9 +31,12 @@
 		DrawSize:           demand.SizeByShare(func() int { return min(homeRouterCount, len(e.fleet.ServingRouters())) }),
 		HomeRouters:        e.homeRouters,
 		IsStaying:          func(incarnation string) bool { return isStaying(e.view.Members(), incarnation) },
+		RouterAddr:         func(incarnation string) string { return addrOf(e.view.Members(), incarnation) },
 		IsLost:             func(incarnation string) bool { return !isMember(e.view.Members(), incarnation) },
 		Reclaimers:         e.reclaimers,
 		RequestDeferral:    e.requestDeferral,
+		RequestReclaim:     e.requestReclaim,
+		SendFinalUsage:     e.sendFinalUsage,
 		RecentIncarnations: func() []string { return e.view.RecentIDs() },
 		RequestTransfer:    e.requestTransfer,
 		OfferTransfer:      e.offerTransfer,
@@ -88,6 +91,16 @@
 	})
 }
 
+// addrOf returns the address of a router incarnation, or an empty one if it is not among the members.
+func addrOf(members []inner.Member, incarnation string) string {
+	for _, m := range members {
+		if m.ID == incarnation {
+			return m.InnerAddr
+		}
+	}
+	return ""
+}
+
 // requestTransfer requests tokens of a workspace from the router at addr.
 func (e *Edge) requestTransfer(ctx context.Context, addr, workspace string, tokens int64) (prepaid.Transfer, error) {
 	var out inner.TransferResponse
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -75,6 +75,7 @@
 	HoldingReclaimed                  // holding_reclaimed
 	ReclaimFailed                     // reclaim_failed
 	DeferralFailed                    // deferral_failed
+	FinalUsageLost                    // final_usage_lost
 	TransferRefused                   // gift_refused
 	RequestUnreadable                 // request_unreadable
 	ConnectionFailed                  // connection_failed
@@ -193,6 +194,7 @@
 	JournalReclaimed:     {component: Tokens, warning: true, doc: "another router believed this VM to be lost and has taken over its token journal; this process opens it again and draws anew", fields: "err"},
 	HoldingReclaimed:     {component: Tokens, doc: "the holding of a lost VM was closed and its unused tokens returned to the store", fields: "workspace, tokens"},
 	ReclaimFailed:        {component: Tokens, warning: true, doc: "the tokens of a lost VM could not be reclaimed; unless this router has agreed to defer, it tries again", fields: "err"},
+	FinalUsageLost:       {component: Tokens, warning: true, doc: "another router could not be told what this VM has used of its tokens, which stops without the store; they stay out of reach until one that was told returns them", fields: "err"},
 	DeferralFailed:       {component: Tokens, lowPriority: true, warning: true, doc: "another router has not agreed to leave this VM's tokens alone while the journal cannot be written; only what is certain is spent until it does", fields: "err"},
 	TransferRefused:      {component: Tokens, warning: true, doc: "another router answered with a number of tokens that it cannot have transferred; they are not used", fields: "workspace, tokens, err"},
 	RequestUnreadable:    {component: Requests, lowPriority: true, warning: true, doc: "a malformed request was rejected", fields: "status, err"},
--- a/internal/fleet/eventlog/event_string.go
+++ b/internal/fleet/eventlog/event_string.go
@@ -76,26 +76,27 @@
 	_ = x[HoldingReclaimed-65]
 	_ = x[ReclaimFailed-66]
 	_ = x[DeferralFailed-67]
-	_ = x[TransferRefused-68]
-	_ = x[RequestUnreadable-69]
-	_ = x[ConnectionFailed-70]
-	_ = x[SocketOptionDenied-71]
-	_ = x[RequestRefused-72]
-	_ = x[RequestAnswered-73]
-	_ = x[RequestAbandoned-74]
-	_ = x[AnswerBroken-75]
-	_ = x[RequestCutOff-76]
-	_ = x[AttemptSent-77]
-	_ = x[AttemptEnded-78]
-	_ = x[RequestRetried-79]
-	_ = x[RetryDenied-80]
-	_ = x[TokensDenied-81]
-	_ = x[eventCount-82]
+	_ = x[FinalUsageLost-68]
+	_ = x[TransferRefused-69]
+	_ = x[RequestUnreadable-70]
+	_ = x[ConnectionFailed-71]
+	_ = x[SocketOptionDenied-72]
+	_ = x[RequestRefused-73]
+	_ = x[RequestAnswered-74]
+	_ = x[RequestAbandoned-75]
+	_ = x[AnswerBroken-76]
+	_ = x[RequestCutOff-77]
+	_ = x[AttemptSent-78]
+	_ = x[AttemptEnded-79]
+	_ = x[RequestRetried-80]
+	_ = x[RetryDenied-81]
+	_ = x[TokensDenied-82]
+	_ = x[eventCount-83]
 }
 
-const _Event_name = "process_startedprocess_drainingprocess_drainedprocess_failedstop_repeatedsettings_reloadedsettings_rejectedrouter_busyrouter_calmload_unknownstore_loststore_regainedtable_read_brokentable_read_slowstore_era_beganstore_era_restoredstore_era_settledstore_era_unsettledpeer_foundpeer_suspectedpeer_lostpeer_leavingpeer_connection_failedplan_announcedplan_in_forceplan_outdatedplan_unreadabletarget_announcedtarget_gonetarget_unreadabletarget_ejectedtarget_readmittedtarget_leavingtarget_pausedtarget_crashedservice_paceprompt_blockedblock_learntblock_narrowedblock_endedblock_trialblock_unwrittenblock_unreadableblock_news_lostjournal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentclock_unknowntokens_drawndraw_failedstore_emptyformer_holding_closedgift_givengift_takenholding_returnedholding_passed_ontokens_may_be_lostinvitation_losttokens_keptrestore_failedjournal_reclaimedholding_reclaimedreclaim_faileddeferral_failedgift_refusedrequest_unreadableconnection_failedsocket_option_deniedrequest_refusedrequest_answeredrequest_abandonedanswer_brokenrequest_cut_offattempt_sentattempt_endedrequest_repeatedrepeat_deniedtokens_deniedevent_count"
+const _Event_name = "process_startedprocess_drainingprocess_drainedprocess_failedstop_repeatedsettings_reloadedsettings_rejectedrouter_busyrouter_calmload_unknownstore_loststore_regainedtable_read_brokentable_read_slowstore_era_beganstore_era_restoredstore_era_settledstore_era_unsettledpeer_foundpeer_suspectedpeer_lostpeer_leavingpeer_connection_failedplan_announcedplan_in_forceplan_outdatedplan_unreadabletarget_announcedtarget_gonetarget_unreadabletarget_ejectedtarget_readmittedtarget_leavingtarget_pausedtarget_crashedservice_paceprompt_blockedblock_learntblock_narrowedblock_endedblock_trialblock_unwrittenblock_unreadableblock_news_lostjournal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentclock_unknowntokens_drawndraw_failedstore_emptyformer_holding_closedgift_givengift_takenholding_returnedholding_passed_ontokens_may_be_lostinvitation_losttokens_keptrestore_failedjournal_reclaimedholding_reclaimedreclaim_faileddeferral_failedfinal_usage_lostgift_refusedrequest_unreadableconnection_failedsocket_option_deniedrequest_refusedrequest_answeredrequest_abandonedanswer_brokenrequest_cut_offattempt_sentattempt_endedrequest_repeatedrepeat_deniedtokens_deniedevent_count"
 
-var _Event_index = [...]uint16{0, 15, 31, 46, 60, 73, 90, 107, 118, 129, 141, 151, 165, 182, 197, 212, 230, 247, 266, 276, 290, 299, 311, 333, 347, 360, 373, 388, 404, 415, 432, 446, 463, 477, 490, 504, 516, 530, 542, 556, 567, 578, 593, 609, 624, 638, 652, 668, 684, 695, 710, 723, 736, 748, 759, 770, 791, 801, 811, 827, 844, 862, 877, 888, 902, 919, 936, 950, 965, 977, 995, 1012, 1032, 1047, 1063, 1080, 1093, 1108, 1120, 1133, 1149, 1162, 1175, 1186}
+var _Event_index = [...]uint16{0, 15, 31, 46, 60, 73, 90, 107, 118, 129, 141, 151, 165, 182, 197, 212, 230, 247, 266, 276, 290, 299, 311, 333, 347, 360, 373, 388, 404, 415, 432, 446, 463, 477, 490, 504, 516, 530, 542, 556, 567, 578, 593, 609, 624, 638, 652, 668, 684, 695, 710, 723, 736, 748, 759, 770, 791, 801, 811, 827, 844, 862, 877, 888, 902, 919, 936, 950, 965, 981, 993, 1011, 1028, 1048, 1063, 1079, 1096, 1109, 1124, 1136, 1149, 1165, 1178, 1191, 1202}
 
 func (i Event) String() string {
 	idx := int(i) - 0
--- a/internal/protocol/inner/transfer.go
+++ b/internal/protocol/inner/transfer.go
@@ -11,6 +11,10 @@
 	// MethodDeferReclaim asks the receiver not to reclaim the tokens of an incarnation that can not
 	// write its journal.
 	MethodDeferReclaim = "defer_reclaim"
+	// MethodAgreeToReclaim asks the receiver to agree that the tokens of an incarnation are reclaimed.
+	MethodAgreeToReclaim = "agree_to_reclaim"
+	// MethodFinalUsage tells the receiver what an incarnation that stops has used of its tokens.
+	MethodFinalUsage = "final_usage"
 )
 
 // TransferRequest requests up to Tokens tokens of a workspace.
@@ -45,16 +49,41 @@
 // DrawHintAck acknowledges a DrawHint.
 type DrawHintAck struct{}
 
-// DeferReclaim asks a router not to reclaim what an incarnation of another VM holds by the journal
-// writes of that incarnation up to the sequence number UpTo.
+// DeferReclaim asks a router not to agree that what an incarnation of another VM holds is reclaimed by the
+// journal writes of that incarnation between the sequence numbers From and UpTo.
 type DeferReclaim struct {
 	Incarnation string `json:"life"`
+	From        int64  `json:"from"`
 	UpTo        int64  `json:"up_to"`
 }
 
-// DeferReclaimResponse reports whether the responding incarnation agrees, which it can not if it may
-// have reclaimed the tokens already.
+// DeferReclaimResponse reports whether the responding incarnation agrees, which it can not if it has
+// agreed to reclaim the tokens already, and for how long it has run.
 type DeferReclaimResponse struct {
 	Responder string `json:"by"`
+	UptimeMS  int64  `json:"uptime_ms"`
 	Agreed    bool   `json:"agreed,omitempty"`
 }
+
+// AgreeToReclaim asks a router to agree that what an incarnation of another VM holds is reclaimed by the
+// journal write with the sequence number Seq.
+type AgreeToReclaim struct {
+	Incarnation string `json:"life"`
+	Seq         int64  `json:"seq"`
+}
+
+// AgreeToReclaimResponse reports whether the responding incarnation agrees, which it does not if it has
+// agreed to defer.
+type AgreeToReclaimResponse struct {
+	Responder string `json:"by"`
+	Agreed    bool   `json:"agreed,omitempty"`
+}
+
+// FinalUsage tells what an incarnation has used of its tokens, of which it uses nothing any more.
+type FinalUsage struct {
+	Incarnation string                 `json:"life"`
+	Usage       map[string]MirrorBound `json:"usage"`
+}
+
+// FinalUsageAck confirms that the receiver knows the usage.
+type FinalUsageAck struct{}
