--- a/internal/fleet/eventlog/event_string.go
+++ b/internal/fleet/eventlog/event_string.go
@@ -86,26 +86,27 @@
 	_ = x[HoldingReclaimed-75]
 	_ = x[ReclaimFailed-76]
 	_ = x[DeferralFailed-77]
-	_ = x[TransferRefused-78]
-	_ = x[RequestUnreadable-79]
-	_ = x[ConnectionFailed-80]
-	_ = x[SocketOptionDenied-81]
-	_ = x[RequestRefused-82]
-	_ = x[RequestAnswered-83]
-	_ = x[RequestAbandoned-84]
-	_ = x[AnswerBroken-85]
-	_ = x[RequestCutOff-86]
-	_ = x[AttemptSent-87]
-	_ = x[AttemptEnded-88]
-	_ = x[RequestRetried-89]
-	_ = x[RetryDenied-90]
-	_ = x[TokensDenied-91]
-	_ = x[eventCount-92]
+	_ = x[FinalUsageLost-78]
+	_ = x[TransferRefused-79]
+	_ = x[RequestUnreadable-80]
+	_ = x[ConnectionFailed-81]
+	_ = x[SocketOptionDenied-82]
+	_ = x[RequestRefused-83]
+	_ = x[RequestAnswered-84]
+	_ = x[RequestAbandoned-85]
+	_ = x[AnswerBroken-86]
+	_ = x[RequestCutOff-87]
+	_ = x[AttemptSent-88]
+	_ = x[AttemptEnded-89]
+	_ = x[RequestRetried-90]
+	_ = x[RetryDenied-91]
+	_ = x[TokensDenied-92]
+	_ = x[eventCount-93]
 }
 
-const _Event_name = "process_startedprocess_drainingprocess_drainedprocess_failedstop_repeatedsettings_reloadedsettings_rejectedrouter_busyrouter_calmrouter_withdrawnrouter_returnedload_unknowndirectory_changedstore_loststore_regainedtable_read_brokentable_read_slowstore_era_beganstore_era_restoredstore_era_settledstore_era_unsettledpeer_foundpeer_suspectedpeer_lostpeer_leavingpeer_connection_failedplan_announcedplan_in_forceplan_outdatedplan_unreadableevacuation_beganevacuation_changedevacuation_endedevacuation_unreadabletarget_announcedtarget_gonetarget_unreadabletarget_ejectedtarget_readmittedtarget_leavingtarget_pausedtarget_crashedtarget_coldtarget_warmtarget_warmth_unknownservice_paceprompt_blockedblock_learntblock_narrowedblock_endedblock_trialblock_unwrittenblock_unreadableblock_news_lostjournal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentclock_unknowntokens_drawndraw_failedstore_emptyformer_holding_closedgift_givengift_takenholding_returnedholding_passed_ontokens_may_be_lostinvitation_losttokens_keptrestore_failedjournal_reclaimedholding_reclaimedreclaim_faileddeferral_failedgift_refusedrequest_unreadableconnection_failedsocket_option_deniedrequest_refusedrequest_answeredrequest_abandonedanswer_brokenrequest_cut_offattempt_sentattempt_endedrequest_repeatedrepeat_deniedtokens_deniedevent_count"
+const _Event_name = "process_startedprocess_drainingprocess_drainedprocess_failedstop_repeatedsettings_reloadedsettings_rejectedrouter_busyrouter_calmrouter_withdrawnrouter_returnedload_unknowndirectory_changedstore_loststore_regainedtable_read_brokentable_read_slowstore_era_beganstore_era_restoredstore_era_settledstore_era_unsettledpeer_foundpeer_suspectedpeer_lostpeer_leavingpeer_connection_failedplan_announcedplan_in_forceplan_outdatedplan_unreadableevacuation_beganevacuation_changedevacuation_endedevacuation_unreadabletarget_announcedtarget_gonetarget_unreadabletarget_ejectedtarget_readmittedtarget_leavingtarget_pausedtarget_crashedtarget_coldtarget_warmtarget_warmth_unknownservice_paceprompt_blockedblock_learntblock_narrowedblock_endedblock_trialblock_unwrittenblock_unreadableblock_news_lostjournal_openedjournal_failedjournal_regainedjournal_replacedmirror_lostmirror_regainedmirror_silentclock_unknowntokens_drawndraw_failedstore_emptyformer_holding_closedgift_givengift_takenholding_returnedholding_passed_ontokens_may_be_lostinvitation_losttokens_keptrestore_failedjournal_reclaimedholding_reclaimedreclaim_faileddeferral_failedfinal_usage_lostgift_refusedrequest_unreadableconnection_failedsocket_option_deniedrequest_refusedrequest_answeredrequest_abandonedanswer_brokenrequest_cut_offattempt_sentattempt_endedrequest_repeatedrepeat_deniedtokens_deniedevent_count"
 
-var _Event_index = [...]uint16{0, 15, 31, 46, 60, 73, 90, 107, 118, 129, 145, 160, 172, 189, 199, 213, 230, 245, 260, 278, 295, 314, 324, 338, 347, 359, 381, 395, 408, 421, 436, 452, 470, 486, 507, 523, 534, 551, 565, 582, 596, 609, 623, 634, 645, 666, 678, 692, 704, 718, 729, 740, 755, 771, 786, 800, 814, 830, 846, 857, 872, 885, 898, 910, 921, 932, 953, 963, 973, 989, 1006, 1024, 1039, 1050, 1064, 1081, 1098, 1112, 1127, 1139, 1157, 1174, 1194, 1209, 1225, 1242, 1255, 1270, 1282, 1295, 1311, 1324, 1337, 1348}
+var _Event_index = [...]uint16{0, 15, 31, 46, 60, 73, 90, 107, 118, 129, 145, 160, 172, 189, 199, 213, 230, 245, 260, 278, 295, 314, 324, 338, 347, 359, 381, 395, 408, 421, 436, 452, 470, 486, 507, 523, 534, 551, 565, 582, 596, 609, 623, 634, 645, 666, 678, 692, 704, 718, 729, 740, 755, 771, 786, 800, 814, 830, 846, 857, 872, 885, 898, 910, 921, 932, 953, 963, 973, 989, 1006, 1024, 1039, 1050, 1064, 1081, 1098, 1112, 1127, 1143, 1155, 1173, 1190, 1210, 1225, 1241, 1258, 1271, 1286, 1298, 1311, 1327, 1340, 1353, 1364}
 
 func (i Event) String() string {
 	idx := int(i) - 0
