--- a/internal/request/ingress/stop_test.go
+++ b/internal/request/ingress/stop_test.go
@@ -21,7 +21,7 @@
 
 // newRefusingServer starts a server that refuses all requests and keeps their connections
 // open.
-func newRefusingServer(t *testing.T) (*Server, net.Addr) {
+func newRefusingServer(t testing.TB) (*Server, net.Addr) {
 	t.Helper()
 	l, err := socket.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
