Read bodies in steps whose memory is reserved; bound callers' connections

The HTTP library allocates the whole announced length of a body, and a chunk, before a byte of it has come. It now reads headers only: callers.Conn holds what follows a header, and the ingress reads the body itself, in buffers that grow with what has arrived. Each is reserved from a memory.Budget first: in all, per address, per workspace and for requests without a valid key. When it runs out, requests that are still arriving are given up with 503: without a key, without progress, largest, slowest first. The streaming bodies of the library were ruled out: with them it keeps 18 kB for each idle connection.

Accept goes on after errors that pass. Beyond a number of connections the oldest idle ones are closed, then requests that are still arriving are given up. Writes that a caller does not take end after a time. A body must on the whole arrive as fast as a header at its limits, besides four pauses.

Tests of internal/request/ingress and internal/protocol/callers pass as they are.

--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/request/memory"
 )
 
 // pastDeadline is a read deadline that interrupts a read at once.
@@ -35,28 +36,52 @@
 	hasAhead  bool
 	aheadErr  error
 	writeEnd  time.Time // when all writes end; zero before a cut-off
+	idleSince time.Time // when it was accepted, its last request ended, or it was closed
+	lastRead  time.Time // when a part of a request was read last
+	keyless   bool      // its request has no valid key
+	served    bool      // its request was read completely
+	evicted   bool      // its request is given up, since memory or descriptors are short
+
+	memory memory.Reservation // of the request that is being read or served
+	held   []byte             // read beyond the header of a request; used by the reader only
+	// writeRenewed is when the deadline of writes was set last; used by the writer only.
+	writeRenewed time.Time
 }
 
 // Read stops a watch and reads with the idle timeout between requests. The header timeout counts from
 // the first byte of a request; the body may pause for as long, or for bodyPause. Bytes that were read ahead come first.
+// If the connection holds bodies, it returns nothing beyond a header, which ReadBody does.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
-	c.observe(p[:n])
+	header := c.observe(p[:n])
+	if c.conns.holdsBodies && header < n {
+		c.hold(p[header:n])
+		n = header
+	}
+	if memoryErr := c.reserveHeader(); memoryErr != nil {
+		return 0, memoryErr
+	}
 	return n, err
 }
 
-// observe follows the request of which p was read.
-func (c *Conn) observe(p []byte) {
+// observe follows the request of which p was read, and returns how much of p belongs to its header.
+func (c *Conn) observe(p []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(p) > 0 {
+		c.lastRead = time.Now()
+	}
 	if !c.active && len(p) > 0 {
-		c.arrival = arrival{began: time.Now(), followed: true}
+		c.arrival = arrival{began: c.lastRead, followed: true}
 	}
-	c.arrival.observe(p)
+	return c.arrival.observe(p)
 }
 
 func (c *Conn) read(p []byte) (int, error) {
 	c.unwatch()
+	if n := c.takeHeld(p); n > 0 {
+		return n, nil
+	}
 	if ok, n, err := c.takeAhead(p); ok {
 		return n, err
 	}
@@ -67,6 +92,9 @@
 	if n > 0 || !IsTimeout(err) {
 		return n, err
 	}
+	if c.isEvicted() {
+		return 0, errEvicted
+	}
 	c.setTimedOut()
 	if !c.isActive() && c.conns.isShuttingDown() {
 		// The shutdown closes this connection; on ErrClosed the HTTP library writes no answer.
@@ -87,10 +115,10 @@
 	header, idle := c.limits()
 	shutdown := c.conns.shutdownBegan()
 	switch {
-	case c.active && c.readsOver:
+	case c.evicted, c.active && c.readsOver:
 		return pastDeadline
 	case c.active && header > 0:
-		return c.arrival.deadline(header, shutdown)
+		return c.bodyDeadline(c.arrival.deadline(header, shutdown), header)
 	case !c.active && !shutdown.IsZero():
 		return time.Now().Add(c.shutdownLimit())
 	case !c.active && idle > 0:
@@ -178,9 +206,9 @@
 	c.timedOut = true
 }
 
-// readError returns the error err of the HTTP library as a timeout if the request took too long to arrive. The library
+// ReadError returns the error err of the HTTP library as a timeout if the request took too long to arrive. The library
 // drops the cause in some places of a chunked body.
-func (c *Conn) readError(err error) error {
+func (c *Conn) ReadError(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.timedOut || IsTimeout(err) {
@@ -197,6 +225,8 @@
 	switch {
 	case !active:
 		c.arrival = arrival{}
+		c.idleSince, c.keyless, c.served = time.Now(), false, false
+		c.memory.Release()
 	case c.arrival.began.IsZero():
 		// Its first byte was read together with the request before.
 		c.arrival.began = time.Now()
@@ -253,6 +283,8 @@
 	if c.setClosing() {
 		c.LingerAtEnd()
 	}
+	c.held = nil
+	c.memory.Release()
 	return c.LingerConn.Close()
 }
 
@@ -262,6 +294,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
+	c.idleSince = time.Now()
 	return c.active && c.aheadErr == nil
 }
 
--- a/internal/protocol/callers/connset.go
+++ b/internal/protocol/callers/connset.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"rosevalve/internal/request/memory"
 )
 
 // shutdownIdleTimeout is how long a connection without a request stays open during a
@@ -17,10 +19,21 @@
 
 // connSet holds the open connections of callers.
 type connSet struct {
+	// holdsBodies, memory, writeStall, bodyRate and onEvicted are those of the server; they do not change.
+	holdsBodies bool
+	memory      *memory.Budget
+	maxConns    int
+	writeStall  time.Duration
+	bodyRate    func() int
+	onEvicted   func(r Reason)
+
 	mu         sync.Mutex // guards the fields below
 	open       map[*Conn]bool
 	shutdownAt time.Time     // when a shutdown began; zero before that
 	allClosed  chan struct{} // closed when a shutdown finds no connection open; nil before a shutdown
+	byAddress  map[string]*addressBudget
+
+	evicting sync.Mutex // held while requests are chosen that are given up
 }
 
 // add registers an accepted connection.
@@ -31,6 +44,7 @@
 		s.open = make(map[*Conn]bool)
 	}
 	s.open[c] = true
+	s.addBudget(c)
 }
 
 // remove deletes a closed connection from the set.
@@ -41,6 +55,7 @@
 		return
 	}
 	delete(s.open, c)
+	s.removeBudget(c)
 	s.signalIfEmpty()
 }
 
--- a/internal/protocol/callers/listener.go
+++ b/internal/protocol/callers/listener.go
@@ -18,6 +18,10 @@
 	// closeTimeout is how long Close waits for Accept to close the socket. It is reached if
 	// nothing calls Accept.
 	closeTimeout = 500 * time.Millisecond
+	// acceptBackoff is the pause after no connection could be accepted for a reason that passes, and acceptEvictions how many
+	// idle connections are closed then.
+	acceptBackoff   = 20 * time.Millisecond
+	acceptEvictions = 16
 )
 
 // listener accepts callers' connections. When it is closed, it first accepts the connections
@@ -48,7 +52,7 @@
 // Accept returns the next caller's connection. After Close it returns those that were
 // established before, then net.ErrClosed.
 func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
+	raw, err := l.acceptOne()
 	switch {
 	case err == nil:
 		return l.wrap(raw), nil
@@ -64,11 +68,32 @@
 	return c, nil
 }
 
+// acceptOne accepts a connection for which there is room. While the system lacks descriptors or memory, it closes idle
+// connections and tries again.
+func (l *listener) acceptOne() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		switch {
+		case err == nil && l.conns.makeRoom():
+			return raw, nil
+		case err == nil:
+			l.conns.reportEvicted(TooManyConnections)
+			_ = raw.Close()
+		case l.closing.Load() || !socket.IsTransient(err):
+			return nil, err
+		default:
+			l.log.Printf("accept: %v", err)
+			l.conns.closeIdle(acceptEvictions)
+			time.Sleep(acceptBackoff)
+		}
+	}
+}
+
 func (l *listener) wrap(raw net.Conn) net.Conn {
 	if l.byTTL.Load() {
 		l.acceptAnyTTL(raw)
 	}
-	c := &Conn{LingerConn: &socket.LingerConn{Conn: raw}, limits: l.limits, conns: l.conns}
+	c := &Conn{LingerConn: &socket.LingerConn{Conn: raw}, limits: l.limits, conns: l.conns, idleSince: time.Now()}
 	c.OnClosed = func() { l.conns.remove(c) }
 	l.conns.add(c)
 	return c
--- a/internal/protocol/callers/server.go
+++ b/internal/protocol/callers/server.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/request/memory"
 )
 
 // Server serves callers' connections with an HTTP server. All fields are set before Serve.
@@ -30,6 +31,22 @@
 	// CutOff ends the requests in flight, if there are any when the context of Shutdown ends. Its error
 	// tells what was cut off. Requests that are still arriving are refused then. If nil, all go on.
 	CutOff func() error
+	// HoldBodies leaves the bodies of requests to the handler, which reads them with Conn.ReadBody. The HTTP server must be
+	// told that requests have none.
+	HoldBodies bool
+	// Memory bounds the memory of requests that arrive or are served; nil does not. When it runs out, requests that are not
+	// read completely are given up: the handlers refuse those of which Conn.Evicted holds.
+	Memory *memory.Budget
+	// MaxConns bounds the open connections; 0 does not. Beyond it, the oldest idle ones are closed, then requests that are not
+	// read completely are given up.
+	MaxConns int
+	// WriteStall is how long a caller may take to receive a part of 16 KiB of its answer; 0 is no limit.
+	WriteStall time.Duration
+	// BodyRate returns how many bytes of a body must arrive in the time limit of a header; 0, or nil, is no limit.
+	BodyRate func() int
+	// OnEvicted is called when a connection ends since something is short or its caller does not read; it must not block. It
+	// may be nil.
+	OnEvicted func(r Reason)
 
 	conns          connSet
 	activeListener atomic.Pointer[listener]
@@ -45,6 +62,8 @@
 	if !s.activeListener.CompareAndSwap(nil, wrapped) {
 		return errors.New("serve callers: Serve was called before")
 	}
+	s.conns.holdsBodies, s.conns.memory, s.conns.maxConns = s.HoldBodies, s.Memory, s.MaxConns
+	s.conns.writeStall, s.conns.bodyRate, s.conns.onEvicted = s.WriteStall, s.BodyRate, s.OnEvicted
 	s.HTTP.ConnState = onState
 	s.HTTP.Handler = s.closeAtShutdown(s.HTTP.Handler)
 	if handle := s.HTTP.ErrorHandler; handle != nil {
@@ -60,7 +79,7 @@
 func withTimeouts(handle func(ctx *fasthttp.RequestCtx, err error)) func(ctx *fasthttp.RequestCtx, err error) {
 	return func(ctx *fasthttp.RequestCtx, err error) {
 		if c, ok := ctx.Conn().(*Conn); ok {
-			err = c.readError(err)
+			err = c.ReadError(err)
 		}
 		handle(ctx, err)
 	}
@@ -74,6 +93,9 @@
 	cutOffWriteTimeout = cutOffTimeout / 2
 )
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return len(s.conns.conns()) }
+
 // Shutdown closes the listener and waits until no connection is open or ctx ends. It closes
 // connections that stay without a request for shutdownIdleTimeout, and calls CutOff when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"rosevalve/internal/protocol/callers"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/forward"
+	"rosevalve/internal/request/memory"
 	"rosevalve/internal/workspace/plan"
 )
 
@@ -27,6 +28,8 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = time.Minute
 	writeBufferSize      = 2048
+	// evictedRetryAfter is when a caller may come back whose request was given up while it arrived.
+	evictedRetryAfter = time.Second
 	// maxCopiedBody is the largest body, in bytes, that is copied so that the answer can be
 	// closed before the body is written. A larger one counts towards the memory of buffered
 	// answers until it is written.
@@ -56,11 +59,20 @@
 	OnInvalidRequest func(status int, err error)
 	// OnDenied is called if the system denies a socket option, as callers.Server has it.
 	OnDenied func(err error)
+	// Memory bounds the memory of requests that arrive or are served; nil does not.
+	Memory *memory.Budget
+	// Owner returns the workspace of a request whose header was read, and whether its key is valid.
+	Owner func(h *fasthttp.RequestHeader) (workspace string, valid bool)
+	// MaxConns, WriteStall and OnEvicted are as callers.Server has them.
+	MaxConns   int
+	WriteStall time.Duration
+	OnEvicted  func(r callers.Reason)
 	// Log receives the messages of the HTTP library and of the listener.
 	Log fasthttp.Logger
 
 	once     sync.Once
 	callers  callers.Server
+	owners   owners
 	inFlight atomic.Int64
 	requests context.Context         // parent of all requests' contexts
 	cutOff   context.CancelCauseFunc // cancels requests
@@ -73,13 +85,18 @@
 		s.callers.OnDenied = s.OnDenied
 		s.callers.Log = s.Log
 		s.callers.CutOff = s.cutOffRequests
+		s.callers.HoldBodies = true
+		s.callers.Memory = s.Memory
+		s.callers.MaxConns = s.MaxConns
+		s.callers.WriteStall = s.WriteStall
+		s.callers.BodyRate = func() int { return s.limits().MaxHeaderBytes }
+		s.callers.OnEvicted = s.OnEvicted
 		s.callers.HTTP = &fasthttp.Server{
 			Handler:                      s.handle,
 			ErrorHandler:                 s.handleReadError,
-			HeaderReceived:               s.limitBody,
+			HeaderReceived:               keepBody,
 			ReadBufferSize:               defaultHeaderBytes + writeBufferSize,
 			WriteBufferSize:              writeBufferSize,
-			MaxRequestBodySize:           defaultBodyBytes,
 			CloseOnShutdown:              true,
 			NoDefaultServerHeader:        true,
 			NoDefaultDate:                true,
@@ -148,16 +165,20 @@
 	return l.HeaderTimeout, l.IdleTimeout
 }
 
-// limitBody returns the body limit for a request whose header was read.
-func (s *Server) limitBody(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{MaxRequestBodySize: s.limits().MaxBodyBytes}
+// keepBody keeps the HTTP library from reading the body of a request whose header was read. It would allocate all that is
+// announced.
+func keepBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	h.SetContentLength(0)
+	return fasthttp.RequestConfig{}
 }
 
-// handleReadError answers a request that the HTTP library could not read.
+// handleReadError answers a request that could not be read.
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
 	var headerTooLarge *fasthttp.ErrSmallBuffer
 	switch {
+	case isEvicted(ctx):
+		status = fasthttp.StatusServiceUnavailable
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &headerTooLarge):
@@ -169,6 +190,12 @@
 	s.reject(ctx, status, "request", err)
 }
 
+// isEvicted reports whether the request was given up before it was read.
+func isEvicted(ctx *fasthttp.RequestCtx) bool {
+	c, ok := ctx.Conn().(*callers.Conn)
+	return ok && c.Evicted()
+}
+
 // lingerOnClose lets the refusal of a request that is still arriving reach its caller.
 func lingerOnClose(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*callers.Conn); ok {
@@ -180,6 +207,10 @@
 // OnInvalidRequest.
 func (s *Server) reject(ctx *fasthttp.RequestCtx, status int, param string, err error) {
 	s.OnInvalidRequest(status, err)
+	if status == fasthttp.StatusServiceUnavailable {
+		s.WriteError(&ctx.Response, answer.Retryable(status, "out_of_memory", evictedRetryAfter, "router has too many requests that are still arriving"), "")
+		return
+	}
 	s.WriteError(&ctx.Response, answer.Invalid(status, param, "request could not be read: %v", err), "")
 }
 
@@ -196,21 +227,39 @@
 	if s.ClosingConnections() {
 		ctx.SetConnectionClose()
 	}
-	if len(ctx.Request.Header.RawHeaders()) > s.limits().MaxHeaderBytes {
-		s.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "header", fmt.Errorf("header is larger than %d bytes", s.limits().MaxHeaderBytes))
-		return
-	}
-	if hasAmbiguousLength(&ctx.Request.Header) {
-		s.reject(ctx, fasthttp.StatusBadRequest, "header", errors.New("body has a length and is chunked"))
+	f, err := framingOf(&ctx.Request.Header)
+	if err != nil {
+		s.reject(ctx, fasthttp.StatusBadRequest, "header", err)
 		ctx.SetConnectionClose()
-		// Only one of the two lengths has been read.
+		// The body has not been read.
 		lingerOnClose(ctx)
 		return
 	}
+	var received body
+	if err := s.receive(ctx, f, &received); err != nil {
+		received.release()
+		s.refuseUnread(ctx, err)
+		return
+	}
+	ctx.Request.SetBodyRaw(received.bytes)
+	if s.serve(ctx, received.release) {
+		endDeferred = true
+		return
+	}
+	received.release()
+}
+
+// serve answers a request that was read. If the body of the answer is written later, it returns true, and the request is in
+// flight until then; release is called at its end.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, release func()) (deferred bool) {
+	if len(ctx.Request.Header.RawHeaders()) > s.limits().MaxHeaderBytes {
+		s.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "header", fmt.Errorf("header is larger than %d bytes", s.limits().MaxHeaderBytes))
+		return false
+	}
 	r, err := s.ParseRequest(&ctx.Request, ctx.Time())
 	if err != nil {
 		s.reject(ctx, fasthttp.StatusBadRequest, "request", err)
-		return
+		return false
 	}
 	// The bytes cross the link twice: from the caller and to the target, or the reverse.
 	s.OnBytes(2 * (len(ctx.Request.Header.RawHeaders()) + len(r.Body)))
@@ -223,7 +272,7 @@
 	if err != nil {
 		cancelCaller()
 		s.refuse(ctx, r, err)
-		return
+		return false
 	}
 	s.WriteResponseHeader(&ctx.Response, a.Status, a.Header)
 	if a.Stream == nil {
@@ -233,31 +282,20 @@
 		ctx.Response.SetBody(a.Body)
 		a.Close()
 		cancelCaller()
-		return
+		return false
 	}
-	endDeferred = true
 	end := func() {
 		a.Close()
 		cancelCaller()
+		release()
 		s.inFlight.Add(-1)
 	}
 	if a.Stream == nil {
 		ctx.SetBodyStream(&bufferedBody{Reader: bytes.NewReader(a.Body), close: end}, len(a.Body))
-		return
+		return true
 	}
 	ctx.SetBodyStream(&streamBody{answer: a, onBytes: s.OnBytes, close: end}, -1)
-}
-
-// hasAmbiguousLength reports whether the header has both a Content-Length and a
-// Transfer-Encoding, which intermediaries may have interpreted differently.
-func hasAmbiguousLength(h *fasthttp.RequestHeader) bool {
-	length, chunked := false, false
-	for line := range bytes.Lines(h.RawHeaders()) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		length = length || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
-		chunked = chunked || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
-	}
-	return length && chunked
+	return true
 }
 
 // refuse answers a request for which the forwarder returned an error.
--- /dev/null
+++ b/internal/request/memory/budget.go
@@ -0,0 +1,46 @@
+package memory
+
+import (
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrFull reports that a budget does not cover a reservation.
+var ErrFull = errors.New("memory for requests and answers is used up")
+
+// Budget is a bound for memory that many reservations share.
+type Budget struct {
+	// Limit is the bound in bytes.
+	Limit int64
+	// Parent is a budget from which all that is reserved here is reserved too; nil for none.
+	Parent *Budget
+
+	reserved atomic.Int64
+}
+
+// Reserved returns how many bytes are reserved.
+func (b *Budget) Reserved() int64 { return b.reserved.Load() }
+
+// take reserves n bytes here and in the parents, or none. It returns the budget that does not cover them; nil if all do.
+func (b *Budget) take(n int64) (full *Budget) {
+	if b == nil {
+		return nil
+	}
+	if b.reserved.Add(n) > b.Limit {
+		b.reserved.Add(-n)
+		return b
+	}
+	full = b.Parent.take(n)
+	if full != nil {
+		b.reserved.Add(-n)
+	}
+	return full
+}
+
+// giveBack returns n bytes to the budget and its parents.
+func (b *Budget) giveBack(n int64) {
+	for ; b != nil; b = b.Parent {
+		b.reserved.Add(-n)
+	}
+}
