Bound what callers make a router hold: memory, connections, unread answers

Cause: a router allocates what requests announce, keeps every connection, and ends when accept fails. The router now has a budget for requests that arrive or are served (caller_memory_share, 0.16 of memory_mb), one for messages of other routers, and the one for buffered answers, all of the one kind memory.Budget; forward.BodyMemory is replaced by it. Callers, other routers and each auxiliary listener may use a share of the descriptors (max_descriptors, or the limit of the process without 200 for files); the oldest idle connection goes first, and errors of accept that pass do not end the process. An answer that is not read ends after write_stall (20 s), and after 3 s while the memory for answers is used up. A target that ends a stream that nobody read for a second is not blamed. Auxiliary requests must arrive within 10 s.

Ruled out: answers that draw on the memory of requests, since a crowd of bodies would then refuse answers of requests that have run.

race_test.go reads the reserved bytes by the name of the new type; nothing else in it changes.

--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -17,6 +17,8 @@
 
 const (
 	auxIdleTimeout = 10 * time.Second
+	// auxTimeout bounds the time in which a request to an auxiliary endpoint arrives, and that in which its answer is taken.
+	auxTimeout = 10 * time.Second
 	// maxAddresses bounds the router addresses in one directory answer.
 	maxAddresses = 64
 )
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -14,10 +14,12 @@
 	"rosevalve/internal/fleet/peer"
 	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/protocol/callers"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/ingress"
+	"rosevalve/internal/request/memory"
 	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/roster"
@@ -138,7 +140,7 @@
 
 func (e *Edge) connectFleet() {
 	cfg := e.Settings
-	e.transport = &peer.Transport{AllowPlaintext: cfg.Fleet.PlaintextScope == "anywhere", Log: libraryLog{log: e.Events, event: eventlog.PeerConnectionFailed}}
+	e.transport = &peer.Transport{Memory: &memory.Budget{Limit: e.peerMemory()}, AllowPlaintext: cfg.Fleet.PlaintextScope == "anywhere", Log: libraryLog{log: e.Events, event: eventlog.PeerConnectionFailed}}
 	if cfg.Fleet.UsesTLS() {
 		e.transport.Credentials = &peer.Credentials{CertFile: cfg.Fleet.TLSCert, KeyFile: cfg.Fleet.TLSKey, CAFile: cfg.Fleet.TLSCA}
 	}
@@ -178,21 +180,28 @@
 
 func (e *Edge) connectRequests() {
 	e.forwarder = &forward.Forwarder{
-		Quarantine:   e.quarantine,
-		Crashes:      &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
-		Plan:         e.plan.Load,
-		PlanOutdated: e.outdated,
-		Overloaded:   e.refusesForOverload,
-		Tokens:       e.tokens,
-		Placement:    e.placement,
-		Accepts:      e.admission.Accepts,
-		RetryBudget:  &forward.RetryBudget{Limits: e.retryLimits, Window: e.Settings.Edge.RetryWindow},
-		BodyMemory:   forward.BodyMemory{Limit: e.bodyMemory()},
-		Encode:       platform.EncodeRequest,
-		HasSignature: platform.HasSignature,
-		OnDecision:   e.recordDecision,
+		Quarantine:     e.quarantine,
+		Crashes:        &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
+		Plan:           e.plan.Load,
+		PlanOutdated:   e.outdated,
+		Overloaded:     e.refusesForOverload,
+		Tokens:         e.tokens,
+		Placement:      e.placement,
+		Accepts:        e.admission.Accepts,
+		RetryBudget:    &forward.RetryBudget{Limits: e.retryLimits, Window: e.Settings.Edge.RetryWindow},
+		BodyMemory:     memory.Budget{Limit: e.bodyMemory()},
+		FreeBodyMemory: func() bool { return e.ingress.EndUnread() },
+		Encode:         platform.EncodeRequest,
+		HasSignature:   platform.HasSignature,
+		OnDecision:     e.recordDecision,
 	}
+	requests := &memory.Budget{Limit: e.requestMemory()}
 	e.ingress = &ingress.Server{
+		Memory:              requests,
+		Owner:               e.owner,
+		MaxConns:            e.descriptorShare(callerShare),
+		WriteStall:          e.Settings.Edge.WriteStall,
+		OnEvicted:           func(r callers.Reason) { e.countClosed("callers", r.String()) },
 		Forwarder:           e.forwarder,
 		ParseRequest:        platform.DecodeRequest,
 		WriteResponseHeader: platform.WriteResponseHeader,
@@ -204,6 +213,27 @@
 		OnDenied:            func(err error) { e.Events.Emit(eventlog.SocketOptionDenied, "err", err) },
 		Log:                 libraryLog{log: e.Events, event: eventlog.ConnectionFailed},
 	}
+	e.addMemoryMetrics(requests)
+}
+
+// owner returns the workspace of a request whose header was read, and whether its key is valid.
+func (e *Edge) owner(h *fasthttp.RequestHeader) (workspace string, valid bool) {
+	p := e.plan.Load()
+	if p == nil {
+		return "", false
+	}
+	route, ok := p.Route(string(h.Host()), platform.RequestPath(h))
+	switch {
+	case !ok:
+		return "", false
+	case !p.RequiresKey() || route.Anonymous:
+		return "", true
+	}
+	w, ok := p.WorkspaceByKey(platform.RequestKey(h))
+	if !ok {
+		return "", false
+	}
+	return w.Name, true
 }
 
 // innerAddr returns the address at which other routers reach this one.
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -21,6 +21,7 @@
 	"rosevalve/internal/fleet/settings"
 	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/protocol/callers"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/ingress"
@@ -124,7 +125,9 @@
 // components returns the functions that run until the process ends.
 func (e *Edge) components(ctx context.Context, listeners map[string]net.Listener) []func() error {
 	out := []func() error{
-		func() error { return e.transport.Serve(ctx, listeners[e.Settings.Router.InnerListen]) },
+		func() error {
+			return e.transport.Serve(ctx, e.bound(listeners[e.Settings.Router.InnerListen], "peers", peerShare))
+		},
 		func() error { return e.ingress.Serve(listeners[e.Settings.Router.Listen]) },
 		func() error { return e.view.Run(ctx) },
 		func() error { return e.configTable.Run(ctx) },
@@ -140,7 +143,7 @@
 	}
 	aux := e.auxServer()
 	for _, addr := range e.auxAddrs() {
-		out = append(out, func() error { return aux.Serve(listeners[addr]) })
+		out = append(out, func() error { return aux.Serve(e.bound(listeners[addr], "auxiliary", auxShare)) })
 	}
 	return out
 }
@@ -166,6 +169,15 @@
 	return out, nil
 }
 
+// bound returns a listener whose connections may use a share of the descriptors.
+func (e *Edge) bound(l net.Listener, name string, share float64) net.Listener {
+	return &socket.BoundedListener{
+		Listener: l, MaxConns: e.descriptorShare(share),
+		OnClosed: func() { e.countClosed(name, callers.TooManyConnections.String()) },
+		OnError:  func(err error) { e.Events.Emit(eventlog.ConnectionFailed, "err", err) },
+	}
+}
+
 // every calls do once per interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func(now time.Time)) error {
 	tick := time.NewTicker(interval)
@@ -224,6 +236,8 @@
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		IdleTimeout:           auxIdleTimeout,
+		ReadTimeout:           auxTimeout,
+		WriteTimeout:          auxTimeout,
 		MaxRequestBodySize:    auxMaxBody,
 		ReduceMemoryUsage:     true,
 	}
--- a/internal/fleet/edge/memory.go
+++ b/internal/fleet/edge/memory.go
@@ -20,9 +20,23 @@
 	bodyMemoryShare = 1.0 / 32
 	maxBodyMemory   = 8 << 20
 
+	// peerMemoryShare is the share of the VM's memory for messages of other routers that arrive, at most maxPeerMemory bytes.
+	peerMemoryShare = 1.0 / 8
+	maxPeerMemory   = 32 << 20
+
 	megabyte = 1 << 20
 )
 
+// requestMemory returns the total memory for requests that arrive or are served, in bytes.
+func (e *Edge) requestMemory() int64 {
+	return int64(e.Settings.Edge.CallerMemoryShare * e.Settings.Edge.MemoryMB * megabyte)
+}
+
+// peerMemory returns the total memory for messages of other routers that arrive, in bytes.
+func (e *Edge) peerMemory() int64 {
+	return min(maxPeerMemory, int64(peerMemoryShare*e.Settings.Edge.MemoryMB*megabyte))
+}
+
 // bodyMemory returns the total memory for answers that are buffered as a whole, in bytes.
 func (e *Edge) bodyMemory() int64 {
 	return min(maxBodyMemory, int64(bodyMemoryShare*e.Settings.Edge.MemoryMB*megabyte))
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -12,6 +12,7 @@
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/request/forward"
+	"rosevalve/internal/request/memory"
 )
 
 const (
@@ -129,6 +130,25 @@
 	}
 }
 
+// countClosed counts a connection, or the request on it, that was ended before its time.
+func (e *Edge) countClosed(listener, reason string) {
+	e.metrics.count("rosevalve_connections_ended_total", 1, "listener", listener, "reason", reason)
+}
+
+// addMemoryMetrics adds the gauges of reserved memory and of callers' connections.
+func (e *Edge) addMemoryMetrics(requests *memory.Budget) {
+	gauge := func(name string, value func() int64) {
+		e.metrics.addGauge(name, func() float64 { return float64(value()) })
+	}
+	gauge(`rosevalve_memory_reserved_bytes{for="requests"}`, requests.Reserved)
+	gauge(`rosevalve_memory_reserved_bytes{for="answers"}`, e.forwarder.BodyMemory.Reserved)
+	gauge(`rosevalve_memory_reserved_bytes{for="peers"}`, e.transport.Memory.Reserved)
+	gauge(`rosevalve_memory_limit_bytes{for="requests"}`, requests.Size)
+	gauge(`rosevalve_memory_limit_bytes{for="answers"}`, e.forwarder.BodyMemory.Size)
+	gauge(`rosevalve_memory_limit_bytes{for="peers"}`, e.transport.Memory.Size)
+	gauge("rosevalve_caller_connections", func() int64 { return int64(e.ingress.Connections()) })
+}
+
 // recordUsage counts the tokens that a request has used.
 func (m *metricSet) recordUsage(d forward.Decision) {
 	if d.Workspace != "" {
--- a/internal/fleet/peer/conn.go
+++ b/internal/fleet/peer/conn.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/request/memory"
 )
 
 const (
@@ -74,7 +75,24 @@
 
 // boundedCodec encodes messages as jsonrpc2.VarintObjectCodec does, as JSON after a
 // varint length, and rejects received messages of more than maxMessageSize bytes.
-type boundedCodec struct{}
+type boundedCodec struct{ memory *memory.Budget }
+
+// decodeFactor is multiplied by the size of what has been read of a message to give the memory of its decoding.
+const decodeFactor = 3
+
+// reservingReader reserves the memory of what it reads.
+type reservingReader struct {
+	io.Reader
+	memory memory.Reservation
+}
+
+func (r *reservingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if memoryErr := r.memory.Grow(decodeFactor * int64(n)); memoryErr != nil {
+		return 0, memoryErr
+	}
+	return n, err
+}
 
 // WriteObject writes obj as one message; it does not limit the size.
 func (boundedCodec) WriteObject(w io.Writer, obj any) error {
@@ -82,7 +100,7 @@
 }
 
 // ReadObject reads one message into v and fails if it is larger than maxMessageSize.
-func (boundedCodec) ReadObject(r *bufio.Reader, v any) error {
+func (b boundedCodec) ReadObject(r *bufio.Reader, v any) error {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err // not wrapped, since jsonrpc2 compares it with io.EOF
@@ -90,7 +108,9 @@
 	if size > maxMessageSize {
 		return fmt.Errorf("message of %d bytes exceeds the limit of %d", size, maxMessageSize)
 	}
-	body := io.LimitReader(r, int64(size))
+	body := &reservingReader{Reader: io.LimitReader(r, int64(size))}
+	body.memory.Use(b.memory)
+	defer body.memory.Release()
 	if err := json.NewDecoder(body).Decode(v); err != nil {
 		return fmt.Errorf("decode message: %w", err)
 	}
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -16,6 +16,7 @@
 	"rosevalve/internal/platform/timeout"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/protocol/socket"
+	"rosevalve/internal/request/memory"
 )
 
 const (
@@ -58,6 +59,8 @@
 	AllowPlaintext bool
 	// Log receives the RPC library's messages about connections; nil means standard error.
 	Log jsonrpc2.Logger
+	// Memory bounds the memory of received messages; nil does not.
+	Memory *memory.Budget
 	// IdleTimeout is the time without received data after which a connection is closed.
 	// The default is 30 seconds.
 	IdleTimeout time.Duration
@@ -264,7 +267,7 @@
 
 // newRPC starts the JSON-RPC protocol on conn. Calls received on it go to the handlers.
 func (t *Transport) newRPC(ctx context.Context, conn *timeoutConn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{memory: t.Memory})
 	var options []jsonrpc2.ConnOpt
 	if t.Log != nil {
 		options = append(options, jsonrpc2.SetLogger(t.Log))
--- a/internal/fleet/settings/edge.go
+++ b/internal/fleet/settings/edge.go
@@ -19,6 +19,12 @@
 	Cores float64
 	// MemoryMB is the memory available to this process, in megabytes.
 	MemoryMB float64
+	// CallerMemoryShare is the share of the memory for what callers send and have not been answered.
+	CallerMemoryShare float64
+	// MaxDescriptors is the largest number of open files and sockets; 0 means the limit of the process.
+	MaxDescriptors int64
+	// WriteStall is how long a caller may take to receive 16 KiB of its answer.
+	WriteStall time.Duration
 	// LinkMbps is the bandwidth of the VM's network link, in megabits per second.
 	LinkMbps float64
 	// DirectoryMaxAge is how long callers may cache the list of routers.
@@ -40,6 +46,9 @@
 		optionalAddrOption("edge", "inner_address", "address where other routers reach this one, if it is not [router] inner_listen", &s.InnerAddress),
 		numberOption("edge", "cores", "1", "processor time available to this process, in cores", 0.01, 1024, &s.Cores),
 		numberOption("edge", "memory_mb", "256", "memory available to this process, in megabytes", 32, 1e6, &s.MemoryMB),
+		numberOption("edge", "caller_memory_share", "0.16", "share of the memory for requests that arrive or are served", 0.02, 0.5, &s.CallerMemoryShare),
+		intOption("edge", "max_descriptors", "0", "largest number of open files and sockets, if it is less than the limit of the process; 0 for that limit", 0, 1<<30, &s.MaxDescriptors),
+		durationOption("edge", "write_stall", "20s", "how long a caller may take to receive 16 KiB of its answer", 3*time.Second, time.Hour, &s.WriteStall),
 		numberOption("edge", "link_mbps", "1000", "bandwidth of the VM's network link, in megabits per second", 0.1, 1e6, &s.LinkMbps),
 		durationOption("edge", "max_age", "1s", "how long callers may cache the list of routers", 100*time.Millisecond, time.Hour, &s.DirectoryMaxAge),
 		numberOption("edge", "retry_ratio", "0.2", "retries that each request of a service adds to the retry budget", 0, 1, &s.RetryRatio),
--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,7 @@
 	held   []byte             // read beyond the header of a request; used by the reader only
 	// writeRenewed is when the deadline of writes was set last; used by the writer only.
 	writeRenewed time.Time
+	writing      atomic.Int64 // when the write in progress began, in Unix nanoseconds; 0 without one
 }
 
 // Read stops a watch and reads with the idle timeout between requests. The header timeout counts from
--- a/internal/protocol/callers/evict.go
+++ b/internal/protocol/callers/evict.go
@@ -160,7 +160,7 @@
 	if len(lingering) > 0 {
 		lingering = oldest(lingering, max(n, len(lingering)/lingerShare))
 		for _, c := range lingering {
-			_ = c.LingerConn.Conn.Close()
+			_ = c.Conn.Close()
 		}
 		return len(lingering)
 	}
--- a/internal/protocol/callers/write.go
+++ b/internal/protocol/callers/write.go
@@ -7,6 +7,9 @@
 	writePart = 16 << 10
 	// renewShare is the share of that time after which the deadline is set anew.
 	renewShare = 8
+	// unreadAfter is how long a write may take while memory for answers is short: a sound caller may fall silent for a second
+	// or two.
+	unreadAfter = bodyPause
 )
 
 // Write writes a part of an answer. It fails if the caller takes nothing for too long.
@@ -16,7 +19,9 @@
 		if err := c.renewWriteDeadline(); err != nil {
 			return total, err
 		}
+		c.setWriting(true)
 		n, err := c.LingerConn.Write(p[total:min(len(p), total+writePart)])
+		c.setWriting(false)
 		total += n
 		if err != nil && IsTimeout(err) && !c.isCutOff() {
 			c.conns.reportEvicted(NotRead)
@@ -38,6 +43,31 @@
 	return c.SetWriteDeadline(now.Add(limit))
 }
 
+// setWriting records when a write begins, or that it has ended.
+func (c *Conn) setWriting(writing bool) {
+	var began int64
+	if writing {
+		began = time.Now().UnixNano()
+	}
+	c.writing.Store(began)
+}
+
+// EndUnread ends the connections whose callers take nothing of their answers, and reports whether there are any.
+func (s *Server) EndUnread() bool {
+	found := false
+	latest := time.Now().Add(-unreadAfter)
+	for _, c := range s.conns.conns() {
+		began := c.writing.Load()
+		if began == 0 || time.Unix(0, began).After(latest) {
+			continue
+		}
+		found = true
+		// The error of a connection that is closed already does not matter.
+		_ = c.LingerConn.SetWriteDeadline(pastDeadline)
+	}
+	return found
+}
+
 // isCutOff reports whether a shutdown has ended the writes.
 func (c *Conn) isCutOff() bool {
 	c.mu.Lock()
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -246,7 +246,7 @@
 	if a.status == fasthttp.StatusOK {
 		ar.reportSound(a.headerAt)
 	}
-	return &Answer{Status: a.status, Header: &a.header, Body: a.body, request: ar, memory: a.memory}
+	return &Answer{Status: a.status, Header: &a.header, Body: a.body, request: ar, memory: &a.memory}
 }
 
 // hasTargetsLeft reports whether the route allows an attempt at one more target.
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/memory"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/runner"
 	"rosevalve/internal/target/upstream"
@@ -35,7 +36,7 @@
 	headerAt time.Time          // when the header arrived
 	source   *source            // reads the events of a stream; nil for other answers
 	body     []byte             // of other answers
-	memory   bodyMemory         // reserved for body
+	memory   memory.Reservation // reserved for body
 	err      error              // why it has no answer; nil if it has one
 
 	// status and header are those of an answer that was detached from its connection.
@@ -58,8 +59,8 @@
 		return
 	}
 	a.buffering.Store(true)
-	a.memory.total = &a.request.f.BodyMemory
-	a.body, a.err = a.resp.ReadBody(a.request.f.BodyMemory.maxBody(), a.memory.grow)
+	a.memory.Use(&a.request.f.BodyMemory)
+	a.body, a.err = a.resp.ReadBody(a.request.f.maxBody(), a.growBody)
 }
 
 // send sends the request to the instance and returns when the header of its answer has arrived. A
@@ -157,7 +158,7 @@
 		a.resp.Abort()
 	}
 	a.cancel(nil)
-	a.memory.release()
+	a.memory.Release()
 }
 
 // detach ends the exchange after a complete answer that is not a stream, and keeps the answer.
--- a/internal/request/forward/body_memory.go
+++ b/internal/request/forward/body_memory.go
@@ -1,62 +1,33 @@
 package forward
 
 import (
-	"sync/atomic"
+	"time"
 
-	"github.com/cockroachdb/errors"
+	"rosevalve/internal/request/memory"
 )
 
 const (
-	// defaultBodyMemory is the limit for all buffered answers together if BodyMemory.Limit is 0,
-	// in bytes.
-	defaultBodyMemory = 8 << 20
-	// maxBodyDivisor divides that limit to give the largest size of one answer.
+	// maxBodyDivisor divides the memory for buffered answers to give the largest size of one answer.
 	maxBodyDivisor = 8
+	// memoryPoll and memoryWait are how often and how long a buffered answer waits for memory that was made free.
+	memoryPoll = 5 * time.Millisecond
+	memoryWait = 200 * time.Millisecond
 )
 
-// errBodyMemoryFull reports that an answer exceeds the memory left for buffered answers.
-var errBodyMemoryFull = errors.New("memory for answers is used up")
-
-// BodyMemory limits the memory of answers that are buffered completely, since a faulty target
-// may send without end.
-type BodyMemory struct {
-	// Limit is the limit for all buffered answers together; 0 means 8 MiB.
-	Limit int64
-
-	reserved atomic.Int64
-}
-
-// bodyMemory is the part of the memory that one answer has reserved.
-type bodyMemory struct {
-	total *BodyMemory
-	bytes int64
-}
-
-func (b *BodyMemory) limit() int64 {
-	if b.Limit == 0 {
-		return defaultBodyMemory
+// maxBody returns the largest size of one buffered answer, in bytes.
+func (f *Forwarder) maxBody() int64 { return f.BodyMemory.Size() / maxBodyDivisor }
+
+// growBody reserves n more bytes for the buffered answer of an attempt. If the memory is used up, it ends answers whose
+// callers do not read them, and waits for a moment.
+func (a *attempt) growBody(n int64) error {
+	f := a.request.f
+	err := a.memory.Grow(n)
+	for end := time.Now().Add(memoryWait); err != nil && f.FreeBodyMemory != nil && f.FreeBodyMemory() && time.Now().Before(end); {
+		time.Sleep(memoryPoll)
+		err = a.memory.Grow(n)
 	}
-	return b.Limit
+	return err
 }
 
-// maxBody returns the largest size of one answer, in bytes.
-func (b *BodyMemory) maxBody() int64 { return b.limit() / maxBodyDivisor }
-
-// grow reserves n more bytes, or returns errBodyMemoryFull without reserving any.
-func (m *bodyMemory) grow(n int64) error {
-	if m.total.reserved.Add(n) > m.total.limit() {
-		m.total.reserved.Add(-n)
-		return errBodyMemoryFull
-	}
-	m.bytes += n
-	return nil
-}
-
-// release returns the reserved memory. It does nothing if none is reserved.
-func (m *bodyMemory) release() {
-	if m.bytes == 0 {
-		return
-	}
-	m.total.reserved.Add(-m.bytes)
-	m.bytes = 0
-}
+// errBodyMemoryFull reports that an answer exceeds the memory left for buffered answers.
+var errBodyMemoryFull = memory.ErrFull
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -11,6 +11,7 @@
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/fleet/drain"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/memory"
 	"rosevalve/internal/request/quarantine"
 	"rosevalve/internal/target/crash"
 	"rosevalve/internal/target/placement"
@@ -65,8 +66,11 @@
 	RetryBudget *RetryBudget
 	// Encode writes attempt a of request r to out in the targets' wire format.
 	Encode func(out *fasthttp.Request, r *Request, a Attempt)
-	// BodyMemory limits the memory of buffered answers.
-	BodyMemory BodyMemory
+	// BodyMemory bounds the memory of answers that are buffered completely, since a faulty target may send without end.
+	BodyMemory memory.Budget
+	// FreeBodyMemory ends answers whose callers do not read them, and reports whether there are any; it must not block. It may
+	// be nil.
+	FreeBodyMemory func() bool
 	// HasSignature reports whether an answer carries its target's signature.
 	HasSignature func(h *fasthttp.ResponseHeader) bool
 	// OnDecision is called with each decision about a request; it must not block. It may be
@@ -88,7 +92,7 @@
 	Stream *Stream
 
 	request *activeRequest
-	memory  bodyMemory // reserved for Body
+	memory  *memory.Reservation // for Body; nil for a stream
 }
 
 // Close ends the answer, settles the tokens it used and releases the memory of its body,
@@ -97,7 +101,9 @@
 	if a.Stream != nil {
 		a.Stream.close()
 	}
-	a.memory.release()
+	if a.memory != nil {
+		a.memory.Release()
+	}
 	a.request.finish(a)
 }
 
--- a/internal/request/forward/race.go
+++ b/internal/request/forward/race.go
@@ -232,7 +232,7 @@
 // dropFailure gives up the failure that was kept.
 func (r *race) dropFailure() {
 	if r.failure != nil {
-		r.failure.memory.release()
+		r.failure.memory.Release()
 	}
 	r.failure = nil
 }
--- a/internal/request/forward/race_test.go
+++ b/internal/request/forward/race_test.go
@@ -282,7 +282,7 @@
 		}
 		s.send(ctx, f)
 		cancel()
-		s.result.memory = f.BodyMemory.reserved.Load()
+		s.result.memory = f.BodyMemory.Reserved()
 		synctest.Wait()
 		f.Placement.Prune(time.Now().Add(time.Hour))
 		time.Sleep(2 * dialForever)
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -16,6 +16,10 @@
 // the time after which a stream counts as stalled.
 const stallFactor = 2.5
 
+// unreadAfter is how long a write to the caller takes after which its target is not blamed for ending the stream: nothing
+// was read from it meanwhile.
+const unreadAfter = time.Second
+
 // Stream relays the events of a streamed answer, complete and in order. If the stream fails
 // or stalls and the route allows it, it is resumed at another instance.
 type Stream struct {
@@ -23,6 +27,7 @@
 	current   *attempt
 	next      *continuation // asks other instances while current is silent; nil if there is none
 	err       error         // why the stream ended before it was complete; nil otherwise
+	unread    bool          // the caller took the last part so late that its target may have given up
 	leaving   bool          // the read of current ends because next has an answer
 	done      bool          // the stream was relayed to its end
 	writeTime time.Duration // spent in writes to the caller
@@ -38,7 +43,7 @@
 
 // switchTo makes the answer of a the one that is relayed.
 func (s *Stream) switchTo(a *attempt) {
-	s.current, s.shownSound, s.leaving = a, false, false
+	s.current, s.shownSound, s.leaving, s.unread = a, false, false, false
 	a.source.limitSilence = s.limitSilence
 }
 
@@ -62,7 +67,9 @@
 			s.checkSound(false)
 			began := time.Now()
 			n, err := w.Write(b.text)
-			s.writeTime += time.Since(began)
+			took := time.Since(began)
+			s.writeTime += took
+			s.unread = took >= unreadAfter
 			written += int64(n)
 			if err != nil {
 				return written, s.fail(fmt.Errorf("%w: %w", errRelay, err))
@@ -126,7 +133,9 @@
 // instance. It returns the last cause if the stream cannot be continued.
 func (s *Stream) resume(cause error) error {
 	ar := s.request
-	ar.reportBrokenOff(s.current.slot, cause, s.shownSound)
+	if !s.unread {
+		ar.reportBrokenOff(s.current.slot, cause, s.shownSound)
+	}
 	s.current.abort()
 	a, err := s.takeNext()
 	if a != nil && errors.Is(cause, os.ErrDeadlineExceeded) {
@@ -229,7 +238,7 @@
 // endCurrent ends the current attempt with the outcome o.
 func (s *Stream) endCurrent(o placement.Outcome, cause error) {
 	ar := s.request
-	if ar.interrupted() {
+	if ar.interrupted() || s.unread {
 		o = placement.Inconclusive
 	}
 	a := s.current
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -131,6 +131,12 @@
 	return fmt.Errorf("%d requests were cut off", n)
 }
 
+// EndUnread ends the connections whose callers take nothing of their answers, and reports whether there are any.
+func (s *Server) EndUnread() bool { return s.callers.EndUnread() }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return s.callers.Connections() }
+
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
