Callers and targets share descriptors; tests of budgets, bodies and bounded listeners

Requests in flight take two descriptors each. The bound of callers' connections now leaves those in use for targets, and a request for which none would be left is refused as router_overloaded, which has not run. The budgets are checked against random uses, bodies in random pieces and chunks against their texts, and who is given up first by a full budget. stop_test.go of internal/request/ingress can change the fields of its server; its tests are as they were.

--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -86,7 +86,7 @@
 func (e *Edge) connectTargets() {
 	dialer := socket.Dialer{Timeout: placement.MaxDialTime, UserTimeout: targetAckTimeout}
 	e.placement = &placement.Placement{
-		Dial:           dialer.Dial,
+		Dial:           e.dialTarget(dialer),
 		ParseHeader:    platform.DecodeResponseHeader,
 		FetchReport:    platform.FetchReport,
 		OnHealthChange: e.recordHealth,
@@ -99,6 +99,17 @@
 	e.roster = &roster.Tracker{LastOutageEnd: e.targetTable.RecoveredAt, OnRoster: e.placement.Update}
 }
 
+// dialTarget returns a function that dials targets and counts the connections.
+func (e *Edge) dialTarget(dialer socket.Dialer) func(ctx context.Context, addr string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := dialer.Dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return e.targetConns.Count(conn), nil
+	}
+}
+
 // applyTargets updates the roster with changed target announcements.
 func (e *Edge) applyTargets(rows []table.Row, from follow.Source) {
 	changes := make([]roster.AnnouncementChange, len(rows))
@@ -184,7 +195,7 @@
 		Crashes:        &crash.Detector{Refuses: socket.Refuses, OnCrash: e.recordCrash},
 		Plan:           e.plan.Load,
 		PlanOutdated:   e.outdated,
-		Overloaded:     e.refusesForOverload,
+		Overloaded:     func() bool { return e.lacksDescriptors() || e.refusesForOverload() },
 		Tokens:         e.tokens,
 		Placement:      e.placement,
 		Accepts:        e.admission.Accepts,
@@ -199,7 +210,7 @@
 	e.ingress = &ingress.Server{
 		Memory:              requests,
 		Owner:               e.owner,
-		MaxConns:            e.descriptorShare(callerShare),
+		MaxConns:            e.maxCallers,
 		WriteStall:          e.Settings.Edge.WriteStall,
 		OnEvicted:           func(r callers.Reason) { e.countClosed("callers", r.String()) },
 		Forwarder:           e.forwarder,
--- a/internal/fleet/edge/descriptors.go
+++ b/internal/fleet/edge/descriptors.go
@@ -7,15 +7,16 @@
 	otherDescriptors = 200
 	// minDescriptors is what is shared at least.
 	minDescriptors = 64
-	// callerShare, peerShare and auxShare are the shares of the others for the connections of callers, of other routers, and
-	// of each auxiliary listener. The rest is for connections to targets and other routers.
-	callerShare = 11.0 / 16
-	peerShare   = 1.0 / 8
-	auxShare    = 1.0 / 32
+	// peerShare and auxShare are the shares of the others for the connections of other routers and of each auxiliary listener.
+	// Callers and targets share the rest.
+	peerShare = 1.0 / 8
+	auxShare  = 1.0 / 32
+	// minCallerShare is the least share for connections of callers, also when targets use the rest.
+	minCallerShare = 1.0 / 4
 )
 
-// descriptors returns how many descriptors the connections of this process share.
-func (e *Edge) descriptors() int {
+// readDescriptors returns how many descriptors the connections of this process share.
+func (e *Edge) readDescriptors() int {
 	total := e.Settings.Edge.MaxDescriptors
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && (total == 0 || int64(limit.Cur) < total) {
@@ -24,5 +25,23 @@
 	return max(minDescriptors, int(total)-otherDescriptors)
 }
 
+// descriptors returns how many descriptors the connections of this process share, as they were at its start.
+func (e *Edge) descriptors() int { return e.sharedDescriptors }
+
+// requestDescriptors returns how many descriptors the connections of callers and to targets share.
+func (e *Edge) requestDescriptors() int {
+	return e.descriptors() - e.descriptorShare(peerShare) - len(e.auxAddrs())*e.descriptorShare(auxShare)
+}
+
+// maxCallers returns how many connections of callers may be open.
+func (e *Edge) maxCallers() int {
+	return max(e.descriptorShare(minCallerShare), e.requestDescriptors()-e.targetConns.Open())
+}
+
+// lacksDescriptors reports whether a new request could get no connection to a target.
+func (e *Edge) lacksDescriptors() bool {
+	return e.ingress.Connections()+e.targetConns.Open() > e.requestDescriptors()
+}
+
 // descriptorShare returns a share of the descriptors.
 func (e *Edge) descriptorShare(share float64) int { return int(share * float64(e.descriptors())) }
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -56,35 +56,38 @@
 	// RepeatedStop receives signals to stop that arrive after the context of Run has ended; nil if there are none.
 	RepeatedStop <-chan os.Signal
 
-	incarnation     string // ID of this process, unique among all runs of the VM's router
-	startTime       time.Time
-	currentSettings atomic.Pointer[settings.Settings] // replaced by reloads
-	stopBegan       atomic.Pointer[time.Time]         // nil before the drain begins
-	admission       drain.Admission                   // which requests are accepted during the drain
-	toldAddresses   toldAddresses
-	plan            atomic.Pointer[plan.Plan] // configuration in force; nil before the first one
-	store           *platform.Store
-	storeDialer     socket.LastingDialer
-	storeTimeouts   storeTimeouts
-	configTable     *follow.Table   // local copy of the store's operator table, which holds the configuration
-	targetTable     *follow.Table   // local copy of the store's table of target announcements
-	oddTargets      map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
-	announced       announcements
-	wasOutdated     bool                       // used only by maintain
-	slowReads       map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
-	roster          *roster.Tracker
-	placement       *placement.Placement
-	tokens          *prepaid.Manager // prepaid tokens held by this router
-	quarantine      *quarantine.Quarantine
-	blockTable      *follow.Table // local copy of the store's table of blocks of the quarantine
-	forwarder       *forward.Forwarder
-	ingress         *ingress.Server
-	view            *membership.View
-	fleet           *entry.Selector // selects the routers that serve requests
-	transport       *peer.Transport
-	load            *loadMeter
-	metrics         *metricSet
-	memberLog       memberLogger
+	incarnation string // ID of this process, unique among all runs of the VM's router
+	startTime   time.Time
+	// sharedDescriptors is how many descriptors the connections of this process share.
+	sharedDescriptors int
+	targetConns       socket.Counter                    // connections to targets
+	currentSettings   atomic.Pointer[settings.Settings] // replaced by reloads
+	stopBegan         atomic.Pointer[time.Time]         // nil before the drain begins
+	admission         drain.Admission                   // which requests are accepted during the drain
+	toldAddresses     toldAddresses
+	plan              atomic.Pointer[plan.Plan] // configuration in force; nil before the first one
+	store             *platform.Store
+	storeDialer       socket.LastingDialer
+	storeTimeouts     storeTimeouts
+	configTable       *follow.Table   // local copy of the store's operator table, which holds the configuration
+	targetTable       *follow.Table   // local copy of the store's table of target announcements
+	oddTargets        map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
+	announced         announcements
+	wasOutdated       bool                       // used only by maintain
+	slowReads         map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
+	roster            *roster.Tracker
+	placement         *placement.Placement
+	tokens            *prepaid.Manager // prepaid tokens held by this router
+	quarantine        *quarantine.Quarantine
+	blockTable        *follow.Table // local copy of the store's table of blocks of the quarantine
+	forwarder         *forward.Forwarder
+	ingress           *ingress.Server
+	view              *membership.View
+	fleet             *entry.Selector // selects the routers that serve requests
+	transport         *peer.Transport
+	load              *loadMeter
+	metrics           *metricSet
+	memberLog         memberLogger
 }
 
 // Run serves until ctx ends, then drains and returns. It returns early if a component fails.
@@ -96,6 +99,7 @@
 	e.slowReads = make(map[string]*table.Transfer)
 	defer e.tuneGC()()
 	defer eventlog.Start(e.Events.Run)()
+	e.sharedDescriptors = e.readDescriptors()
 	e.connect()
 	listeners, err := e.listen()
 	if err != nil {
--- a/internal/protocol/callers/connset.go
+++ b/internal/protocol/callers/connset.go
@@ -22,7 +22,7 @@
 	// holdsBodies, memory, writeStall, bodyRate and onEvicted are those of the server; they do not change.
 	holdsBodies bool
 	memory      *memory.Budget
-	maxConns    int
+	maxConns    func() int
 	writeStall  time.Duration
 	bodyRate    func() int
 	onEvicted   func(r Reason)
--- a/internal/protocol/callers/evict.go
+++ b/internal/protocol/callers/evict.go
@@ -124,14 +124,14 @@
 
 // makeRoom closes connections if there are too many for another one, and reports whether there is room then.
 func (s *connSet) makeRoom() bool {
-	if s.maxConns == 0 || s.count() < s.maxConns {
+	if s.maxConns == nil || s.count() < s.maxConns() {
 		return true
 	}
 	if s.closeIdle(1) == 0 {
 		s.evictSlowest()
 	}
 	for end := time.Now().Add(roomWait); time.Now().Before(end); time.Sleep(roomPoll) {
-		if s.count() < s.maxConns {
+		if s.count() < s.maxConns() {
 			return true
 		}
 	}
--- a/internal/protocol/callers/server.go
+++ b/internal/protocol/callers/server.go
@@ -37,9 +37,9 @@
 	// Memory bounds the memory of requests that arrive or are served; nil does not. When it runs out, requests that are not
 	// read completely are given up: the handlers refuse those of which Conn.Evicted holds.
 	Memory *memory.Budget
-	// MaxConns bounds the open connections; 0 does not. Beyond it, the oldest idle ones are closed, then requests that are not
+	// MaxConns returns the largest number of open connections; if it is nil, they are not bounded. Beyond it, the oldest idle ones are closed, then requests that are not
 	// read completely are given up.
-	MaxConns int
+	MaxConns func() int
 	// WriteStall is how long a caller may take to receive a part of 16 KiB of its answer; 0 is no limit.
 	WriteStall time.Duration
 	// BodyRate returns how many bytes of a body must arrive in the time limit of a header; 0, or nil, is no limit.
@@ -94,7 +94,7 @@
 )
 
 // Connections returns the number of open connections.
-func (s *Server) Connections() int { return len(s.conns.conns()) }
+func (s *Server) Connections() int { return s.conns.count() }
 
 // Shutdown closes the listener and waits until no connection is open or ctx ends. It closes
 // connections that stay without a request for shutdownIdleTimeout, and calls CutOff when ctx ends.
--- /dev/null
+++ b/internal/request/ingress/body_test.go
@@ -0,0 +1,220 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosevalve/internal/request/forward"
+	"rosevalve/internal/request/memory"
+)
+
+// newReadingServer starts a server that answers each request with 400 and the size and a sum of its body. Its budget has
+// the limit.
+func newReadingServer(t *testing.T, limit int64) (*Server, net.Addr) {
+	t.Helper()
+	s, addr := newServerWith(t, func(s *Server) {
+		s.Memory = &memory.Budget{Limit: limit}
+		s.Owner = func(h *fasthttp.RequestHeader) (string, bool) {
+			key := string(h.Peek("Api-Key"))
+			return key, key != ""
+		}
+		s.ParseRequest = func(in *fasthttp.Request, _ time.Time) (*forward.Request, error) {
+			return nil, errors.New(digest(string(in.Body())))
+		}
+	})
+	return s, addr
+}
+
+// digest tells bodies apart.
+func digest(body string) string {
+	sum := 0
+	for n, b := range []byte(body) {
+		sum = (sum*31 + int(b) + n) % 1000003
+	}
+	return fmt.Sprintf("<%d bytes, %d>", len(body), sum)
+}
+
+const readLimit = 20 * time.Second
+
+// TestBodiesInAnyPieces sends random bodies, by length or in chunks, in random pieces and one request right behind the
+// other.
+func TestBodiesInAnyPieces(t *testing.T) {
+	s, addr := newReadingServer(t, 8<<20)
+	rapid.Check(t, func(rt *rapid.T) {
+		var text, want []string
+		for range rapid.IntRange(1, 4).Draw(rt, "requests") {
+			body := strings.Repeat(rapid.StringMatching(`[a-z\r\n0]{1,9}`).Draw(rt, "text"), rapid.IntRange(0, 4000).Draw(rt, "times"))
+			text = append(text, encodeBody(rt, body))
+			want = append(want, digest(body))
+		}
+		conn, err := net.Dial("tcp4", addr.String())
+		assert.NilError(rt, err)
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(readLimit))
+		go writePieces(conn, strings.Join(text, ""), rapid.IntRange(1, 20000).Draw(rt, "piece"))
+		br := bufio.NewReader(conn)
+		for _, w := range want {
+			resp, err := http.ReadResponse(br, nil)
+			assert.NilError(rt, err)
+			answer, err := io.ReadAll(resp.Body)
+			assert.NilError(rt, err)
+			assert.Assert(rt, strings.Contains(string(answer), w), "answer %q, want %q", answer, w)
+		}
+	})
+	waitReleased(t, s)
+}
+
+// encodeBody returns a request with a body that is encoded in a random way.
+func encodeBody(t *rapid.T, body string) string {
+	const head = "POST / HTTP/1.1\r\nHost: a\r\nApi-Key: k\r\n"
+	if rapid.Bool().Draw(t, "length") {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	var b strings.Builder
+	b.WriteString(head + "Transfer-Encoding: chunked\r\n\r\n")
+	size := rapid.IntRange(1, 20000).Draw(t, "chunk")
+	for rest := body; rest != ""; {
+		part := rest[:min(size, len(rest))]
+		rest = rest[len(part):]
+		fmt.Fprintf(&b, "%x%s\r\n%s\r\n", len(part), rapid.SampledFrom([]string{"", ";a=b", " "}).Draw(t, "extension"), part)
+	}
+	b.WriteString("0\r\n" + rapid.SampledFrom([]string{"", "X-Sum: 1\r\n"}).Draw(t, "trailer") + "\r\n")
+	return b.String()
+}
+
+// writePieces writes a text in pieces of a size. It ends when the connection is closed.
+func writePieces(w io.Writer, text string, size int) {
+	for text != "" {
+		n := min(size, len(text))
+		if _, err := io.WriteString(w, text[:n]); err != nil {
+			return
+		}
+		text = text[n:]
+	}
+}
+
+// waitReleased waits until no memory is reserved.
+func waitReleased(t *testing.T, s *Server) {
+	t.Helper()
+	for end := time.Now().Add(readLimit); s.Memory.Reserved() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d bytes stay reserved", s.Memory.Reserved())
+	}
+}
+
+// TestMemoryFollowsWhatArrived lets requests announce bodies of which nothing comes.
+func TestMemoryFollowsWhatArrived(t *testing.T) {
+	const announcing = 20
+	s, addr := newReadingServer(t, 8<<20)
+	for range announcing {
+		conn, err := net.Dial("tcp4", addr.String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nApi-Key: k\r\nContent-Length: %d\r\n\r\n", defaultBodyBytes)
+		assert.NilError(t, err)
+	}
+	for end := time.Now().Add(readLimit); s.Connections() < announcing; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+	assert.Assert(t, s.Memory.Reserved() <= announcing*(64<<10), "%d bytes are reserved", s.Memory.Reserved())
+}
+
+// TestWhoGoesWhenMemoryRunsOut fills the memory with bodies that make no progress. One without a key goes first, then the
+// largest; the request that goes on is read.
+func TestWhoGoesWhenMemoryRunsOut(t *testing.T) {
+	const first = "keyless"
+	_, addr := newReadingServer(t, 1<<20)
+	stalled := map[string]int{first: 60 << 10, "k1": 60 << 10, "k2": 190 << 10}
+	conns := make(map[string]net.Conn)
+	for _, name := range []string{first, "k1", "k2"} {
+		conn, err := net.Dial("tcp4", addr.String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		conns[name] = conn
+		key := name
+		if name == first {
+			key = ""
+		}
+		_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nApi-Key: %s\r\nContent-Length: %d\r\n\r\n%s", key, 1<<20, strings.Repeat("x", stalled[name]))
+		assert.NilError(t, err)
+	}
+	time.Sleep(1100 * time.Millisecond) // longer than a pause that counts as progress
+	conn, err := net.Dial("tcp4", addr.String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(readLimit))
+	body := strings.Repeat("y", 250<<10)
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nApi-Key: k3\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	assert.NilError(t, err)
+	assertAnswer(t, conn, http.StatusBadRequest, digest(body))
+	assertAnswer(t, conns[first], http.StatusServiceUnavailable, "")
+}
+
+// assertAnswer reads an answer and checks its status and a part of its body.
+func assertAnswer(t *testing.T, conn net.Conn, status int, part string) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(readLimit))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, status, "%s", body)
+	assert.Assert(t, strings.Contains(string(body), part), "%s", body)
+}
+
+// TestSlowBodyIsRefused guards against a body that arrives byte by byte without end.
+func TestSlowBodyIsRefused(t *testing.T) {
+	t.Parallel()
+	_, addr := newReadingServer(t, 8<<20)
+	conn, err := net.Dial("tcp4", addr.String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n")
+	assert.NilError(t, err)
+	go func() {
+		for range 99 {
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				return
+			}
+			time.Sleep(time.Second)
+		}
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(2 * (defaultHeaderTimeout + 4*defaultHeaderTimeout)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+}
+
+// TestOldestIdleConnectionGoesFirst opens one connection more than the server may have.
+func TestOldestIdleConnectionGoesFirst(t *testing.T) {
+	const most = 3
+	_, addr := newServerWith(t, func(s *Server) { s.MaxConns = func() int { return most } })
+	var conns []net.Conn
+	for range most + 1 {
+		conn, err := net.Dial("tcp4", addr.String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(readLimit))
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		assertAnswer(t, conn, http.StatusBadRequest, "")
+		conns = append(conns, conn)
+	}
+	_, err := conns[0].Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	for _, conn := range conns[1:] {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		assertAnswer(t, conn, http.StatusBadRequest, "")
+	}
+}
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -64,7 +64,7 @@
 	// Owner returns the workspace of a request whose header was read, and whether its key is valid.
 	Owner func(h *fasthttp.RequestHeader) (workspace string, valid bool)
 	// MaxConns, WriteStall and OnEvicted are as callers.Server has them.
-	MaxConns   int
+	MaxConns   func() int
 	WriteStall time.Duration
 	OnEvicted  func(r callers.Reason)
 	// Log receives the messages of the HTTP library and of the listener.
--- a/internal/request/ingress/stop_test.go
+++ b/internal/request/ingress/stop_test.go
@@ -22,6 +22,12 @@
 // newRefusingServer starts a server that refuses all requests and keeps their connections
 // open.
 func newRefusingServer(t testing.TB) (*Server, net.Addr) {
+	t.Helper()
+	return newServerWith(t, func(*Server) {})
+}
+
+// newServerWith starts a server that refuses all requests, after set has changed its fields.
+func newServerWith(t testing.TB, set func(s *Server)) (*Server, net.Addr) {
 	t.Helper()
 	l, err := socket.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -39,6 +45,7 @@
 		OnDenied:           func(err error) { t.Errorf("denied: %v", err) },
 		Log:                log.Default(),
 	}
+	set(s)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	t.Cleanup(func() {
