--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -16,21 +16,22 @@
 // the time after which a stream counts as stalled.
 const stallFactor = 2.5
 
-// unreadAfter is how long a write to the caller takes after which its target is not blamed for ending the stream: nothing
-// was read from it meanwhile.
+// unreadAfter is how long a write to the caller takes after which its target is not blamed for ending the stream, for as
+// long: nothing was read from it meanwhile.
 const unreadAfter = time.Second
 
 // Stream relays the events of a streamed answer, complete and in order. If the stream fails
 // or stalls and the route allows it, it is resumed at another instance.
 type Stream struct {
-	request   *activeRequest
-	current   *attempt
-	next      *continuation // asks other instances while current is silent; nil if there is none
-	err       error         // why the stream ended before it was complete; nil otherwise
-	unread    bool          // the caller took the last part so late that its target may have given up
-	leaving   bool          // the read of current ends because next has an answer
-	done      bool          // the stream was relayed to its end
-	writeTime time.Duration // spent in writes to the caller
+	request *activeRequest
+	current *attempt
+	next    *continuation // asks other instances while current is silent; nil if there is none
+	err     error         // why the stream ended before it was complete; nil otherwise
+	// slowWriteEnd is when the caller took a part at last, so late that the target may have given up; zero if it did not.
+	slowWriteEnd time.Time
+	leaving      bool          // the read of current ends because next has an answer
+	done         bool          // the stream was relayed to its end
+	writeTime    time.Duration // spent in writes to the caller
 
 	shownSound bool // the answer of current has shown that the prompt does not crash engines
 }
@@ -43,7 +44,7 @@
 
 // switchTo makes the answer of a the one that is relayed.
 func (s *Stream) switchTo(a *attempt) {
-	s.current, s.shownSound, s.leaving, s.unread = a, false, false, false
+	s.current, s.shownSound, s.leaving, s.slowWriteEnd = a, false, false, time.Time{}
 	a.source.limitSilence = s.limitSilence
 }
 
@@ -69,7 +70,9 @@
 			n, err := w.Write(b.text)
 			took := time.Since(began)
 			s.writeTime += took
-			s.unread = took >= unreadAfter
+			if took >= unreadAfter {
+				s.slowWriteEnd = time.Now()
+			}
 			written += int64(n)
 			if err != nil {
 				return written, s.fail(fmt.Errorf("%w: %w", errRelay, err))
@@ -133,7 +136,7 @@
 // instance. It returns the last cause if the stream cannot be continued.
 func (s *Stream) resume(cause error) error {
 	ar := s.request
-	if !s.unread {
+	if !s.wasUnread() {
 		ar.reportBrokenOff(s.current.slot, cause, s.shownSound)
 	}
 	s.current.abort()
@@ -235,10 +238,15 @@
 	}
 }
 
+// wasUnread reports whether nothing was read from the target until shortly ago, since the caller took nothing.
+func (s *Stream) wasUnread() bool {
+	return !s.slowWriteEnd.IsZero() && time.Since(s.slowWriteEnd) < unreadAfter
+}
+
 // endCurrent ends the current attempt with the outcome o.
 func (s *Stream) endCurrent(o placement.Outcome, cause error) {
 	ar := s.request
-	if ar.interrupted() || s.unread {
+	if ar.interrupted() || s.wasUnread() {
 		o = placement.Inconclusive
 	}
 	a := s.current
