Use the buffers of small bodies again

Bodies of up to 64 kB took 2 to 4 allocations more than before, and their buffers grew in five steps. Buffers of 4, 16 and 64 kB are used again, and grow fourfold.

--- a/internal/request/ingress/body.go
+++ b/internal/request/ingress/body.go
@@ -10,17 +10,20 @@
 	"rosevalve/internal/protocol/callers"
 )
 
-// smallBody is the size in bytes of the first buffer of a body. Such buffers are used again.
-const smallBody = 4 << 10
-
-var smallBodies = sync.Pool{New: func() any { return new([smallBody]byte) }}
-
 // body is the body of a request as it arrives. Its memory grows with what has arrived, and is reserved before.
 type body struct {
-	conn  *callers.Conn
-	limit int // largest size in bytes
-	bytes []byte
-	small *[smallBody]byte // holds bytes as long as that is small; nil without a body
+	conn   *callers.Conn
+	limit  int // largest size in bytes
+	bytes  []byte
+	buffer *[]byte // holds bytes; nil without a body
+}
+
+var bodies = sync.Pool{New: func() any { return new(body) }}
+
+// acquireBody returns an empty body.
+func acquireBody() *body {
+	b, _ := bodies.Get().(*body)
+	return b
 }
 
 // receive reads the body of a request.
@@ -37,7 +40,7 @@
 	if f.length > b.limit {
 		return fasthttp.ErrBodyTooLarge
 	}
-	if f.chunked || f.length > smallBody {
+	if f.chunked || f.length > firstBuffer {
 		if err := s.setOwner(ctx, conn); err != nil {
 			return err
 		}
@@ -84,45 +87,34 @@
 	return nil
 }
 
-// grow makes room for more bytes if there is none, at most for a body of end bytes unless it is small.
+// grow makes room for more bytes if there is none, at most for a body of end bytes.
 func (b *body) grow(end int) error {
 	used := cap(b.bytes)
-	switch {
-	case len(b.bytes) < used:
+	if len(b.bytes) < used {
 		return nil
-	case used == 0:
-		if err := b.conn.Reserve(smallBody); err != nil {
-			return err
-		}
-		b.small, _ = smallBodies.Get().(*[smallBody]byte)
-		b.bytes = b.small[:0]
-		return nil
-	}
-	size := 2 * used
-	if end > used {
-		size = min(size, max(end, used+smallBody))
 	}
-	size = min(size, b.limit)
+	size := bufferSize(used, end, b.limit)
 	if err := b.conn.Reserve(int64(size)); err != nil {
 		return err
 	}
-	larger := make([]byte, len(b.bytes), size)
-	copy(larger, b.bytes)
-	b.bytes = larger
-	b.releaseSmall()
+	larger := acquireBuffer(size)
+	n := copy(*larger, b.bytes)
+	b.releaseBuffer()
+	b.buffer, b.bytes = larger, (*larger)[:n]
 	b.conn.Unreserve(int64(used))
 	return nil
 }
 
-// release ends the use of the body. What it has reserved is given back by its connection.
+// release ends the use of the body, and of its bytes. What it has reserved is given back by its connection.
 func (b *body) release() {
-	b.bytes = nil
-	b.releaseSmall()
+	b.releaseBuffer()
+	*b = body{}
+	bodies.Put(b)
 }
 
-func (b *body) releaseSmall() {
-	if b.small != nil {
-		smallBodies.Put(b.small)
-		b.small = nil
+func (b *body) releaseBuffer() {
+	if b.buffer != nil {
+		releaseBuffer(b.buffer)
+		b.buffer = nil
 	}
 }
--- a/internal/request/ingress/framing.go
+++ b/internal/request/ingress/framing.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -23,10 +22,11 @@
 	lengths, encodings := 0, 0
 	for line := range bytes.Lines(h.RawHeaders()) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
+		name = bytes.TrimSpace(name)
 		switch {
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
-			n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
-			if err != nil || n < 0 {
+			n, err := fasthttp.ParseUint(bytes.TrimSpace(value))
+			if err != nil {
 				return framing{}, errors.New("length of the body is not a number")
 			}
 			out.length = n
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -241,14 +241,14 @@
 		lingerOnClose(ctx)
 		return
 	}
-	var received body
-	if err := s.receive(ctx, f, &received); err != nil {
+	received := acquireBody()
+	if err := s.receive(ctx, f, received); err != nil {
 		received.release()
 		s.refuseUnread(ctx, err)
 		return
 	}
 	ctx.Request.SetBodyRaw(received.bytes)
-	if s.serve(ctx, received.release) {
+	if s.serve(ctx, received) {
 		endDeferred = true
 		return
 	}
@@ -256,8 +256,8 @@
 }
 
 // serve answers a request that was read. If the body of the answer is written later, it returns true, and the request is in
-// flight until then; release is called at its end.
-func (s *Server) serve(ctx *fasthttp.RequestCtx, release func()) (deferred bool) {
+// flight until then; received is released at its end.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, received *body) (deferred bool) {
 	if len(ctx.Request.Header.RawHeaders()) > s.limits().MaxHeaderBytes {
 		s.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "header", fmt.Errorf("header is larger than %d bytes", s.limits().MaxHeaderBytes))
 		return false
@@ -293,7 +293,7 @@
 	end := func() {
 		a.Close()
 		cancelCaller()
-		release()
+		received.release()
 		s.inFlight.Add(-1)
 	}
 	if a.Stream == nil {
