--- a/internal/request/ingress/body_test.go
+++ b/internal/request/ingress/body_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"rosevalve/internal/protocol/callers"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/memory"
 )
@@ -218,3 +219,30 @@
 		assertAnswer(t, conn, http.StatusBadRequest, "")
 	}
 }
+
+// TestUnreadAnswerEnds lets a caller read nothing of a large answer.
+func TestUnreadAnswerEnds(t *testing.T) {
+	const answerSize = 16 << 20
+	reasons := make(chan callers.Reason, 1)
+	s, addr := newServerWith(t, func(s *Server) {
+		s.WriteStall = 200 * time.Millisecond
+		s.OnEvicted = func(r callers.Reason) { reasons <- r }
+		s.ParseRequest = func(*fasthttp.Request, time.Time) (*forward.Request, error) {
+			return nil, errors.New(strings.Repeat("x", answerSize))
+		}
+	})
+	conn, err := net.Dial("tcp4", addr.String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	select {
+	case r := <-reasons:
+		assert.Equal(t, r, callers.NotRead)
+	case <-time.After(readLimit):
+		t.Fatal("the connection stays")
+	}
+	for end := time.Now().Add(readLimit); s.Connections() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the connection stays")
+	}
+}
