Leave callers the descriptors that other routers do not use

A fixed eighth for other routers would close connections that are in use in fleets of some hundred VMs. They may use a quarter now, and callers get what they leave of it. Bytes of further requests that a connection holds stay reserved.

--- a/internal/fleet/edge/descriptors.go
+++ b/internal/fleet/edge/descriptors.go
@@ -7,10 +7,11 @@
 	otherDescriptors = 200
 	// minDescriptors is what is shared at least.
 	minDescriptors = 64
-	// peerShare and auxShare are the shares of the others for the connections of other routers and of each auxiliary listener.
-	// Callers and targets share the rest.
-	peerShare = 1.0 / 8
-	auxShare  = 1.0 / 32
+	// peerShare and auxShare are the largest shares of the others for the connections of other routers and of each auxiliary
+	// listener. Callers and targets share the rest, and what other routers leave of their share, except for keptPeerShare.
+	peerShare     = 1.0 / 4
+	keptPeerShare = 1.0 / 16
+	auxShare      = 1.0 / 32
 	// minCallerShare is the least share for connections of callers, also when targets use the rest.
 	minCallerShare = 1.0 / 4
 )
@@ -30,7 +31,8 @@
 
 // requestDescriptors returns how many descriptors the connections of callers and to targets share.
 func (e *Edge) requestDescriptors() int {
-	return e.descriptors() - e.descriptorShare(peerShare) - len(e.auxAddrs())*e.descriptorShare(auxShare)
+	peers := max(e.peerListener.Open(), e.descriptorShare(keptPeerShare))
+	return e.descriptors() - peers - len(e.auxAddrs())*e.descriptorShare(auxShare)
 }
 
 // maxCallers returns how many connections of callers may be open.
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -60,7 +60,8 @@
 	startTime   time.Time
 	// sharedDescriptors is how many descriptors the connections of this process share.
 	sharedDescriptors int
-	targetConns       socket.Counter                    // connections to targets
+	targetConns       socket.Counter // connections to targets
+	peerListener      *socket.BoundedListener
 	currentSettings   atomic.Pointer[settings.Settings] // replaced by reloads
 	stopBegan         atomic.Pointer[time.Time]         // nil before the drain begins
 	admission         drain.Admission                   // which requests are accepted during the drain
@@ -128,9 +129,10 @@
 
 // components returns the functions that run until the process ends.
 func (e *Edge) components(ctx context.Context, listeners map[string]net.Listener) []func() error {
+	e.peerListener = e.bound(listeners[e.Settings.Router.InnerListen], "peers", peerShare)
 	out := []func() error{
 		func() error {
-			return e.transport.Serve(ctx, e.bound(listeners[e.Settings.Router.InnerListen], "peers", peerShare))
+			return e.transport.Serve(ctx, e.peerListener)
 		},
 		func() error { return e.ingress.Serve(listeners[e.Settings.Router.Listen]) },
 		func() error { return e.view.Run(ctx) },
@@ -174,7 +176,7 @@
 }
 
 // bound returns a listener whose connections may use a share of the descriptors.
-func (e *Edge) bound(l net.Listener, name string, share float64) net.Listener {
+func (e *Edge) bound(l net.Listener, name string, share float64) *socket.BoundedListener {
 	return &socket.BoundedListener{
 		Listener: l, MaxConns: e.descriptorShare(share),
 		OnClosed: func() { e.countClosed(name, callers.TooManyConnections.String()) },
--- a/internal/protocol/callers/body.go
+++ b/internal/protocol/callers/body.go
@@ -49,7 +49,8 @@
 	defer c.mu.Unlock()
 	c.served = true
 	if c.conns.memory != nil {
-		c.memory.Shrink(readCost)
+		// What is held of further requests stays reserved.
+		c.memory.Shrink(max(0, readCost-int64(len(c.held))))
 	}
 }
 
--- a/internal/protocol/socket/bounded.go
+++ b/internal/protocol/socket/bounded.go
@@ -47,7 +47,7 @@
 func (l *BoundedListener) add(raw net.Conn) net.Conn {
 	c := &boundedConn{Conn: raw, listener: l}
 	c.used.Store(time.Now().UnixNano())
-	for l.count() >= l.MaxConns {
+	for l.Open() >= l.MaxConns {
 		if !l.closeOldest() {
 			break
 		}
@@ -61,7 +61,8 @@
 	return c
 }
 
-func (l *BoundedListener) count() int {
+// Open returns the number of open connections.
+func (l *BoundedListener) Open() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.open)
