--- a/internal/fleet/edge/auxiliary.go
+++ b/internal/fleet/edge/auxiliary.go
@@ -14,7 +14,11 @@
 	"rosevalve/platform"
 )
 
-const auxIdleTimeout = 10 * time.Second
+const (
+	auxIdleTimeout = 10 * time.Second
+	// auxTimeout bounds the time in which a request to an auxiliary endpoint arrives, and that in which its answer is taken.
+	auxTimeout = 10 * time.Second
+)
 
 // State is the state of the process as dumped by /debug/state.
 type State struct {
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -22,6 +22,7 @@
 	"rosevalve/internal/fleet/settings"
 	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/protocol/callers"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/ingress"
@@ -57,41 +58,45 @@
 	// RepeatedStop receives signals to stop that arrive after the context of Run has ended; nil if there are none.
 	RepeatedStop <-chan os.Signal
 
-	incarnation     string // ID of this process, unique among all runs of the VM's router
-	startTime       time.Time
-	currentSettings atomic.Pointer[settings.Settings] // replaced by reloads
-	stopBegan       atomic.Pointer[time.Time]         // nil before the drain begins
-	admission       drain.Admission                   // which requests are accepted during the drain
-	toldAddresses   toldAddresses
-	plan            atomic.Pointer[plan.Plan] // configuration in force; nil before the first one
-	store           *platform.Store
-	storeDialer     socket.LastingDialer
-	storeTimeouts   storeTimeouts
-	configTable     *follow.Table   // local copy of the store's operator table, which holds the configuration
-	targetTable     *follow.Table   // local copy of the store's table of target announcements
-	oddTargets      map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
-	evacuations     evacuation.Set
-	announced       announcements
-	withdrawal      entry.Withdrawal           // used only by maintain
-	withdrawn       atomic.Bool                // result of the last update of withdrawal
-	wasOutdated     bool                       // used only by maintain
-	slowReads       map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
-	roster          *roster.Tracker
-	warmup          *warmup.Limiter
-	vagueTargets    map[string]bool // IDs of the targets that don't tell whether they are cold; used only by OnRows of targetTable
-	placement       *placement.Placement
-	tokens          *prepaid.Manager // prepaid tokens held by this router
-	quarantine      *quarantine.Quarantine
-	blockTable      *follow.Table // local copy of the store's table of blocks of the quarantine
-	forwarder       *forward.Forwarder
-	ingress         *ingress.Server
-	view            *membership.View
-	fleet           *entry.Selector // selects the routers that serve requests
-	transport       *peer.Transport
-	load            *loadMeter
-	metrics         *metricSet
-	memberLog       memberLogger
-	directoryLog    directoryLogger
+	incarnation string // ID of this process, unique among all runs of the VM's router
+	startTime   time.Time
+	// sharedDescriptors is how many descriptors the connections of this process share.
+	sharedDescriptors int
+	targetConns       socket.Counter // connections to targets
+	peerListener      *socket.BoundedListener
+	currentSettings   atomic.Pointer[settings.Settings] // replaced by reloads
+	stopBegan         atomic.Pointer[time.Time]         // nil before the drain begins
+	admission         drain.Admission                   // which requests are accepted during the drain
+	toldAddresses     toldAddresses
+	plan              atomic.Pointer[plan.Plan] // configuration in force; nil before the first one
+	store             *platform.Store
+	storeDialer       socket.LastingDialer
+	storeTimeouts     storeTimeouts
+	configTable       *follow.Table   // local copy of the store's operator table, which holds the configuration
+	targetTable       *follow.Table   // local copy of the store's table of target announcements
+	oddTargets        map[string]bool // keys of the rows of targetTable that cannot be decoded; used only by its OnRows
+	evacuations       evacuation.Set
+	announced         announcements
+	withdrawal        entry.Withdrawal           // used only by maintain
+	withdrawn         atomic.Bool                // result of the last update of withdrawal
+	wasOutdated       bool                       // used only by maintain
+	slowReads         map[string]*table.Transfer // last slow read of each table that was logged; used only by maintain
+	roster            *roster.Tracker
+	warmup            *warmup.Limiter
+	vagueTargets      map[string]bool // IDs of the targets that don't tell whether they are cold; used only by OnRows of targetTable
+	placement         *placement.Placement
+	tokens            *prepaid.Manager // prepaid tokens held by this router
+	quarantine        *quarantine.Quarantine
+	blockTable        *follow.Table // local copy of the store's table of blocks of the quarantine
+	forwarder         *forward.Forwarder
+	ingress           *ingress.Server
+	view              *membership.View
+	fleet             *entry.Selector // selects the routers that serve requests
+	transport         *peer.Transport
+	load              *loadMeter
+	metrics           *metricSet
+	memberLog         memberLogger
+	directoryLog      directoryLogger
 }
 
 // Run serves until ctx ends, then drains and returns. It returns early if a component fails.
@@ -103,6 +108,7 @@
 	e.slowReads = make(map[string]*table.Transfer)
 	defer e.tuneGC()()
 	defer eventlog.Start(e.Events.Run)()
+	e.sharedDescriptors = e.readDescriptors()
 	e.connect()
 	listeners, err := e.listen()
 	if err != nil {
@@ -131,8 +137,11 @@
 
 // components returns the functions that run until the process ends.
 func (e *Edge) components(ctx context.Context, listeners map[string]net.Listener) []func() error {
+	e.peerListener = e.bound(listeners[e.Settings.Router.InnerListen], "peers", peerShare)
 	out := []func() error{
-		func() error { return e.transport.Serve(ctx, listeners[e.Settings.Router.InnerListen]) },
+		func() error {
+			return e.transport.Serve(ctx, e.peerListener)
+		},
 		func() error { return e.ingress.Serve(listeners[e.Settings.Router.Listen]) },
 		func() error { return e.view.Run(ctx) },
 		func() error { return e.configTable.Run(ctx) },
@@ -148,7 +157,7 @@
 	}
 	aux := e.auxServer()
 	for _, addr := range e.auxAddrs() {
-		out = append(out, func() error { return aux.Serve(listeners[addr]) })
+		out = append(out, func() error { return aux.Serve(e.bound(listeners[addr], "auxiliary", auxShare)) })
 	}
 	return out
 }
@@ -174,6 +183,15 @@
 	return out, nil
 }
 
+// bound returns a listener whose connections may use a share of the descriptors.
+func (e *Edge) bound(l net.Listener, name string, share float64) *socket.BoundedListener {
+	return &socket.BoundedListener{
+		Listener: l, MaxConns: e.descriptorShare(share),
+		OnClosed: func() { e.countClosed(name, callers.TooManyConnections.String()) },
+		OnError:  func(err error) { e.Events.Emit(eventlog.ConnectionFailed, "err", err) },
+	}
+}
+
 // every calls do once per interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func(now time.Time)) error {
 	tick := time.NewTicker(interval)
@@ -236,6 +254,8 @@
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		IdleTimeout:           auxIdleTimeout,
+		ReadTimeout:           auxTimeout,
+		WriteTimeout:          auxTimeout,
 		MaxRequestBodySize:    auxMaxBody,
 		ReduceMemoryUsage:     true,
 	}
