Leave descriptors for targets beside callers that keep their connections

Callers could fill all descriptors that they share with connections to targets. Then each request was refused (router_overloaded), and idle connections were closed only for new ones: a router whose callers all kept their connections refused them for as long as they stayed.

A quarter is kept for targets, and idle connections of callers are closed before a request is refused.

--- a/internal/fleet/edge/descriptors.go
+++ b/internal/fleet/edge/descriptors.go
@@ -14,6 +14,8 @@
 	auxShare      = 1.0 / 32
 	// minCallerShare is the least share for connections of callers, also when targets use the rest.
 	minCallerShare = 1.0 / 4
+	// minTargetShare is the share that callers leave for connections to targets.
+	minTargetShare = 1.0 / 4
 )
 
 // readDescriptors returns how many descriptors the connections of this process share.
@@ -37,12 +39,14 @@
 
 // maxCallers returns how many connections of callers may be open.
 func (e *Edge) maxCallers() int {
-	return max(e.descriptorShare(minCallerShare), e.requestDescriptors()-e.targetConns.Open())
+	targets := max(e.descriptorShare(minTargetShare), e.targetConns.Open())
+	return max(e.descriptorShare(minCallerShare), e.requestDescriptors()-targets)
 }
 
-// lacksDescriptors reports whether a new request could get no connection to a target.
+// lacksDescriptors reports whether a new request could get no connection to a target, also after an idle connection of a
+// caller was closed for it.
 func (e *Edge) lacksDescriptors() bool {
-	return e.ingress.Connections()+e.targetConns.Open() > e.requestDescriptors()
+	return e.ingress.Connections()+e.targetConns.Open() > e.requestDescriptors() && !e.ingress.CloseIdle()
 }
 
 // descriptorShare returns a share of the descriptors.
--- a/internal/protocol/callers/server.go
+++ b/internal/protocol/callers/server.go
@@ -93,6 +93,9 @@
 	cutOffWriteTimeout = cutOffTimeout / 2
 )
 
+// CloseIdle closes connections that wait for a request, the oldest first, and reports whether there were any.
+func (s *Server) CloseIdle() bool { return s.conns.closeIdle(1) > 0 }
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int { return s.conns.count() }
 
--- a/internal/request/ingress/ingress.go
+++ b/internal/request/ingress/ingress.go
@@ -138,6 +138,9 @@
 // Connections returns the number of open connections.
 func (s *Server) Connections() int { return s.callers.Connections() }
 
+// CloseIdle closes connections that wait for a request, the oldest first, and reports whether there were any.
+func (s *Server) CloseIdle() bool { return s.callers.CloseIdle() }
+
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
