--- a/internal/protocol/callers/body.go
+++ b/internal/protocol/callers/body.go
@@ -43,15 +43,20 @@
 	return n
 }
 
-// SetServed records that the request was read completely. It is not given up any more when memory is short.
-func (c *Conn) SetServed() {
+// SetServed records that the request was read completely. It is not given up any more when memory is short; the error says
+// that it has been before.
+func (c *Conn) SetServed() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.evicted {
+		return errEvicted
+	}
 	c.served = true
 	if c.conns.memory != nil {
 		// What is held of further requests stays reserved.
 		c.memory.Shrink(max(0, readCost-int64(len(c.held))))
 	}
+	return nil
 }
 
 // bodyDeadline returns the earlier one of a deadline and that of the body's least rate. The caller holds mu.
--- a/internal/protocol/callers/conn.go
+++ b/internal/protocol/callers/conn.go
@@ -42,18 +42,24 @@
 	keyless   bool      // its request has no valid key
 	served    bool      // its request was read completely
 	evicted   bool      // its request is given up, since memory or descriptors are short
+	unread    unread    // what EndUnread has seen of the answer
 
 	memory memory.Reservation // of the request that is being read or served
 	held   []byte             // read beyond the header of a request; used by the reader only
 	// writeRenewed is when the deadline of writes was set last; used by the writer only.
 	writeRenewed time.Time
 	writing      atomic.Int64 // when the write in progress began, in Unix nanoseconds; 0 without one
+	stalledQueue int          // what was not acknowledged when a write ran into its deadline; used by the writer only
+	endedUnread  atomic.Bool  // the answer ends since its caller does not read it
 }
 
 // Read stops a watch and reads with the idle timeout between requests. The header timeout counts from
 // the first byte of a request; the body may pause for as long, or for bodyPause. Bytes that were read ahead come first.
 // If the connection holds bodies, it returns nothing beyond a header, which ReadBody does.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.conns.holdsBodies && c.headerDone() {
+		return 0, errBrokenHeader
+	}
 	n, err := c.read(p)
 	header := c.observe(p[:n])
 	if c.conns.holdsBodies && header < n {
@@ -66,6 +72,17 @@
 	return n, err
 }
 
+// errBrokenHeader reports that the HTTP library expects more of a header that has ended, since its lines end in different
+// ways. What follows is the body, or the next request.
+var errBrokenHeader = errors.New("lines of the header end in different ways")
+
+// headerDone reports whether the header of the request that is being read has ended.
+func (c *Conn) headerDone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active && c.arrival.headerDone
+}
+
 // observe follows the request of which p was read, and returns how much of p belongs to its header.
 func (c *Conn) observe(p []byte) int {
 	c.mu.Lock()
@@ -285,7 +302,6 @@
 	if c.setClosing() {
 		c.LingerAtEnd()
 	}
-	c.held = nil
 	c.memory.Release()
 	return c.LingerConn.Close()
 }
--- a/internal/protocol/callers/reserve.go
+++ b/internal/protocol/callers/reserve.go
@@ -71,10 +71,11 @@
 // headerCost returns the memory of the header that has arrived so far. The caller holds mu.
 func (c *Conn) headerCost() int64 { return readCost + int64(c.arrival.lines)*fieldCost }
 
-// reserveHeader reserves the memory of the header that has arrived so far.
+// reserveHeader reserves the memory of the header that has arrived so far, from its second read on: the HTTP library answers
+// no error of the first one.
 func (c *Conn) reserveHeader() error {
 	c.mu.Lock()
-	if c.conns.memory == nil || c.arrival.began.IsZero() {
+	if c.conns.memory == nil || !c.active || c.arrival.began.IsZero() {
 		c.mu.Unlock()
 		return nil
 	}
--- a/internal/protocol/socket/socket.go
+++ b/internal/protocol/socket/socket.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// Unacknowledged returns how many bytes were written to a connection that its peer has not acknowledged. The error is that of
+// the system, or says that the connection gives no access to its socket.
+func Unacknowledged(conn net.Conn) (int, error) {
+	var n int
+	err := control(conn, func(fd int) error {
+		var err error
+		n, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err
+	})
+	if err != nil {
+		return 0, fmt.Errorf("read size of send queue: %w", err)
+	}
+	return n, nil
+}
+
 // IsReset reports whether a connection has failed or was reset by the peer, rather than closed by it in order. It reports
 // false for a connection that gives no access to its socket.
 func IsReset(conn net.Conn) bool {
--- a/internal/request/ingress/body.go
+++ b/internal/request/ingress/body.go
@@ -12,11 +12,12 @@
 
 // body is the body of a request as it arrives. Its memory grows with what has arrived, and is reserved before.
 type body struct {
-	server *Server
-	conn   *callers.Conn
-	limit  int // largest size in bytes
-	bytes  []byte
-	buffer *[]byte // holds bytes; nil without a body
+	server  *Server
+	conn    *callers.Conn
+	limit   int // largest size in bytes that is allowed
+	largest int // largest size in bytes that is expected; no buffer needs to be larger
+	bytes   []byte
+	buffer  *[]byte // holds bytes; nil without a body
 }
 
 var bodies = sync.Pool{New: func() any { return new(body) }}
@@ -33,11 +34,11 @@
 	if !ok {
 		return errors.New("connection is not that of a caller")
 	}
-	defer conn.SetServed()
 	if f.length == 0 && !f.chunked {
-		return nil
+		return conn.SetServed()
 	}
 	b.server, b.conn, b.limit = s, conn, s.limits().MaxBodyBytes
+	b.largest = b.limit
 	if f.length > b.limit {
 		return fasthttp.ErrBodyTooLarge
 	}
@@ -46,10 +47,19 @@
 			return err
 		}
 	}
+	if err := b.read(f, s.limits().MaxHeaderBytes); err != nil {
+		return err
+	}
+	return conn.SetServed()
+}
+
+// read reads the body, and the trailer of a chunked one, which may have maxTrailer bytes.
+func (b *body) read(f framing, maxTrailer int) error {
 	if f.chunked {
-		return b.readChunks(s.limits().MaxHeaderBytes)
+		return b.readChunks(maxTrailer)
 	}
-	return b.readFrom(connReader{conn: conn}, f.length)
+	b.largest = f.length
+	return b.readFrom(connReader{conn: b.conn}, f.length)
 }
 
 // refuseUnread answers a request whose body could not be read, and ends its connection.
@@ -94,7 +104,7 @@
 	if len(b.bytes) < used {
 		return nil
 	}
-	size := bufferSize(used, b.limit)
+	size := bufferSize(used, b.largest)
 	if err := b.conn.Reserve(int64(size)); err != nil {
 		return err
 	}
--- a/internal/request/ingress/body_test.go
+++ b/internal/request/ingress/body_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"rosevalve/internal/protocol/callers"
+	"rosevalve/internal/request/answer"
 	"rosevalve/internal/request/forward"
 	"rosevalve/internal/request/memory"
 )
@@ -220,6 +222,15 @@
 	}
 }
 
+// writeLarge returns a Server.WriteError that writes an answer of size bytes.
+func writeLarge(size int) func(out *fasthttp.Response, refusal *answer.Error, requestID string) {
+	text := strings.Repeat("x", size)
+	return func(out *fasthttp.Response, refusal *answer.Error, _ string) {
+		out.SetStatusCode(refusal.Status)
+		out.SetBodyString(text)
+	}
+}
+
 // TestUnreadAnswerEnds lets a caller read nothing of a large answer.
 func TestUnreadAnswerEnds(t *testing.T) {
 	const answerSize = 16 << 20
@@ -227,9 +238,7 @@
 	s, addr := newServerWith(t, func(s *Server) {
 		s.WriteStall = 200 * time.Millisecond
 		s.OnEvicted = func(r callers.Reason) { reasons <- r }
-		s.ParseRequest = func(*fasthttp.Request, time.Time) (*forward.Request, error) {
-			return nil, errors.New(strings.Repeat("x", answerSize))
-		}
+		s.WriteError = writeLarge(answerSize)
 	})
 	conn, err := net.Dial("tcp4", addr.String())
 	assert.NilError(t, err)
@@ -246,3 +255,91 @@
 		assert.Assert(t, time.Now().Before(end), "the connection stays")
 	}
 }
+
+// TestSlowReaderGetsItsAnswer lets a caller read a large answer steadily, but far more slowly than the system's queues for it
+// become free.
+func TestSlowReaderGetsItsAnswer(t *testing.T) {
+	const (
+		answerSize = 12 << 20
+		pause      = 50 * time.Millisecond
+	)
+	s, addr := newServerWith(t, func(s *Server) {
+		s.WriteStall = time.Second
+		s.WriteError = writeLarge(answerSize)
+	})
+	conn, err := net.Dial("tcp4", addr.String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	assert.NilError(t, err)
+	read := 0
+	part := make([]byte, 64<<10)
+	for {
+		n, err := conn.Read(part)
+		read += n
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		assert.NilError(t, err, "after %d bytes", read)
+		time.Sleep(pause)
+		s.callers.EndUnread()
+	}
+	assert.Assert(t, read >= answerSize, "only %d bytes", read)
+}
+
+// TestHeaderEndsOnce guards against a body that is taken for the next request where the lines of a header end in different
+// ways, and against fields in folded lines that delimit a body.
+func TestHeaderEndsOnce(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty line without carriage return": "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 35\r\n\nGET /smuggled HTTP/1.1\r\nHost: a\r\n\r\nhello",
+		"line without carriage return":       "POST /a HTTP/1.1\r\nHost: a\nContent-Length: 35\n\r\nGET /smuggled HTTP/1.1\r\nHost: a\r\n\r\nhello",
+		"folded length":                      "POST /a HTTP/1.1\r\nHost: a\r\nX: a\r\n Content-Length: 5\r\n\r\nhello",
+		"folded encoding":                    "POST /a HTTP/1.1\r\nHost: a\r\nX: a\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, addr := newReadingServer(t, 8<<20)
+			var parsed atomic.Int64
+			parse := s.ParseRequest
+			s.ParseRequest = func(in *fasthttp.Request, at time.Time) (*forward.Request, error) {
+				parsed.Add(1)
+				return parse(in, at)
+			}
+			conn, err := net.Dial("tcp4", addr.String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(readLimit))
+			_, err = io.WriteString(conn, text)
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+			assert.Assert(t, resp.Close, "the connection stays open")
+			assert.Equal(t, parsed.Load(), int64(0))
+			waitReleased(t, s)
+		})
+	}
+}
+
+// TestFullMemoryIsToldToCallers guards against connections that are reset without an answer while the memory for requests is
+// used up.
+func TestFullMemoryIsToldToCallers(t *testing.T) {
+	_, addr := newReadingServer(t, 1)
+	conn, err := net.Dial("tcp4", addr.String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(readLimit))
+	_, err = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: a\r\nApi-Key: k\r\nContent-Length: 5\r\n\r\nhello")
+	assert.NilError(t, err)
+	assertAnswer(t, conn, http.StatusServiceUnavailable, "")
+}
+
+// TestManyChunksNeedFewBuffers guards against a buffer for each chunk.
+func TestManyChunksNeedFewBuffers(t *testing.T) {
+	const limit = 4 << 20
+	sizes := 0
+	for size := bufferSize(0, limit); size < limit; size = bufferSize(size, limit) {
+		sizes++
+	}
+	assert.Assert(t, sizes < 12, "%d buffers", sizes)
+	assert.Equal(t, bufferSize(64<<10, 70<<10), 72<<10)
+}
--- a/internal/request/ingress/buffer.go
+++ b/internal/request/ingress/buffer.go
@@ -3,9 +3,14 @@
 import "sync"
 
 const (
-	// firstBuffer is the size in bytes of the first buffer of a body, and growth the factor of each further one.
+	// firstBuffer is the size in bytes of the first buffer of a body. Each further one is larger by the factor growth, and by
+	// largeGrowth from largeBuffer on.
 	firstBuffer = 4 << 10
 	growth      = 4
+	largeBuffer = 64 << 10
+	largeGrowth = 2
+	// bufferStep divides the sizes of buffers, so that there are few sizes and they are used again.
+	bufferStep = firstBuffer
 	// keptShare is the share of the memory for requests that unused buffers may take. What is only garbage stays in memory
 	// until the runtime has collected it, which may take long while a crowd uses the processor.
 	keptShare = 0.25
@@ -20,13 +25,14 @@
 	bytes int64
 }
 
-// bufferSize returns the size of the buffer that follows one of used bytes, for a body of at most limit bytes.
-func bufferSize(used, limit int) int {
-	size := max(firstBuffer, growth*used)
-	if used > 0 {
-		size = min(size, max(limit, used+1))
+// bufferSize returns the size of the buffer that follows one of used bytes, for a body of at most largest bytes.
+func bufferSize(used, largest int) int {
+	factor := growth
+	if used >= largeBuffer {
+		factor = largeGrowth
 	}
-	return size
+	steps := (max(largest, used+1) + bufferStep - 1) / bufferStep
+	return min(max(firstBuffer, factor*used), steps*bufferStep)
 }
 
 // acquire returns a buffer of a size. Its content is undefined.
--- a/internal/request/ingress/chunks.go
+++ b/internal/request/ingress/chunks.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -83,8 +84,8 @@
 		return nil, err
 	}
 	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
-	if !ok {
-		return nil, fmt.Errorf("%w: a line does not end with a carriage return", errBrokenChunk)
+	if !ok || bytes.IndexByte(line, '\r') >= 0 {
+		return nil, fmt.Errorf("%w: a line has a carriage return elsewhere than before its end", errBrokenChunk)
 	}
 	return line, nil
 }
@@ -93,7 +94,10 @@
 func chunkSize(line []byte) (int, error) {
 	text, _, _ := bytes.Cut(line, []byte(";"))
 	n, err := strconv.ParseUint(string(bytes.TrimRight(text, " \t")), hexBase, 31)
-	if err != nil {
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		return 0, fasthttp.ErrBodyTooLarge
+	case err != nil:
 		return 0, fmt.Errorf("%w: its size is not a number", errBrokenChunk)
 	}
 	return int(n), nil
--- a/internal/request/ingress/framing.go
+++ b/internal/request/ingress/framing.go
@@ -13,7 +13,11 @@
 	chunked bool
 }
 
-var errTwoLengths = errors.New("body has two lengths, or one and is chunked")
+var (
+	errTwoLengths = errors.New("body has two lengths, or one and is chunked")
+	// errFolded reports a line that continues a field. Intermediaries may read it as a field of its own.
+	errFolded = errors.New("field of the header continues in another line")
+)
 
 // framingOf returns how the body of a request is delimited. The HTTP library was told that it has none. Intermediaries may
 // have read two lengths differently.
@@ -21,11 +25,14 @@
 	var out framing
 	lengths, encodings := 0, 0
 	for line := range bytes.Lines(h.RawHeaders()) {
+		if line[0] == ' ' || line[0] == '\t' {
+			return framing{}, errFolded
+		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		if len(name) < len(fasthttp.HeaderContentLength) {
 			continue
 		}
-		name = bytes.TrimSpace(name)
+		name = bytes.TrimRight(name, " \t")
 		switch {
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 			n, err := fasthttp.ParseUint(bytes.TrimSpace(value))
--- a/internal/request/memory/reservation.go
+++ b/internal/request/memory/reservation.go
@@ -52,7 +52,7 @@
 	return nil
 }
 
-// Shrink gives n of the reserved bytes back.
+// Shrink gives n of the reserved bytes back, or all if there are fewer.
 func (r *Reservation) Shrink(n int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -67,8 +67,9 @@
 	r.other = nil
 }
 
-// shrink gives n bytes back. The caller holds mu.
+// shrink gives n bytes back, or all if there are fewer. The caller holds mu.
 func (r *Reservation) shrink(n int64) {
+	n = min(n, r.bytes)
 	if n == 0 {
 		return
 	}
