Compare the speeds of targets only where that is asked for; copy a list of routers once

Each first event and each stream fitted the speed of the service once more and took two logarithms, also where target_speeds is alike and nothing reads the result. A directory answer while routes have homes copied two lists.

--- a/internal/fleet/edge/directory.go
+++ b/internal/fleet/edge/directory.go
@@ -15,10 +15,11 @@
 // most maxAddresses, in random order. While routes or workspaces have homes, callers get
 // routers of their region.
 func (e *Edge) addresses(domain, region string) []string {
-	serving := slices.Clone(e.fleet.ServingDomain(domain))
+	serving := e.fleet.ServingDomain(domain)
 	if p := e.plan.Load(); p != nil && p.HasHomes() {
-		serving = slices.Clone(e.fleet.ServingRegion(domain, region))
+		serving = e.fleet.ServingRegion(domain, region)
 	}
+	serving = slices.Clone(serving)
 	rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
 	out := make([]string, 0, len(serving))
 	for _, m := range serving[:min(maxAddresses, len(serving))] {
--- a/internal/target/placement/instance.go
+++ b/internal/target/placement/instance.go
@@ -183,8 +183,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	took := now.Sub(s.startedAt) - i.rtt.value()
-	before := i.estimator.speed()
-	i.delay.observe(took, before.BaseLatency+before.prefillTime(s.prefillAhead))
+	if i.compareSpeeds {
+		before := i.estimator.speed()
+		i.delay.observe(took, before.BaseLatency+before.prefillTime(s.prefillAhead))
+	}
 	speed, changed := i.estimator.observeFirstEvent(s.prefillAhead, float64(s.pendingPrefill), took)
 	if changed && i.onEngineSpeed != nil {
 		i.onEngineSpeed(i.Service, speed)
@@ -196,12 +198,11 @@
 // observeStream updates the engine speed of the service and the instance's own with the time that
 // a number of tokens of an answer took after its first event.
 func (i *instance) observeStream(tokens int64, took time.Duration) {
-	if tokens <= 0 {
-		return
+	if i.compareSpeeds && tokens > 0 {
+		i.mu.Lock()
+		i.delay.observe(took, scale(i.estimator.speed().TokenInterval, float64(tokens)))
+		i.mu.Unlock()
 	}
-	i.mu.Lock()
-	i.delay.observe(took, scale(i.estimator.speed().TokenInterval, float64(tokens)))
-	i.mu.Unlock()
 	i.estimator.observeStream(tokens, took)
 }
 
