--- a/internal/protocol/socket/bounded.go
+++ b/internal/protocol/socket/bounded.go
@@ -115,9 +115,5 @@
 
 // SyscallConn returns the raw connection for access to the socket.
 func (c *boundedConn) SyscallConn() (syscall.RawConn, error) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errNoSocket
-	}
-	return socket.SyscallConn()
+	return rawConn(c.Conn)
 }
--- a/internal/protocol/socket/counted.go
+++ b/internal/protocol/socket/counted.go
@@ -34,9 +34,5 @@
 
 // SyscallConn returns the raw connection for access to the socket.
 func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errNoSocket
-	}
-	return socket.SyscallConn()
+	return rawConn(c.Conn)
 }
--- a/internal/protocol/socket/linger.go
+++ b/internal/protocol/socket/linger.go
@@ -92,7 +92,12 @@
 // SyscallConn returns the raw connection for access to the socket. The error is errNoSocket if
 // the wrapped connection has none.
 func (c *LingerConn) SyscallConn() (syscall.RawConn, error) {
-	socket, ok := c.Conn.(syscall.Conn)
+	return rawConn(c.Conn)
+}
+
+// rawConn returns the raw connection of a wrapped one, or errNoSocket if that has none.
+func rawConn(conn net.Conn) (syscall.RawConn, error) {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil, errNoSocket
 	}
--- a/internal/request/forward/active_request.go
+++ b/internal/request/forward/active_request.go
@@ -11,6 +11,7 @@
 	"rosevalve/internal/budget/amount"
 	"rosevalve/internal/budget/prepaid"
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/memory"
 	"rosevalve/internal/target/placement"
 	"rosevalve/internal/target/runner"
 	"rosevalve/internal/workspace/plan"
@@ -295,7 +296,7 @@
 // the error of the attempt with the run state.
 func (ar *activeRequest) recordRejected(a *attempt, status int) error {
 	outcome := placement.Failed
-	if ar.interrupted() || errors.Is(a.err, errBodyMemoryFull) {
+	if ar.interrupted() || errors.Is(a.err, memory.ErrFull) {
 		outcome = placement.Inconclusive
 	}
 	a.slot.End(outcome)
--- a/internal/request/forward/body_memory.go
+++ b/internal/request/forward/body_memory.go
@@ -1,10 +1,6 @@
 package forward
 
-import (
-	"time"
-
-	"rosevalve/internal/request/memory"
-)
+import "time"
 
 const (
 	// maxBodyDivisor divides the memory for buffered answers to give the largest size of one answer.
@@ -28,6 +24,3 @@
 	}
 	return err
 }
-
-// errBodyMemoryFull reports that an answer exceeds the memory left for buffered answers.
-var errBodyMemoryFull = memory.ErrFull
--- a/internal/request/forward/ending.go
+++ b/internal/request/forward/ending.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/request/answer"
+	"rosevalve/internal/request/memory"
 	"rosevalve/internal/target/upstream"
 )
 
@@ -98,7 +99,7 @@
 		return EndingNoTarget
 	case ar.attemptsSpent():
 		return EndingAttemptsSpent
-	case errors.Is(h.lastErr, errBodyMemoryFull):
+	case errors.Is(h.lastErr, memory.ErrFull):
 		return EndingNoMemory
 	case !closedByTarget(h.lastErr):
 		return EndingTargetInvalid
