Review case 7: an incomplete entry of another writer brings back a runner that has left

Looked for: entries that name no runner to use and are used all the same (DRAIN). Command: review/7/run.sh after the build of the deploy file and review/build-2.sh.

--- a/review/_drivers-2/main.go
+++ b/review/_drivers-2/main.go
@@ -16,6 +16,7 @@
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"drill-after-restart": drillAfterRestart,
+	"entry-of-another":    entryOfAnother,
 }
 
 func main() { os.Exit(run()) }
