--- a/review/_drivers-2/main.go
+++ b/review/_drivers-2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"drill-after-restart": drillAfterRestart,
 	"entry-of-another":    entryOfAnother,
+	"route-added":         routeAdded,
 }
 
 func main() { os.Exit(run()) }
