Check the status line of each answer before the HTTP library reads it

What callers saw: a target in trouble sent an answer with the status 000, and the caller got it as a success with the target's body.

Cause: the HTTP library keeps the status as a number in which zero stands for "not set", and returns 200 for it. It also takes 001 to 099 and 600 to 999, a reason with control bytes, any version of one digit, and empty lines before the status line. Its header keeps none of this, so that nothing behind it can tell; and eight clients read answers through it.

With the status 000 a commit counted as applied, and an engine as well.

Change: package head checks the bytes of a head as they are read from the connection, line by line, and gives the library nothing behind the first malformed line, so that no reader ever sees a whole broken head. Reader is for upstream, which reads further answers from its own buffer; Conn is for clients of the library, which read one answer for each request. All readers of answers use one or the other: upstream, runner, report, the store, the platform's table, objects and VM list, ctl, and the stand-ins that judge routers. Interim answers are checked like others. The reports of errors name the cause.

--- a/internal/cmd/rosevalve/ctl_client.go
+++ b/internal/cmd/rosevalve/ctl_client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/workspace/operator"
 )
 
@@ -25,6 +26,9 @@
 // same command id. Whether the command took effect may be unknown.
 var errRetryable = errors.New("no definite answer")
 
+// routerHTTP sends the commands.
+var routerHTTP = &fasthttp.Client{DialTimeout: head.Dial}
+
 // ctlClient sends commands to the routers, one after the other until one answers.
 type ctlClient struct {
 	addrs     []string // of routers, in the order of the attempts
@@ -70,7 +74,7 @@
 	req.SetRequestURI("http://" + addr + "/v1/operator")
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
 	req.SetBody(body)
-	if err := fasthttp.DoTimeout(req, resp, attemptTimeout); err != nil {
+	if err := routerHTTP.DoTimeout(req, resp, attemptTimeout); err != nil {
 		return nil, fmt.Errorf("%w: ask router %s: %w", errRetryable, addr, err)
 	}
 	answer := append([]byte(nil), resp.Body()...)
--- a/internal/cmd/rosevalve/ctl_test.go
+++ b/internal/cmd/rosevalve/ctl_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"rosevalve/internal/standin/fault"
 	"rosevalve/internal/workspace/operator"
 )
 
@@ -74,6 +75,19 @@
 	assert.Equal(t, timedOut.requests[0].CommandID, healthy.requests[0].CommandID)
 }
 
+// TestCtlBrokenHead guards against bytes whose head is no head of HTTP/1 being taken for the result of a command.
+func TestCtlBrokenHead(t *testing.T) {
+	for _, head := range fault.BrokenHeads() {
+		t.Run(head.Name(), func(t *testing.T) {
+			broken, err := fault.StartRawServer(func(int, *fasthttp.Request) (string, bool) { return head.Answer("", oneRow), false })
+			assert.NilError(t, err)
+			defer func() { _ = broken.Close() }()
+			_, err = (&ctlClient{}).post(broken.Addr(), nil)
+			assert.ErrorIs(t, err, errRetryable)
+		})
+	}
+}
+
 func TestCtlOutput(t *testing.T) {
 	healthy := &fakeRouter{status: fasthttp.StatusOK, body: oneRow}
 	addr := healthy.listen(t)
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -15,6 +15,7 @@
 	"rosevalve/internal/platform/follow"
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/protocol/callers"
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/forward"
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &socket.ProgressConn{Conn: conn}, nil
+	return &head.Conn{Conn: &socket.ProgressConn{Conn: conn}}, nil
 }
 
 // propagateEra passes the era of a store response to all components that keep versions of
--- a/internal/fleet/router/reclaim.go
+++ b/internal/fleet/router/reclaim.go
@@ -14,6 +14,7 @@
 	"rosevalve/internal/budget/reclaim"
 	"rosevalve/internal/platform/vmlist"
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/target/runner"
 )
@@ -22,7 +23,7 @@
 func (r *Router) buildReclaimer() {
 	cfg := r.Settings.Budget
 	absence := &reclaim.AbsenceTracker{Present: r.runningRouterIDs}
-	vms := &vmTracker{client: &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: &fasthttp.Client{}}}
+	vms := &vmTracker{client: &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: &fasthttp.Client{DialTimeout: head.Dial}}}
 	r.reclaimer = &reclaim.Reclaimer{
 		Ledger:   r.ledger,
 		Interval: cfg.ReclaimInterval,
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -26,6 +26,7 @@
 	"rosevalve/internal/platform/table"
 	"rosevalve/internal/platform/vmlist"
 	"rosevalve/internal/protocol/callers"
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/gateway"
@@ -190,7 +191,7 @@
 					return nil, errors.Join(fmt.Errorf("set write buffer: %w", err), conn.Close())
 				}
 			}
-			return &socket.ProgressConn{Conn: conn}, nil
+			return &head.Conn{Conn: &socket.ProgressConn{Conn: conn}}, nil
 		},
 	}
 }
--- a/internal/fleet/router/targets.go
+++ b/internal/fleet/router/targets.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/platform/vmlist"
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/protocol/inner"
 	"rosevalve/internal/request/queue"
 	"rosevalve/internal/target/health"
@@ -72,7 +73,7 @@
 // watchLeavingVMs reads the platform's VM list at an interval and marks targets on leaving
 // VMs in the pool. If the list cannot be read, the one read before stays in effect.
 func (r *Router) watchLeavingVMs(ctx context.Context) error {
-	client := &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: &fasthttp.Client{}}
+	client := &vmlist.Client{Addr: r.Settings.Platform.Addr, HTTP: &fasthttp.Client{DialTimeout: head.Dial}}
 	tick := time.NewTicker(r.Settings.Load.VMListInterval)
 	defer tick.Stop()
 	for {
--- /dev/null
+++ b/internal/standin/fault/heads.go
@@ -0,0 +1,79 @@
+package fault
+
+import "fmt"
+
+// Head is the head of an answer.
+type Head struct {
+	name       string
+	statusLine string
+	fields     string // with their line ends
+}
+
+// Name returns what is special about the head.
+func (h Head) Name() string { return h.name }
+
+// Answer returns an answer with the head, to which it adds the fields, each with its line end, and the body.
+func (h Head) Answer(fields, body string) string {
+	fields = h.fields + fields
+	fields += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	return h.statusLine + "\r\n" + fields + "\r\n" + body
+}
+
+// okLine is the status line of a success.
+const okLine = "HTTP/1.1 200 OK"
+
+// BrokenHeads returns heads that are no heads of HTTP/1.1, so that the bytes behind them are no answer.
+func BrokenHeads() []Head {
+	return append(brokenStatusLines(),
+		Head{name: "interim answer with status 000", statusLine: "HTTP/1.1 000 X\r\n\r\n" + okLine},
+		Head{name: "status 000 behind an interim answer", statusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK"},
+	)
+}
+
+// brokenStatusLines returns heads whose status line is broken.
+func brokenStatusLines() []Head {
+	var out []Head
+	for _, status := range []string{"000", "001", "020", "099", "600", "999", "20", "2000", "2x0", "+20", "-20", ""} {
+		out = append(out, Head{name: fmt.Sprintf("status %q", status), statusLine: "HTTP/1.1 " + status + " OK"})
+	}
+	for name, line := range map[string]string{
+		"two blanks before the status":     "HTTP/1.1  200 OK",
+		"tab before the status":            "HTTP/1.1\t200 OK",
+		"control byte in the reason":       "HTTP/1.1 200 O\x01K",
+		"carriage return in the reason":    "HTTP/1.1 200 OK\rX: y",
+		"HTTP/2.0":                         "HTTP/2.0 200 OK",
+		"HTTP/0.9":                         "HTTP/0.9 200 OK",
+		"no version":                       "HTTP 200 OK",
+		"another protocol":                 "ICY 200 OK",
+		"empty line before the status":     "\r\n" + okLine,
+		"nothing but a version":            "HTTP/1.1",
+		"line feed before the status line": "\n" + okLine,
+	} {
+		out = append(out, Head{name: name, statusLine: line})
+	}
+	return out
+}
+
+// SoundHeads returns unusual heads of successes that are sound all the same.
+func SoundHeads() []Head {
+	out := []Head{
+		{name: "empty reason", statusLine: "HTTP/1.1 200 "},
+		{name: "no reason", statusLine: "HTTP/1.1 200"},
+		{name: "bytes above ASCII in the reason", statusLine: "HTTP/1.1 200 \xc3\xa9\x80\tOK"},
+		{name: "HTTP/1.0", statusLine: "HTTP/1.0 200 OK"},
+		{name: "interim answers", statusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + okLine},
+	}
+	for name, field := range map[string]string{
+		"every byte of a token in a name": "!#$%&'*+-.^_`|~09azAZ: x",
+		"bytes above ASCII in a value":    "X: \x80\xff",
+		"tab in a value":                  "X: a\tb",
+		"blanks around a value":           "X: \t a \t",
+		"no blank before a value":         "X:a",
+		"empty value":                     "X:",
+		"folded value":                    "X: a\r\n\tb",
+		"newline without carriage return": "X: a\nY: b",
+	} {
+		out = append(out, Head{name: name, statusLine: okLine, fields: field + "\r\n"})
+	}
+	return out
+}
--- a/internal/standin/inforce/inforce.go
+++ b/internal/standin/inforce/inforce.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/workspace/operator"
 )
 
@@ -19,6 +20,9 @@
 	propagationTimeout = time.Minute
 )
 
+// client sends the calls to the routers.
+var client = &fasthttp.Client{DialTimeout: head.Dial}
+
 // Probe repeatedly changes the weight of a workspace and polls all routers until
 // they have the new configuration version.
 type Probe struct {
@@ -126,7 +130,7 @@
 	req.SetRequestURI(url)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+p.Key)
 	req.SetBody(body)
-	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
+	if err := client.DoTimeout(req, resp, callTimeout); err != nil {
 		return fmt.Errorf("call %s: %w", url, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/head"
 )
 
 const (
@@ -127,6 +128,7 @@
 // prepare sets up the HTTP client, which never retries by itself, and the callers.
 func (l *Load) prepare() {
 	l.client = &fasthttp.Client{
+		DialTimeout:               head.Dial,
 		StreamResponseBody:        true,
 		MaxConnsPerHost:           maxConnsPerHost,
 		MaxIdemponentCallAttempts: 1,
--- a/internal/standin/load/oracle.go
+++ b/internal/standin/load/oracle.go
@@ -9,6 +9,7 @@
 
 	"rosevalve/internal/budget/ledger"
 	"rosevalve/internal/platform/table"
+	"rosevalve/internal/protocol/head"
 )
 
 // budgetOracle tracks the tokens remaining in each budget with full knowledge of
@@ -25,7 +26,7 @@
 
 // newBudgetOracle returns an oracle that reads the table at the platform address.
 func newBudgetOracle(platform string, workspaces []Workspace) *budgetOracle {
-	client := &table.Client{Addr: platform, HTTP: &fasthttp.Client{MaxIdemponentCallAttempts: 1}}
+	client := &table.Client{Addr: platform, HTTP: &fasthttp.Client{DialTimeout: head.Dial, MaxIdemponentCallAttempts: 1}}
 	return &budgetOracle{
 		ledger:     &ledger.Ledger{Holder: "load", Commit: client.Commit, Get: client.Get, Scan: client.Scan},
 		workspaces: workspaces,
--- a/internal/target/report/report.go
+++ b/internal/target/report/report.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rosevalve/internal/protocol/chat"
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/workspace/catalogue"
 )
 
@@ -91,6 +92,7 @@
 
 // init initializes what Run uses.
 func (p *Poller) init() {
+	p.http.DialTimeout = head.Dial
 	p.http.MaxConnsPerHost = maxConnsPerEngine
 	p.http.MaxResponseBodySize = maxReportBytes
 	p.lastEvent = make(map[string]int64)
--- a/internal/target/report/report_test.go
+++ b/internal/target/report/report_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rosevalve/internal/standin/fault"
+	"rosevalve/internal/workspace/catalogue"
 )
 
 // serveEngine serves the load and the cache events of an engine and returns its address.
@@ -59,3 +62,20 @@
 		})
 	}
 }
+
+// TestBrokenHeadOfAnEngine guards against bytes whose head is no head of HTTP/1 being taken for a report, or for a sign that
+// an engine is well.
+func TestBrokenHeadOfAnEngine(t *testing.T) {
+	for _, head := range fault.BrokenHeads() {
+		t.Run(head.Name(), func(t *testing.T) {
+			text := head.Answer("", `{"running":1,"waiting":1}`)
+			s, err := fault.StartRawServer(func(int, *fasthttp.Request) (string, bool) { return text, false })
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = s.Close() })
+			p := &Poller{OnLoad: func(string, int) { t.Error("the report counts") }}
+			p.init()
+			p.poll(s.Addr())
+			assert.Assert(t, p.Probe(catalogue.Target{Addr: s.Addr()}) != nil)
+		})
+	}
+}
--- a/internal/target/runner/conn.go
+++ b/internal/target/runner/conn.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"rosevalve/internal/protocol/head"
 )
 
 var stalledConns = expvar.NewInt("target_silent_connections")
@@ -74,7 +76,7 @@
 		return nil, &dialError{err: err}
 	}
 	return &progressConn{
-		Conn:             conn,
+		Conn:             &head.Conn{Conn: conn},
 		firstByteTimeout: c.FirstByteTimeout,
 		progressTimeout:  c.ProgressTimeout,
 		onStall:          func() { c.closeIdleAfterStall(addr) },
--- a/internal/target/upstream/exchange.go
+++ b/internal/target/upstream/exchange.go
@@ -176,6 +176,9 @@
 	defer func() { _ = r.conn.limitSilence(time.Time{}, nil) }()
 	r.resp.StreamBody = true
 	for range maxResponsesRead {
+		if err := r.conn.expectHead(); err != nil {
+			return fmt.Errorf("read answer: %w", err)
+		}
 		if err := r.resp.ReadLimitBody(r.conn.br, 0); err != nil {
 			return fmt.Errorf("read answer: %w", err)
 		}
--- a/internal/target/upstream/pool.go
+++ b/internal/target/upstream/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rosevalve/internal/protocol/head"
 	"rosevalve/internal/protocol/socket"
 	"rosevalve/internal/request/answer"
 	"rosevalve/internal/target/runner"
@@ -52,7 +53,8 @@
 // pooledConn is a connection to the instance with its read buffer.
 type pooledConn struct {
 	net.Conn
-	br *bufio.Reader
+	heads *head.Reader  // reads from the connection
+	br    *bufio.Reader // reads from heads
 	// reused is set if the connection was idle in the pool or has carried an exchange.
 	reused bool
 	// expires is when the idle connection must no longer be used.
@@ -82,6 +84,15 @@
 	}
 }
 
+// expectHead makes the head of the next response be checked, of which a part may have been read behind the last one.
+func (c *pooledConn) expectHead() error {
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.heads.Expect(buffered)
+}
+
 // extendWait sets the time at which giveUp is asked again, unless it is to be asked at once.
 func (c *pooledConn) extendWait() error {
 	c.mu.Lock()
@@ -127,7 +138,8 @@
 	}
 	connsOpened.Add(1)
 	c := &pooledConn{Conn: raw}
-	c.br = bufio.NewReaderSize(c, readBuffer)
+	c.heads = &head.Reader{R: c}
+	c.br = bufio.NewReaderSize(c.heads, readBuffer)
 	return &Conn{pool: p, conn: c}, nil
 }
 
