Check the names and values of the fields of each answer

What callers saw: in the head of an answer the name of a field held a blank, and the caller got the answer, with that line passed on, or with a body that was not the target's.

Cause: the HTTP library takes blanks within the name of a field, and removes those before its colon. "Content-Length : 1" then cuts a longer body to one byte, and "Transfer-Encoding : chunked" makes chunks of it.

Change: package head also checks the lines of fields: the name is a token, directly before its colon, and the value holds no control byte other than the tab. A folded value still passes, as its parts are joined; a fold that continues no field does not. Heads of interim answers are checked too.

Names of any token character, bytes above ASCII in values and folded values pass as before.

--- a/internal/protocol/head/scanner.go
+++ b/internal/protocol/head/scanner.go
@@ -28,9 +28,10 @@
 
 // scanner checks the head of one answer and the heads of the interim answers before it.
 type scanner struct {
-	inHead bool   // what follows belongs to a head
-	line   []byte // beginning of a line whose end has not been read
-	status int    // 0 before the status line
+	inHead  bool   // what follows belongs to a head
+	line    []byte // beginning of a line whose end has not been read
+	status  int    // 0 before the status line
+	inField bool   // a field came before, whose value may go on in the next line
 }
 
 // scan checks the next bytes. If a line is malformed, it returns the number of bytes before the end of that line: a reader that
@@ -62,8 +63,12 @@
 		return s.checkStatusLine(line)
 	case len(line) == 0:
 		s.endHead()
+		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		return s.checkFold(line)
+	default:
+		return s.checkField(line)
 	}
-	return nil
 }
 
 // checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason may be missing, with the blank before it too.
@@ -100,6 +105,30 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
+// checkField checks a line such as "Content-Length: 5".
+func (s *scanner) checkField(line []byte) error {
+	name, value, ok := strings.Cut(string(line), ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) {
+		return malformed("name of a field", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return malformed("value of a field", line)
+	}
+	s.inField = true
+	return nil
+}
+
+// checkFold checks a line that continues the value of the field before it.
+func (s *scanner) checkFold(line []byte) error {
+	if !s.inField {
+		return malformed("line that continues no field", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(line)) {
+		return malformed("value of a field", line)
+	}
+	return nil
+}
+
 // endHead ends the head, and begins the next one after an interim answer.
 func (s *scanner) endHead() {
 	interim := s.status < http.StatusOK && s.status != http.StatusSwitchingProtocols
--- a/internal/standin/fault/heads.go
+++ b/internal/standin/fault/heads.go
@@ -7,6 +7,7 @@
 	name       string
 	statusLine string
 	fields     string // with their line ends
+	framed     bool   // the fields say how the body ends
 }
 
 // Name returns what is special about the head.
@@ -15,7 +16,9 @@
 // Answer returns an answer with the head, to which it adds the fields, each with its line end, and the body.
 func (h Head) Answer(fields, body string) string {
 	fields = h.fields + fields
-	fields += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	if !h.framed {
+		fields += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
 	return h.statusLine + "\r\n" + fields + "\r\n" + body
 }
 
@@ -24,7 +27,10 @@
 
 // BrokenHeads returns heads that are no heads of HTTP/1.1, so that the bytes behind them are no answer.
 func BrokenHeads() []Head {
-	return append(brokenStatusLines(),
+	out := brokenStatusLines()
+	out = append(out, brokenFields()...)
+	return append(out,
+		Head{name: "blank in a name of an interim answer", statusLine: "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + okLine},
 		Head{name: "interim answer with status 000", statusLine: "HTTP/1.1 000 X\r\n\r\n" + okLine},
 		Head{name: "status 000 behind an interim answer", statusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK"},
 	)
@@ -54,6 +60,42 @@
 	return out
 }
 
+// brokenFields returns heads one of whose fields is broken.
+func brokenFields() []Head {
+	var out []Head
+	for name, field := range map[string]string{
+		"blank in a name":                  "X Y: z",
+		"blank before a colon":             "X-Y : z",
+		"blanks before a colon":            "X-Y   : z",
+		"tab before a colon":               "X-Y\t: z",
+		"tab in a name":                    "X\tY: z",
+		"zero byte in a name":              "X\x00Y: z",
+		"control byte in a name":           "X\x1fY: z",
+		"carriage return in a name":        "X\rY: z",
+		"delete byte in a name":            "X\x7fY: z",
+		"byte above ASCII in a name":       "X\x80Y: z",
+		"separator in a name":              "X(Y): z",
+		"empty name":                       ": z",
+		"only a blank for a name":          " : z",
+		"no colon":                         "XY",
+		"zero byte in a value":             "X: a\x00b",
+		"control byte in a value":          "X: a\x1fb",
+		"delete byte in a value":           "X: a\x7fb",
+		"carriage return in a value":       "X: a\rb",
+		"control byte in a folded value":   "X: a\r\n b\x01",
+		"blank in a name behind a fold":    "X: a\r\n b\r\nY Z: c",
+		"blank in a name behind a newline": "X: a\nY Z: c",
+	} {
+		out = append(out, Head{name: name, statusLine: okLine, fields: field + "\r\n"})
+	}
+	return append(out,
+		Head{name: "blank before the colon of a length", statusLine: okLine, fields: "Content-Length : 1\r\n", framed: true},
+		Head{name: "blank in the name of a length", statusLine: okLine, fields: "Content- Length: 1\r\n", framed: true},
+		Head{name: "blank before the colon of chunks", statusLine: okLine, fields: "Transfer-Encoding : chunked\r\n", framed: true},
+		Head{name: "control byte before the colon of a length", statusLine: okLine, fields: "Content-Length\x01: 1\r\n", framed: true},
+	)
+}
+
 // SoundHeads returns unusual heads of successes that are sound all the same.
 func SoundHeads() []Head {
 	out := []Head{
