Refuse chunks in an answer of another version than HTTP/1.1

What callers saw: nothing was reported; found while asking the library what it makes of heads that it can't understand. An answer with Transfer-Encoding in HTTP/1.0, or in HTTP/1.2, reached the caller with the sizes of its chunks as parts of the body, and ended with the connection.

Cause: the HTTP library ignores Transfer-Encoding unless the version is exactly HTTP/1.1. The standard says of HTTP/1.0 that the framing is faulty.

Change: at the end of a head, package head refuses a Transfer-Encoding in another version.

--- a/internal/protocol/head/head_test.go
+++ b/internal/protocol/head/head_test.go
@@ -132,6 +132,7 @@
 	for name, text := range map[string]string{
 		"status": "HTTP/1.1 000 OK\r\n\r\n",
 		"field":  "HTTP/1.1 200 OK\r\nX Y: z\r\n\r\n",
+		"end":    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := &Reader{R: strings.NewReader(text)}
--- a/internal/protocol/head/scanner.go
+++ b/internal/protocol/head/scanner.go
@@ -31,7 +31,9 @@
 	inHead  bool   // what follows belongs to a head
 	line    []byte // beginning of a line whose end has not been read
 	status  int    // 0 before the status line
+	minor   byte   // minor version, a digit
 	inField bool   // a field came before, whose value may go on in the next line
+	chunked bool   // there is a Transfer-Encoding
 }
 
 // scan checks the next bytes. If a line is malformed, it returns the number of bytes before the end of that line: a reader that
@@ -62,8 +64,7 @@
 	case s.status == 0:
 		return s.checkStatusLine(line)
 	case len(line) == 0:
-		s.endHead()
-		return nil
+		return s.endHead()
 	case line[0] == ' ' || line[0] == '\t':
 		return s.checkFold(line)
 	default:
@@ -79,6 +80,7 @@
 	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
 		return malformed("protocol of the status line", line)
 	}
+	s.minor = minor[0]
 	if s.status = parseStatus(status); s.status < minStatus || s.status > maxStatus {
 		return malformed("status of the status line", line)
 	}
@@ -115,6 +117,7 @@
 		return malformed("value of a field", line)
 	}
 	s.inField = true
+	s.chunked = s.chunked || strings.EqualFold(name, "Transfer-Encoding")
 	return nil
 }
 
@@ -130,9 +133,14 @@
 }
 
 // endHead ends the head, and begins the next one after an interim answer.
-func (s *scanner) endHead() {
+func (s *scanner) endHead() error {
+	if s.chunked && s.minor != '1' {
+		// The library reads no chunks then, and would take their sizes for parts of the body.
+		return fmt.Errorf("%w: Transfer-Encoding in HTTP/1.%c", ErrMalformed, s.minor)
+	}
 	interim := s.status < http.StatusOK && s.status != http.StatusSwitchingProtocols
 	*s = scanner{inHead: interim}
+	return nil
 }
 
 // malformed returns the error of a line.
--- a/internal/standin/fault/heads.go
+++ b/internal/standin/fault/heads.go
@@ -30,6 +30,8 @@
 	out := brokenStatusLines()
 	out = append(out, brokenFields()...)
 	return append(out,
+		Head{name: "chunks in HTTP/1.0", statusLine: "HTTP/1.0 200 OK", fields: "Transfer-Encoding: chunked\r\n", framed: true},
+		Head{name: "chunks in HTTP/1.2", statusLine: "HTTP/1.2 200 OK", fields: "transfer-encoding: chunked\r\n", framed: true},
 		Head{name: "blank in a name of an interim answer", statusLine: "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + okLine},
 		Head{name: "interim answer with status 000", statusLine: "HTTP/1.1 000 X\r\n\r\n" + okLine},
 		Head{name: "status 000 behind an interim answer", statusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK"},
