Tests of answers that are reset during the upload of their requests

The product handles it already, so nothing in it is changed. The system tells a reset once, and if it told the write of the request, the read of the answer only sees the end of the connection; upstream then asks for the state of the socket.

--- a/internal/fleet/edge/broken_store_test.go
+++ b/internal/fleet/edge/broken_store_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -25,7 +28,12 @@
 	s, err := fault.StartRawServer(func(int, *fasthttp.Request) (string, bool) { return answer, false })
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
-	e := &Edge{Settings: settings.Settings{Platform: settings.Platform{Addr: s.Addr()}}}
+	return connectedTo(s.Addr())
+}
+
+// connectedTo returns a router that is connected to the store at an address.
+func connectedTo(addr string) *Edge {
+	e := &Edge{Settings: settings.Settings{Platform: settings.Platform{Addr: addr}}}
 	e.connectStore()
 	return e
 }
@@ -65,3 +73,39 @@
 		})
 	}
 }
+
+// TestResetOfTheStoreLooksLikeTheEnd guards against an answer without a length being taken for complete although the store resets
+// the connection, during the upload of the commit or behind it.
+func TestResetOfTheStoreLooksLikeTheEnd(t *testing.T) {
+	for _, size := range []int{10, 8 << 20} {
+		for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d bytes/%v", size, pause), func(t *testing.T) {
+				t.Parallel()
+				e := connectedTo(startHastyStore(t, pause))
+				_, err := e.store.Commit(t.Context(), table.Commit{Puts: []table.Put{{Value: make([]byte, size)}}}, storeTimeout)
+				assert.ErrorIs(t, err, table.ErrUnknownOutcome)
+			})
+		}
+	}
+}
+
+// startHastyStore starts a store that answers a call at once, before it has read it, and resets the connection after a pause.
+// It returns its address.
+func startHastyStore(t *testing.T, pause time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+storePage)
+		time.Sleep(pause)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}()
+	return l.Addr().String()
+}
