Take no answer of the store or the platform without its content

What was seen: nothing was reported; found while asking the JSON library what it makes of an answer that it can't understand. A 200 with the body "null" or "{}" counted: a commit as applied, at version 0, a table as empty, and all VMs as gone, whose holdings are then reclaimed.

Cause: the JSON library leaves a field that is missing, or the whole value for null, at zero.

An empty list may still be null, as our own platform writes it. A commit whose answer can't be read is of unknown outcome, and a read is unavailable.

--- a/internal/fleet/edge/broken_store_test.go
+++ b/internal/fleet/edge/broken_store_test.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// TestUnreadableBodyOfTheStore guards against a body that says nothing being taken for an answer of the store, and so a commit
+// for applied.
+func TestUnreadableBodyOfTheStore(t *testing.T) {
+	for _, body := range []string{"", "null", "{}", "[]", "0", `{"ver":null}`, `{"rows":[]}`, storePage[:len(storePage)-1]} {
+		t.Run(body, func(t *testing.T) {
+			assertStoreUnreadable(t, rawStore(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+		})
+	}
+}
+
 // TestResetOfTheStoreLooksLikeTheEnd guards against an answer without a length being taken for complete although the store resets
 // the connection, during the upload of the commit or behind it.
 func TestResetOfTheStoreLooksLikeTheEnd(t *testing.T) {
--- a/internal/fleet/router/broken_platform_test.go
+++ b/internal/fleet/router/broken_platform_test.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
@@ -29,17 +31,36 @@
 func TestBrokenHeadOfThePlatform(t *testing.T) {
 	for _, head := range fault.BrokenHeads() {
 		t.Run(head.Name(), func(t *testing.T) {
-			addr, client := startRawPlatform(t, head.Answer("", platformAnswer)), newPlatformHTTP()
-			rows := &table.Client{Addr: addr, HTTP: client}
-			_, err := rows.Commit(t.Context(), table.Commit{})
-			assert.ErrorIs(t, err, table.ErrUnknownOutcome)
-			_, err = rows.Get(t.Context(), "k")
-			assert.ErrorIs(t, err, table.ErrUnavailable)
-			_, err = rows.Scan(t.Context(), "k", "", 1)
-			assert.ErrorIs(t, err, table.ErrUnavailable)
-			assert.Assert(t, (&object.Client{Addr: addr, HTTP: client}).Put(t.Context(), "a", nil) != nil)
-			_, err = (&vmlist.Client{Addr: addr, HTTP: client}).List(t.Context())
-			assert.Assert(t, err != nil)
+			addr := startRawPlatform(t, head.Answer("", platformAnswer))
+			assertPlatformUnreadable(t, addr)
+			assert.Assert(t, (&object.Client{Addr: addr, HTTP: newPlatformHTTP()}).Put(t.Context(), "a", nil) != nil)
+		})
+	}
+}
+
+// assertPlatformUnreadable checks that the answers of the platform are taken for none: a commit may have been applied, and
+// reads have failed.
+func assertPlatformUnreadable(t *testing.T, addr string) {
+	t.Helper()
+	client := newPlatformHTTP()
+	rows := &table.Client{Addr: addr, HTTP: client}
+	_, err := rows.Commit(t.Context(), table.Commit{})
+	assert.ErrorIs(t, err, table.ErrUnknownOutcome)
+	_, err = rows.Get(t.Context(), "k")
+	assert.ErrorIs(t, err, table.ErrUnavailable)
+	_, err = rows.Scan(t.Context(), "k", "", 1)
+	assert.ErrorIs(t, err, table.ErrUnavailable)
+	vms, err := (&vmlist.Client{Addr: addr, HTTP: client}).List(t.Context())
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !errors.Is(err, vmlist.ErrIncomplete), "%v", vms)
+}
+
+// TestUnreadableBodyOfThePlatform guards against a body that says nothing being taken for an answer of the platform: a commit
+// for applied, a table for empty, or all VMs for gone.
+func TestUnreadableBodyOfThePlatform(t *testing.T) {
+	for _, body := range []string{"", "null", "{}", "[]", "0", `{"version":null}`, `{"rows":0,"vms":0}`, platformAnswer[:len(platformAnswer)-1]} {
+		t.Run(body, func(t *testing.T) {
+			assertPlatformUnreadable(t, startRawPlatform(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
 		})
 	}
 }
--- a/internal/platform/table/client.go
+++ b/internal/platform/table/client.go
@@ -60,17 +60,17 @@
 	}
 	switch status {
 	case fasthttp.StatusOK:
-		var out CommitResponse
-		if err := json.Unmarshal(body, &out); err != nil {
-			return 0, fmt.Errorf("decode commit answer: %w: %w", ErrUnknownOutcome, err)
+		version, err := decodeVersion(body)
+		if err != nil {
+			return 0, fmt.Errorf("commit: %w: %w", ErrUnknownOutcome, err)
 		}
-		return out.Version, nil
+		return version, nil
 	case fasthttp.StatusConflict:
-		var out RowsResponse
-		if err := json.Unmarshal(body, &out); err != nil {
-			return 0, fmt.Errorf("decode conflict: %w", err)
+		rows, err := decodeRows(body)
+		if err != nil {
+			return 0, fmt.Errorf("commit in conflict: %w: %w", ErrUnknownOutcome, err)
 		}
-		return 0, &ConflictError{Rows: out.Rows}
+		return 0, &ConflictError{Rows: rows}
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusBadRequest:
 		return 0, fmt.Errorf("commit answered %d %s: %w", status, body, ErrUnavailable)
 	default:
@@ -80,7 +80,7 @@
 
 // Get returns the existing rows among the keys.
 //
-// The error wraps ErrUnavailable if the table service refused the call, and ErrUnreachable
+// The error wraps ErrUnavailable if the table service refused the call or its answer can't be read, and ErrUnreachable
 // too if it did not answer.
 func (c *Client) Get(ctx context.Context, keys ...string) ([]Row, error) {
 	rows, err := c.rows(ctx, "/table/get", GetRequest{Keys: keys})
@@ -108,11 +108,43 @@
 	if status != fasthttp.StatusOK {
 		return nil, fmt.Errorf("answered %d: %w", status, ErrUnavailable)
 	}
-	var out RowsResponse
-	if err := json.Unmarshal(body, &out); err != nil {
+	out, err := decodeRows(body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return out, nil
+}
+
+// decodeVersion decodes a CommitResponse. It fails if that has no version.
+func decodeVersion(body []byte) (uint64, error) {
+	var in struct {
+		Version *uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return 0, fmt.Errorf("decode version: %w", err)
+	}
+	if in.Version == nil {
+		return 0, errors.New("decode version: it is missing")
+	}
+	return *in.Version, nil
+}
+
+// decodeRows decodes a RowsResponse. It fails if that has no list of rows, which may be null.
+func decodeRows(body []byte) ([]Row, error) {
+	var in struct {
+		Rows json.RawMessage `json:"rows"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, fmt.Errorf("decode rows: %w", err)
 	}
-	return out.Rows, nil
+	if in.Rows == nil {
+		return nil, errors.New("decode rows: they are missing")
+	}
+	var rows []Row
+	if err := json.Unmarshal(in.Rows, &rows); err != nil {
+		return nil, fmt.Errorf("decode rows: %w", err)
+	}
+	return rows, nil
 }
 
 func (c *Client) post(ctx context.Context, path string, in any) (int, []byte, error) {
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -67,14 +67,21 @@
 // decode decodes the list, each entry on its own.
 func decode(body []byte) ([]VM, error) {
 	var in struct {
-		VMs []json.RawMessage `json:"vms"`
+		VMs json.RawMessage `json:"vms"`
 	}
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, fmt.Errorf("decode VM list: %w", err)
 	}
-	out := make([]VM, 0, len(in.VMs))
+	if in.VMs == nil {
+		return nil, errors.New("decode VM list: it is missing")
+	}
+	var entries []json.RawMessage
+	if err := json.Unmarshal(in.VMs, &entries); err != nil {
+		return nil, fmt.Errorf("decode VM list: %w", err)
+	}
+	out := make([]VM, 0, len(entries))
 	var firstInvalid json.RawMessage
-	for _, entry := range in.VMs {
+	for _, entry := range entries {
 		var vm VM
 		if json.Unmarshal(entry, &vm) == nil && isAddr(vm.Addr) {
 			out = append(out, vm)
@@ -82,7 +89,7 @@
 			firstInvalid = entry
 		}
 	}
-	if invalid := len(in.VMs) - len(out); invalid > 0 {
+	if invalid := len(entries) - len(out); invalid > 0 {
 		return out, fmt.Errorf("%w: %d of them, the first is %.*q", ErrIncomplete, invalid, maxQuoted, firstInvalid)
 	}
 	return out, nil
--- a/internal/platform/vmlist/watcher_test.go
+++ b/internal/platform/vmlist/watcher_test.go
@@ -65,7 +65,7 @@
 // TestListThatIsNoneIsAnError guards against a list that seems to be empty.
 func TestListThatIsNoneIsAnError(t *testing.T) {
 	for name, body := range map[string]string{
-		"empty": "", "a list": `[]`, "text": `{"vms":"x"}`, "not UTF-8": "\xff", "nested": `{"vms":` + strings.Repeat("[", 2_000_000),
+		"empty": "", "null": "null", "nothing in it": "{}", "a list": `[]`, "text": `{"vms":"x"}`, "not UTF-8": "\xff", "nested": `{"vms":` + strings.Repeat("[", 2_000_000),
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := decode([]byte(body))
