Bill no cancelled run as unused for an answer that says nothing

An engine that answers the cancellation of a run with 200 and "null" or "{}" made the run count as one that has used no tokens, and so as not billed, although a run whose usage can't be determined is billed at its prompt.

Cause: the JSON library leaves missing tokens at zero.

Evidence: 5 of 7 bodies without usage were taken for a usage before.

Change: the tokens of the prompt and of the completion must be there.

Result: all 7 are errors; a usage of zero that is stated still counts. internal/target/runner, request/... and budget/... pass.

--- a/internal/target/runner/engine.go
+++ b/internal/target/runner/engine.go
@@ -176,9 +176,25 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return chat.Usage{}, fmt.Errorf("cancel run: status %d", resp.StatusCode())
 	}
-	var u chat.Usage
-	if err := json.Unmarshal(body, &u); err != nil {
-		return chat.Usage{}, fmt.Errorf("cancel run: decode usage: %w", err)
+	u, err := decodeUsage(body)
+	if err != nil {
+		return chat.Usage{}, fmt.Errorf("cancel run: %w", err)
 	}
 	return u, nil
 }
+
+// decodeUsage decodes the usage of a run. It fails if that lacks the tokens of the prompt or of the completion.
+func decodeUsage(body []byte) (chat.Usage, error) {
+	var in struct {
+		PromptTokens     *int64 `json:"prompt_tokens"`
+		CompletionTokens *int64 `json:"completion_tokens"`
+		TotalTokens      int64  `json:"total_tokens"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return chat.Usage{}, fmt.Errorf("decode usage: %w", err)
+	}
+	if in.PromptTokens == nil || in.CompletionTokens == nil {
+		return chat.Usage{}, errors.New("decode usage: tokens are missing")
+	}
+	return chat.Usage{PromptTokens: *in.PromptTokens, CompletionTokens: *in.CompletionTokens, TotalTokens: in.TotalTokens}, nil
+}
