Take no empty reply of another router for an acknowledgement

What was seen: nothing was reported; found by asking the JSON-RPC library what it makes of a reply that says nothing. A result of null counted as the reply of any type with all of its fields at zero: tokens as accepted, the entries of a witness as recorded.

Cause: the library decodes null into the result without a change to it.

Change: the results of Call and Fetch are decoded in one place, which refuses null. The call has failed then, and its outcome is unknown.

Result: both pass, and go test of fleet, request, budget and workspace does.

--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -185,7 +185,7 @@
 		return fmt.Errorf("call %s at %s: %w: %w", method, addr, ErrNotSent, err)
 	}
 	start := time.Now()
-	err = conn.rpc.Call(ctx, method, in, out)
+	err = conn.rpc.Call(ctx, method, in, &reply{out: out})
 	if err == nil {
 		return nil
 	}
@@ -221,7 +221,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := conn.conn.watchReply(limit, func() { cancel(errNoProgress) })
-	err = conn.rpc.Call(ctx, method, in, out)
+	err = conn.rpc.Call(ctx, method, in, &reply{out: out})
 	latency := stop()
 	if errors.Is(context.Cause(ctx), errNoProgress) && latency >= limit {
 		t.fetchLatency.ObserveTimeout(limit)
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -113,6 +113,20 @@
 	p.muted = on
 }
 
+// TestEmptyReplyIsNoAnswer guards against a reply that says nothing being taken for an acknowledgement.
+func TestEmptyReplyIsNoAnswer(t *testing.T) {
+	empty := func(context.Context, json.RawMessage) (any, error) { return nil, nil }
+	addr := startServer(t, &Transport{Handlers: map[string]Handler{methodEcho: empty}})
+	client := newClient(nil)
+	for name, call := range map[string]func(context.Context, string, string, any, any) error{"call": client.Call, "fetch": client.Fetch} {
+		t.Run(name, func(t *testing.T) {
+			err := call(t.Context(), addr, methodEcho, "x", &inner.TransferAck{})
+			assert.ErrorIs(t, err, errEmptyReply)
+			assert.Assert(t, !errors.Is(err, ErrNotSent))
+		})
+	}
+}
+
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	p := &proxy{serverAddr: startServer(t, &Transport{})}
 	addr := p.start(t)
