Take no unreadable result of a command for done

Evidence: 5 of 5 bodies were taken for a definite answer before.

Change: a 200 counts only with the result of a command; otherwise the command is sent to the next router, as after any answer that is not definite.

Result: all 5 pass, and go test ./internal/cmd/... does.

--- a/internal/cmd/rosevalve/ctl_client.go
+++ b/internal/cmd/rosevalve/ctl_client.go
@@ -64,7 +64,7 @@
 }
 
 // post makes one attempt to run a command. The error wraps errRetryable if the router did
-// not respond or responded with a status of 500 or above.
+// not respond, or responded with a status of 500 or above or with a result that can't be read.
 func (c *ctlClient) post(addr string, body []byte) ([]byte, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -80,6 +80,9 @@
 	answer := append([]byte(nil), resp.Body()...)
 	switch status := resp.StatusCode(); {
 	case status == fasthttp.StatusOK:
+		if err := checkResult(answer); err != nil {
+			return nil, fmt.Errorf("%w: router %s: %w", errRetryable, addr, err)
+		}
 		return answer, nil
 	case status >= fasthttp.StatusInternalServerError:
 		return nil, fmt.Errorf("%w: router %s: %s", errRetryable, addr, errorMessage(answer))
@@ -88,6 +91,18 @@
 	}
 }
 
+// checkResult returns an error unless the body holds the result of a command.
+func checkResult(body []byte) error {
+	var r *operator.Result
+	if err := json.Unmarshal(body, &r); err != nil {
+		return fmt.Errorf("decode result: %w", err)
+	}
+	if r == nil {
+		return errors.New("decode result: it is null")
+	}
+	return nil
+}
+
 // errorMessage returns the message of an error response, or the whole body if it is not
 // JSON.
 func errorMessage(body []byte) string {
--- a/internal/cmd/rosevalve/ctl_test.go
+++ b/internal/cmd/rosevalve/ctl_test.go
@@ -88,6 +88,18 @@
 	}
 }
 
+// TestCtlUnreadableResult guards against a command that may have failed being reported as done, since the answer to it says
+// nothing.
+func TestCtlUnreadableResult(t *testing.T) {
+	for _, body := range []string{"", "null", "[]", "0", oneRow[:len(oneRow)-1]} {
+		t.Run(body, func(t *testing.T) {
+			odd := &fakeRouter{status: fasthttp.StatusOK, body: body}
+			_, err := (&ctlClient{}).post(odd.listen(t), []byte(`{"command":"show budgets"}`))
+			assert.ErrorIs(t, err, errRetryable)
+		})
+	}
+}
+
 func TestCtlOutput(t *testing.T) {
 	healthy := &fakeRouter{status: fasthttp.StatusOK, body: oneRow}
 	addr := healthy.listen(t)
