--- a/internal/protocol/head/reader.go
+++ b/internal/protocol/head/reader.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// checker passes on bytes that are read, up to the end of a malformed line.
+// checker passes on the bytes that are read, up to the end of a malformed line.
 type checker struct {
 	scanner scanner
 	err     error // why nothing more is passed on
@@ -27,13 +27,13 @@
 		return 0, c.err
 	}
 	n, err := r.Read(p)
-	sound, malformed := c.scanner.scan(p[:n])
+	checked, malformed := c.scanner.scan(p[:n])
 	if malformed == nil {
 		return n, err
 	}
 	c.err = malformed
-	if sound > 0 {
-		return sound, nil
+	if checked > 0 {
+		return checked, nil
 	}
 	return 0, malformed
 }
@@ -63,7 +63,7 @@
 
 // Write writes a part of a request.
 func (c *Conn) Write(p []byte) (int, error) {
-	// Nothing is buffered that could be malformed.
+	// An empty buffer is never malformed.
 	_ = c.checker.expect(nil)
 	return c.Conn.Write(p)
 }
--- a/internal/protocol/head/scanner.go
+++ b/internal/protocol/head/scanner.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason may be missing, with the blank before it too.
+// checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason may be missing, with the space before it too.
 func (s *scanner) checkStatusLine(line []byte) error {
 	protocol, rest, _ := strings.Cut(string(line), " ")
 	status, reason, _ := strings.Cut(rest, " ")
--- a/internal/standin/fault/heads.go
+++ b/internal/standin/fault/heads.go
@@ -32,7 +32,7 @@
 	return append(out,
 		Head{name: "chunks in HTTP/1.0", statusLine: "HTTP/1.0 200 OK", fields: "Transfer-Encoding: chunked\r\n", framed: true},
 		Head{name: "chunks in HTTP/1.2", statusLine: "HTTP/1.2 200 OK", fields: "transfer-encoding: chunked\r\n", framed: true},
-		Head{name: "blank in a name of an interim answer", statusLine: "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + okLine},
+		Head{name: "space in a name of an interim answer", statusLine: "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + okLine},
 		Head{name: "interim answer with status 000", statusLine: "HTTP/1.1 000 X\r\n\r\n" + okLine},
 		Head{name: "status 000 behind an interim answer", statusLine: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK"},
 	)
@@ -45,7 +45,7 @@
 		out = append(out, Head{name: fmt.Sprintf("status %q", status), statusLine: "HTTP/1.1 " + status + " OK"})
 	}
 	for name, line := range map[string]string{
-		"two blanks before the status":     "HTTP/1.1  200 OK",
+		"two spaces before the status":     "HTTP/1.1  200 OK",
 		"tab before the status":            "HTTP/1.1\t200 OK",
 		"control byte in the reason":       "HTTP/1.1 200 O\x01K",
 		"carriage return in the reason":    "HTTP/1.1 200 OK\rX: y",
@@ -66,9 +66,9 @@
 func brokenFields() []Head {
 	var out []Head
 	for name, field := range map[string]string{
-		"blank in a name":                  "X Y: z",
-		"blank before a colon":             "X-Y : z",
-		"blanks before a colon":            "X-Y   : z",
+		"space in a name":                  "X Y: z",
+		"space before a colon":             "X-Y : z",
+		"spaces before a colon":            "X-Y   : z",
 		"tab before a colon":               "X-Y\t: z",
 		"tab in a name":                    "X\tY: z",
 		"zero byte in a name":              "X\x00Y: z",
@@ -78,22 +78,22 @@
 		"byte above ASCII in a name":       "X\x80Y: z",
 		"separator in a name":              "X(Y): z",
 		"empty name":                       ": z",
-		"only a blank for a name":          " : z",
+		"only a space for a name":          " : z",
 		"no colon":                         "XY",
 		"zero byte in a value":             "X: a\x00b",
 		"control byte in a value":          "X: a\x1fb",
 		"delete byte in a value":           "X: a\x7fb",
 		"carriage return in a value":       "X: a\rb",
 		"control byte in a folded value":   "X: a\r\n b\x01",
-		"blank in a name behind a fold":    "X: a\r\n b\r\nY Z: c",
-		"blank in a name behind a newline": "X: a\nY Z: c",
+		"space in a name behind a fold":    "X: a\r\n b\r\nY Z: c",
+		"space in a name behind a newline": "X: a\nY Z: c",
 	} {
 		out = append(out, Head{name: name, statusLine: okLine, fields: field + "\r\n"})
 	}
 	return append(out,
-		Head{name: "blank before the colon of a length", statusLine: okLine, fields: "Content-Length : 1\r\n", framed: true},
-		Head{name: "blank in the name of a length", statusLine: okLine, fields: "Content- Length: 1\r\n", framed: true},
-		Head{name: "blank before the colon of chunks", statusLine: okLine, fields: "Transfer-Encoding : chunked\r\n", framed: true},
+		Head{name: "space before the colon of a length", statusLine: okLine, fields: "Content-Length : 1\r\n", framed: true},
+		Head{name: "space in the name of a length", statusLine: okLine, fields: "Content- Length: 1\r\n", framed: true},
+		Head{name: "space before the colon of chunks", statusLine: okLine, fields: "Transfer-Encoding : chunked\r\n", framed: true},
 		Head{name: "control byte before the colon of a length", statusLine: okLine, fields: "Content-Length\x01: 1\r\n", framed: true},
 	)
 }
@@ -111,8 +111,8 @@
 		"every byte of a token in a name": "!#$%&'*+-.^_`|~09azAZ: x",
 		"bytes above ASCII in a value":    "X: \x80\xff",
 		"tab in a value":                  "X: a\tb",
-		"blanks around a value":           "X: \t a \t",
-		"no blank before a value":         "X:a",
+		"spaces around a value":           "X: \t a \t",
+		"no space before a value":         "X:a",
 		"empty value":                     "X:",
 		"folded value":                    "X: a\r\n\tb",
 		"newline without carriage return": "X: a\nY: b",
