--- a/internal/budget/prepaid/bounds.go
+++ b/internal/budget/prepaid/bounds.go
@@ -1,6 +1,8 @@
 package prepaid
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -30,12 +32,31 @@
 	// the first, so that the first allows the least.
 	pending []*boundsWrite
 
-	// deferrals are the sequence numbers of the last writes by which reclaimers have agreed not
-	// to reclaim, by the incarnation that a write names.
-	deferrals map[string]int64
-	// deferralsStuck is set if the store failed and too few reclaimers had agreed when they were last
-	// asked.
-	deferralsStuck bool
+	// replicas are the bounds that reclaimers keep, by the incarnation that a write names.
+	replicas map[string]keptReplica
+	// replicasStuck is set if the store failed and too few reclaimers have kept the bounds last sent.
+	replicasStuck bool
+}
+
+// keptReplica is a replica of the bounds that a reclaimer has acknowledged.
+type keptReplica struct {
+	upTo   int64 // last write for which it counts the bounds as used
+	round  int64 // in which the bounds were sent
+	bounds map[string]int64
+	// ended is set if the reclaimer has ended before it can have been fenced, so that it never reclaims.
+	ended bool
+}
+
+// bound returns what the reclaimer counts as used of a workspace's holding if that is reclaimed by a write.
+func (r keptReplica) bound(seq int64, workspace string) int64 {
+	switch {
+	case r.upTo < seq:
+		return 0
+	case r.ended:
+		return math.MaxInt64
+	default:
+		return r.bounds[workspace]
+	}
 }
 
 // maybeStored returns the writes that may be in force: the acknowledged one and the pending ones.
@@ -59,18 +80,42 @@
 	return out
 }
 
-// limitBy returns what one write allows: its firm bound while other routers may reclaim the
-// holding by it, or else its bound, and after the grace period more at its rate.
+// limitBy returns what one write allows: its bound, and after the grace period more at its rate, but
+// no more than other routers count as used if they reclaim the holding by it.
 func (eb *effectiveBounds) limitBy(w *boundsWrite, workspace string, drawn int64, now time.Time) int64 {
-	if !eb.isDeferred(w) {
-		return min(w.firm[workspace], drawn)
+	return min(eb.reclaimBound(w, workspace), w.bounds[workspace].limitAfter(drawn, now.Sub(w.sent)-eb.grace))
+}
+
+// reclaimBound returns what other routers count as used at least if they reclaim a holding by the write: its
+// firm bound, or what a quorum of the reclaimers keeps. If not all of them do, the one that lacks it may
+// reclaim alone, and counts what may be used in a minority.
+func (eb *effectiveBounds) reclaimBound(w *boundsWrite, workspace string) int64 {
+	quorum := replicaQuorum(len(w.reclaimers))
+	if quorum == 0 {
+		return math.MaxInt64
+	}
+	firm := w.firm[workspace]
+	if len(eb.replicas) == 0 {
+		return firm
 	}
-	return w.bounds[workspace].limitAfter(drawn, now.Sub(w.sent)-eb.grace)
+	kept := make([]int64, len(w.reclaimers))
+	for n, reclaimer := range w.reclaimers {
+		kept[n] = eb.replicas[reclaimer].bound(w.seq, workspace)
+	}
+	slices.Sort(kept)
+	byAll, byQuorum := kept[0], kept[len(kept)-quorum]
+	return max(firm, byAll, min(byQuorum, w.bounds[workspace].mostInMinority()))
 }
 
-// isDeferred reports whether enough reclaimers have agreed not to reclaim by the write.
-func (eb *effectiveBounds) isDeferred(w *boundsWrite) bool {
-	return len(w.reclaimers)-len(w.missingDeferrals(eb.deferrals)) >= deferralQuorum(len(w.reclaimers))
+// lacksReplica returns the named reclaimers of which no replica counts for the write.
+func (w *boundsWrite) lacksReplica(replicas map[string]keptReplica) []string {
+	var out []string
+	for _, reclaimer := range w.reclaimers {
+		if kept, ok := replicas[reclaimer]; !ok || kept.upTo < w.seq {
+			out = append(out, reclaimer)
+		}
+	}
+	return out
 }
 
 // timeUntilAllowed returns the time after which the given number of tokens of a holding may be
@@ -93,27 +138,25 @@
 // timeUntilAllowedBy returns the time until one write allows the given number of tokens;
 // negative if it never does.
 func (eb *effectiveBounds) timeUntilAllowedBy(w *boundsWrite, workspace string, tokens int64, now time.Time) time.Duration {
-	deferral := time.Duration(0)
-	if !eb.isDeferred(w) {
-		switch {
-		case tokens <= w.firm[workspace]:
-			return 0
-		case eb.deferralsStuck:
+	b := w.bounds[workspace]
+	replication := time.Duration(0)
+	if tokens > eb.reclaimBound(w, workspace) {
+		inMinority := len(w.lacksReplica(eb.replicas)) > 0 && tokens > b.mostInMinority()
+		if eb.replicasStuck || inMinority && eb.acked != nil && now.Sub(w.sent) > replicateAfter+reclaimerTimeout {
 			return -1
 		}
-		// Either the next write takes effect soon, or the reclaimers are asked to defer.
-		deferral = max(deferralInterval, w.sent.Add(deferAfter+deferralInterval).Sub(now))
+		// Either the next write takes effect soon, or the reclaimers are sent the bounds.
+		replication = max(replicaInterval, w.sent.Add(replicateAfter+replicaInterval).Sub(now))
 	}
-	b := w.bounds[workspace]
 	more := tokens - b.Tokens
 	switch {
 	case more <= 0:
-		return deferral
+		return replication
 	case b.Rate <= 0:
 		return -1
 	}
 	atRate := time.Duration(float64(more) / float64(b.Rate) * float64(time.Second))
-	return max(deferral, w.sent.Add(eb.grace+atRate).Sub(now))
+	return max(replication, w.sent.Add(eb.grace+atRate).Sub(now))
 }
 
 // begin adds the next write as a pending one and returns it. It allows no less than the
@@ -134,8 +177,9 @@
 
 // ack records that the write certainly took effect, and that no pending one can any more.
 func (eb *effectiveBounds) ack(w *boundsWrite) {
-	eb.acked, eb.deferralsStuck = w, false
+	eb.acked, eb.replicasStuck = w, false
 	eb.pending = nil
+	maps.DeleteFunc(eb.replicas, func(_ string, r keptReplica) bool { return r.upTo < w.seq })
 }
 
 // discard records that the write certainly never takes effect.
--- a/internal/budget/prepaid/event.go
+++ b/internal/budget/prepaid/event.go
@@ -86,9 +86,9 @@
 	HoldingReclaimed // holding_reclaimed
 	// ReclaimFailed means that the holdings of a lost VM could not be reclaimed; it is retried.
 	ReclaimFailed // reclaim_failed
-	// DeferralFailed means that a reclaimer did not agree to leave this VM's holdings alone while its
-	// journal can not be written; it is asked again.
-	DeferralFailed // deferral_failed
+	// ReplicaFailed means that a reclaimer has not kept a replica of this VM's bounds while its journal
+	// can not be written; it is sent again.
+	ReplicaFailed // deferral_failed
 	// FinalUsageLost means that a reclaimer could not be told what this incarnation has used, which stops
 	// without the store.
 	FinalUsageLost // final_usage_lost
--- a/internal/budget/prepaid/eventkind_string.go
+++ b/internal/budget/prepaid/eventkind_string.go
@@ -30,7 +30,7 @@
 	_ = x[JournalReclaimed-19]
 	_ = x[HoldingReclaimed-20]
 	_ = x[ReclaimFailed-21]
-	_ = x[DeferralFailed-22]
+	_ = x[ReplicaFailed-22]
 	_ = x[FinalUsageLost-23]
 	_ = x[TransferRefused-24]
 	_ = x[RestoreFailed-25]
--- a/internal/budget/prepaid/exhausted.go
+++ b/internal/budget/prepaid/exhausted.go
@@ -21,9 +21,6 @@
 	// reserveWait is how long nothing but the reserve must be left before notice is given that it will be
 	// drawn. A router that has just started finds others that hold tokens by then.
 	reserveWait = 3 * time.Second
-	// restartWait is how long the holding of an incarnation that is leaving or has ended is waited
-	// for, unless it is to be reclaimed; a VM that takes longer to restart is considered gone.
-	restartWait = 10 * time.Second
 )
 
 var (
@@ -44,9 +41,6 @@
 type exhaustionCheck struct {
 	at  time.Time
 	err error // nil if the tokens are exhausted
-	// openHolders are the incarnations that have holdings and are leaving or have ended, by ID, and
-	// when they were first seen so.
-	openHolders map[string]time.Time
 	// holders are the other incarnations that stay and have a holding.
 	holders []string
 	// reserveLeft is set if the reserve, which can not be drawn yet, covers the request.
@@ -74,8 +68,8 @@
 	if err != nil {
 		return err
 	}
-	check := exhaustionCheck{at: now, openHolders: make(map[string]time.Time)}
-	check.err = m.checkExhausted(h, n, era, rows, last.openHolders, &check)
+	check := exhaustionCheck{at: now}
+	check.err = m.checkExhausted(h, n, era, rows, &check)
 	if check.err == nil {
 		check.err = m.askHolders(ctx, h, n, check.holders, transfers)
 	}
@@ -129,7 +123,7 @@
 
 // checkExhausted determines from all rows of a workspace whether its tokens are exhausted, and
 // adds to check which other incarnations have holdings.
-func (m *Manager) checkExhausted(h *holding, n int64, era uint64, rows []table.Row, known map[string]time.Time, check *exhaustionCheck) error {
+func (m *Manager) checkExhausted(h *holding, n int64, era uint64, rows []table.Row, check *exhaustionCheck) error {
 	var err error
 	for _, r := range rows {
 		if !strings.HasPrefix(r.Key, prefixVM) {
@@ -146,14 +140,8 @@
 			check.holders = append(check.holders, processOf(row.Incarnation))
 			continue
 		}
-		since, ok := known[row.Incarnation]
-		if !ok {
-			since = check.at
-		}
-		check.openHolders[row.Incarnation] = since
-		if check.at.Sub(since) < restartWait || m.reclaims.isPending(VMOf(row.Incarnation)) {
-			err = fmt.Errorf("%w: incarnation %q holds %d tokens", errHoldingOpen, row.Incarnation, row.Tokens)
-		}
+		// Its next incarnation or a reclaimer closes the holding.
+		err = fmt.Errorf("%w: incarnation %q holds %d tokens", errHoldingOpen, row.Incarnation, row.Tokens)
 	}
 	if err := m.observeRows(h, era, rows); err != nil {
 		return err
--- a/internal/budget/prepaid/journal.go
+++ b/internal/budget/prepaid/journal.go
@@ -28,7 +28,7 @@
 type journal struct {
 	writeRequested chan struct{}
 	noteRequested  chan struct{}
-	deferralDue    chan struct{}
+	replicaDue     chan struct{}
 
 	mu           sync.Mutex // guards the fields below; acquired after a holding's lock
 	bounds       effectiveBounds
@@ -58,9 +58,13 @@
 	// nextAck is closed when a write takes effect; nil if nobody waits for it.
 	nextAck chan struct{}
 
-	// deferUpTo is the last write for which reclaimers are asked to defer; no write has a higher
-	// sequence number until one takes effect.
-	deferUpTo int64
+	// replicaUpTo is the last write for which the replicas that reclaimers are sent count; no write has
+	// a higher sequence number until one takes effect.
+	replicaUpTo int64
+	// replicaRound counts the rounds in which replicas were sent.
+	replicaRound int64
+	// replicaCalls are the reclaimers that have not answered the last one yet.
+	replicaCalls map[string]bool
 
 	mirror             mirror
 	mirrorLossReported bool // MirrorLost was the last event reported
@@ -87,10 +91,7 @@
 	if j.bounds.acked == nil {
 		return 0
 	}
-	if !j.bounds.isDeferred(j.bounds.acked) {
-		return j.bounds.acked.firm[workspace]
-	}
-	return j.bounds.acked.bounds[workspace].Tokens
+	return min(j.bounds.acked.bounds[workspace].Tokens, j.bounds.reclaimBound(j.bounds.acked, workspace))
 }
 
 // mirrorImmediateBound returns the number of tokens that the mirror's copy allows without a
@@ -132,7 +133,7 @@
 	limit := min(j.bounds.usageLimit(workspace, drawn, now), j.mirror.usageLimit(workspace, drawn, now))
 	if tokens > limit && j.storeAnswers(now) {
 		// The next write allows them, and names another mirror or none if this one does not answer.
-		return deferAfter
+		return replicateAfter
 	}
 	return j.bounds.timeUntilAllowed(workspace, tokens, now)
 }
@@ -195,7 +196,7 @@
 			}
 			m.reportJournal(err)
 			if err != nil {
-				m.journal.checkDeferral()
+				m.journal.requestReplicas()
 			}
 			if err != nil && !sleep(ctx, retryDelay) {
 				return nil
@@ -294,7 +295,7 @@
 	if err != nil {
 		return err
 	}
-	overdue := time.AfterFunc(deferAfter, m.journal.checkDeferral)
+	overdue := time.AfterFunc(replicateAfter, m.journal.requestReplicas)
 	defer overdue.Stop()
 	stamp, err := m.Commit(ctx, c)
 	m.observeStamp(stamp)
--- a/internal/budget/prepaid/listing.go
+++ b/internal/budget/prepaid/listing.go
@@ -59,8 +59,8 @@
 // holds mu.
 func (j *journal) ackWrite(w *boundsWrite) {
 	j.bounds.ack(w)
-	// The next write is beyond the deferrals, so that the holdings can be reclaimed by it.
-	j.seq = max(j.seq, j.deferUpTo)
+	// Replicas sent before do not count for the next write, whose bounds include them.
+	j.seq = max(j.seq, j.replicaUpTo)
 	if j.nextAck != nil {
 		close(j.nextAck)
 		j.nextAck = nil
--- a/internal/budget/prepaid/manager.go
+++ b/internal/budget/prepaid/manager.go
@@ -106,14 +106,12 @@
 	// Reclaimers returns the incarnations of other VMs that may reclaim the holdings of this VM if it is
 	// lost.
 	Reclaimers func() []string
-	// RequestDeferral asks a reclaimer, or a later incarnation on its VM, not to agree that the holdings
-	// of the given incarnation are reclaimed by its journal writes from one sequence number up to
-	// another. It succeeds only if the responder has not done so and agrees.
-	RequestDeferral func(ctx context.Context, reclaimer, incarnation string, from, upTo int64) (Deferral, error)
-	// RequestReclaim asks a reclaimer, or a later incarnation on its VM, to agree that the holdings
-	// of the given incarnation are reclaimed by a write of its journal. It reports the responder, and
-	// whether that agrees.
-	RequestReclaim func(ctx context.Context, reclaimer, incarnation string, seq int64) (responder string, agreed bool, err error)
+	// SendReplica sends a replica of this VM's bounds to a reclaimer, or to a later incarnation on its VM. It
+	// succeeds only if the responder keeps it.
+	SendReplica func(ctx context.Context, reclaimer string, r BoundsReplica) (ReplicaAck, error)
+	// RequestFence has a reclaimer, or a later incarnation on its VM, keep no further replica of the bounds of the
+	// given incarnation for journal writes up to a sequence number, and returns the replica that it has.
+	RequestFence func(ctx context.Context, reclaimer, incarnation string, seq int64) (FenceResponse, error)
 	// SendFinalUsage tells a reclaimer what an incarnation of this VM has used of its holdings, of which
 	// it uses nothing any more.
 	SendFinalUsage func(ctx context.Context, reclaimer, incarnation string, usage map[string]Bound) error
@@ -173,8 +171,13 @@
 		if m.Reclaimers == nil {
 			m.Reclaimers = func() []string { return nil }
 		}
-		if m.RequestReclaim == nil {
-			m.RequestReclaim = func(context.Context, string, string, int64) (string, bool, error) { return "", false, errUnknownCause }
+		if m.SendReplica == nil {
+			m.SendReplica = func(context.Context, string, BoundsReplica) (ReplicaAck, error) { return ReplicaAck{}, errUnknownCause }
+		}
+		if m.RequestFence == nil {
+			m.RequestFence = func(context.Context, string, string, int64) (FenceResponse, error) {
+				return FenceResponse{}, errUnknownCause
+			}
 		}
 		if m.SendFinalUsage == nil {
 			m.SendFinalUsage = func(context.Context, string, string, map[string]Bound) error { return errUnknownCause }
@@ -201,7 +204,7 @@
 		m.journal.writeRequested = make(chan struct{}, 1)
 		m.journal.bounds = effectiveBounds{grace: m.GracePeriod}
 		m.journal.noteRequested = make(chan struct{}, 1)
-		m.journal.deferralDue = make(chan struct{}, 1)
+		m.journal.replicaDue = make(chan struct{}, 1)
 		m.journal.mirrorsQueried = make(chan struct{})
 		m.journal.former = make(map[string]formerIncarnation)
 	})
@@ -252,7 +255,7 @@
 		m.closeFormer(ctx)
 	})
 	parts.Go(func() { m.runMirror(ctx) })
-	parts.Go(func() { m.runDeferrals(ctx) })
+	parts.Go(func() { m.runReplication(ctx) })
 	parts.Go(func() { m.runReclaims(ctx) })
 	parts.Go(func() { m.runEras(ctx) })
 	parts.Go(func() { m.runSettlements(ctx) })
--- a/internal/budget/prepaid/quorum.go
+++ b/internal/budget/prepaid/quorum.go
@@ -1,13 +1,17 @@
 package prepaid
 
-// Of the reclaimers that a journal write names, a number must agree to defer before more than its
-// firm bounds is used, and a number must agree before the holdings are reclaimed by it. At least
-// one would have to agree to both, which none does. One that has ended counts for neither: it may
-// have agreed to the other before. So the loss of some reclaimers prevents neither.
+// Of the reclaimers that a journal write names, a number must keep a replica of the bounds before more than the
+// write's firm bounds is used, and a number must be fenced before the holdings are reclaimed at the bounds that
+// they keep. At least one belongs to both. One that has ended counts for neither. So the loss of one prevents
+// neither, and any two that are left can reclaim; one that is left alone counts what may be used without it.
 
-// deferralQuorum returns how many of the named reclaimers must agree to defer.
-func deferralQuorum(named int) int { return min(named, named/2+1) }
+// replicaQuorum returns how many of the named reclaimers must keep a replica of the bounds.
+func replicaQuorum(named int) int {
+	if named <= 2 {
+		return named
+	}
+	return named - 1
+}
 
-// reclaimQuorum returns how many of the named reclaimers must agree to reclaim, including the one
-// that does it.
-func reclaimQuorum(named int) int { return named - deferralQuorum(named) + 1 }
+// reclaimQuorum returns how many of the named reclaimers must be fenced, including the one that reclaims.
+func reclaimQuorum(named int) int { return named - replicaQuorum(named) + 1 }
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -221,6 +221,10 @@
 	writeDue := r != nil && m.needsJournalWrite(h, now)
 	noteDue := r != nil && (w != nil || m.needsMirrorNote(h, now))
 	refillNow := r != nil && m.refillDue(h, now)
+	if w != nil && m.journal.awaitsReplicas(h.workspace, h.spentOrAwaited(), h.drawn, now) {
+		m.journal.requestReplicas()
+		wait = max(wait, journalWait)
+	}
 	h.mu.Unlock()
 	if r == nil {
 		return nil, nil
--- a/internal/budget/prepaid/rows.go
+++ b/internal/budget/prepaid/rows.go
@@ -112,11 +112,15 @@
 	Mirror     string `json:"mirror,omitempty"`
 	MirrorFrom int64  `json:"mirror_from,omitempty"`
 	// Reclaimers are the incarnations of other VMs that may reclaim the holdings, and Firm is the
-	// number of tokens of each workspace that may be used whether they do or not. More is used
-	// only after most of them have agreed not to reclaim by this row. Earlier releases reclaim
-	// without the agreement of others, so that they must not find it under its former name.
-	Reclaimers []string         `json:"may_reclaim,omitempty"`
+	// number of tokens of each workspace that may be used without them. More is used only after a
+	// quorum of them has kept a replica of the bound. Earlier releases do not count these replicas,
+	// so that they must not find the reclaimers under a former name.
+	Reclaimers []string         `json:"replicas,omitempty"`
 	Firm       map[string]int64 `json:"firm,omitempty"`
+	// Lost is the incarnation whose journal a reclaimer has taken over without fencing a quorum; empty if
+	// there is none. Seq and Firm are those of its last row then, and what it may yet use stays in its
+	// holdings.
+	Lost string `json:"lost,omitempty"`
 }
 
 // Bound limits what may be used of one holding.
@@ -210,6 +214,12 @@
 	return b.limitAfter(drawn, time.Duration(u.OverMS)*time.Millisecond)
 }
 
+// mostInMinority returns the most that is used of a holding while one of the reclaimers keeps no
+// replica of the bounds. It is an amount and holds at any time.
+func (b Bound) mostInMinority() int64 {
+	return amount.Add(b.Tokens, amount.FromFloat(float64(b.Rate)*minoritySpan.Seconds()))
+}
+
 // isValid reports whether the bound can be one that an incarnation has written.
 func (b Bound) isValid() bool { return b.Tokens >= 0 && b.Rate >= 0 && b.ClosedUsage >= 0 }
 
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -202,8 +202,8 @@
 		inner.MethodRequestTransfer: e.handleRequestTransfer,
 		inner.MethodTransfer:        e.handleTransfer,
 		inner.MethodDrawHint:        e.handleDrawHint,
-		inner.MethodDeferReclaim:    e.handleDeferReclaim,
-		inner.MethodAgreeToReclaim:  e.handleAgreeToReclaim,
+		inner.MethodReplicateBounds: e.handleReplicateBounds,
+		inner.MethodFence:           e.handleFence,
 		inner.MethodFinalUsage:      e.handleFinalUsage,
 
 		inner.MethodQuarantine: e.handleQuarantineNews,
--- a/internal/fleet/edge/logs.go
+++ b/internal/fleet/edge/logs.go
@@ -38,7 +38,7 @@
 	prepaid.JournalReclaimed:    eventlog.JournalReclaimed,
 	prepaid.HoldingReclaimed:    eventlog.HoldingReclaimed,
 	prepaid.ReclaimFailed:       eventlog.ReclaimFailed,
-	prepaid.DeferralFailed:      eventlog.DeferralFailed,
+	prepaid.ReplicaFailed:       eventlog.DeferralFailed,
 	prepaid.FinalUsageLost:      eventlog.FinalUsageLost,
 	prepaid.TransferRefused:     eventlog.TransferRefused,
 }
--- a/internal/protocol/inner/transfer.go
+++ b/internal/protocol/inner/transfer.go
@@ -8,11 +8,12 @@
 	MethodTransfer = "take"
 	// MethodDrawHint suggests that the receiver draw tokens of a workspace that is in demand.
 	MethodDrawHint = "invite"
-	// MethodDeferReclaim asks the receiver not to reclaim the tokens of an incarnation that can not
-	// write its journal.
-	MethodDeferReclaim = "defer_reclaim"
-	// MethodAgreeToReclaim asks the receiver to agree that the tokens of an incarnation are reclaimed.
-	MethodAgreeToReclaim = "agree_to_reclaim"
+	// MethodReplicateBounds sends the receiver a replica of the bounds of an incarnation that can not write
+	// its journal.
+	MethodReplicateBounds = "replicate_bounds"
+	// MethodFence has the receiver keep no further replica of the bounds of an incarnation whose tokens are
+	// to be reclaimed.
+	MethodFence = "fence"
 	// MethodFinalUsage tells the receiver what an incarnation that stops has used of its tokens.
 	MethodFinalUsage = "final_usage"
 )
@@ -49,34 +50,34 @@
 // DrawHintAck acknowledges a DrawHint.
 type DrawHintAck struct{}
 
-// DeferReclaim asks a router not to agree that what an incarnation of another VM holds is reclaimed by the
-// journal writes of that incarnation between the sequence numbers From and UpTo.
-type DeferReclaim struct {
-	Incarnation string `json:"life"`
-	From        int64  `json:"from"`
-	UpTo        int64  `json:"up_to"`
+// BoundsReplica tells a router what an incarnation of another VM may use of its tokens. The router counts that as
+// used if the tokens are reclaimed by a journal write of the incarnation between the sequence numbers From and UpTo.
+type BoundsReplica struct {
+	Incarnation string           `json:"life"`
+	From        int64            `json:"from"`
+	UpTo        int64            `json:"up_to"`
+	Bounds      map[string]int64 `json:"bounds"`
 }
 
-// DeferReclaimResponse reports whether the responding incarnation agrees, which it can not if it has
-// agreed to reclaim the tokens already, and for how long it has run.
-type DeferReclaimResponse struct {
+// BoundsReplicaAck reports whether the responding incarnation keeps the replica, which it does not if it is fenced,
+// and for how long it has run.
+type BoundsReplicaAck struct {
 	Responder string `json:"by"`
 	UptimeMS  int64  `json:"uptime_ms"`
-	Agreed    bool   `json:"agreed,omitempty"`
+	Kept      bool   `json:"kept,omitempty"`
 }
 
-// AgreeToReclaim asks a router to agree that what an incarnation of another VM holds is reclaimed by the
-// journal write with the sequence number Seq.
-type AgreeToReclaim struct {
+// Fence asks a router to keep no further replica of the bounds of an incarnation of another VM for its journal writes
+// up to the sequence number Seq.
+type Fence struct {
 	Incarnation string `json:"life"`
 	Seq         int64  `json:"seq"`
 }
 
-// AgreeToReclaimResponse reports whether the responding incarnation agrees, which it does not if it has
-// agreed to defer.
-type AgreeToReclaimResponse struct {
-	Responder string `json:"by"`
-	Agreed    bool   `json:"agreed,omitempty"`
+// FenceAck tells what the incarnation may have used by the replica that the responding router has; empty if it has none.
+type FenceAck struct {
+	Responder string           `json:"by"`
+	Bounds    map[string]int64 `json:"bounds,omitempty"`
 }
 
 // FinalUsage tells what an incarnation has used of its tokens, of which it uses nothing any more.
