Keep the reach of a settled era within what an earlier copy shows

Cause: settling an era set the base of the reach to what was allotted by then, which may be more than the limit that a copy from before shows. So the reach went beyond the limit that the next era counts as drawn.

Change: the base is at most that limit. The reach stays as it was before the era was settled.

Measured: TestReachAfterSettling failed at once before (400 of 400 may be drawn, the copy shows 399) and passes.

--- a/internal/budget/prepaid/draw.go
+++ b/internal/budget/prepaid/draw.go
@@ -163,7 +163,7 @@
 	}
 	prepaid, now := m.prepaidTotal(h.workspace), m.journal.storeClockNow()
 	if m.eras.isSettled(h.era) {
-		d.total.settle()
+		d.total.settle(prepaid)
 	}
 	need.Available = d.total.drawable(prepaid, now)
 	if h.reserveNeeded && d.total.OpenedAtMS == 0 && d.total.left(prepaid) > need.Available {
--- a/internal/budget/prepaid/migrate.go
+++ b/internal/budget/prepaid/migrate.go
@@ -163,7 +163,7 @@
 	mig.corrected = mig.holding.allotted() - s.holding.allotted()
 	mig.total = s.totalValue
 	if m.eras.isSettled(h.era) {
-		mig.total.settle()
+		mig.total.settle(m.prepaidTotal(h.workspace))
 	}
 	mig.total.correct(mig.corrected)
 	err := mig.setTotal(h.workspace, s)
--- a/internal/budget/prepaid/reach.go
+++ b/internal/budget/prepaid/reach.go
@@ -93,10 +93,11 @@
 	}
 }
 
-// settle ends what earlier eras leave open, once all draws are accounted for.
-func (r *totalRow) settle() {
+// settle ends what earlier eras leave open, once all draws are accounted for. A copy from before shows the limit of
+// these eras, from which the reach in this one must still follow.
+func (r *totalRow) settle(total int64) {
 	if r.Prior != nil {
-		r.Base, r.Prior = r.Allotted, nil
+		r.Base, r.Prior = min(r.Allotted, r.Prior.limit(total)), nil
 	}
 }
 
--- a/internal/budget/prepaid/reach_test.go
+++ b/internal/budget/prepaid/reach_test.go
@@ -193,3 +193,23 @@
 		return commit(ctx, c)
 	}
 }
+
+// TestReachAfterSettling guards against overspending by the last part of a total: an era is settled, and the store is then
+// rolled back to a copy from before that. What was drawn in between must be within the limit that the copy shows.
+func TestReachAfterSettling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.Int64Range(0, math.MaxInt64/2).Draw(t, "total")
+		row := totalRow{Prior: &priorDraws{
+			Base: total - rapid.Int64Range(0, total/100).Draw(t, "left"),
+			Eras: rapid.Uint64Range(1, maxEras-1).Draw(t, "eras"),
+		}}
+		copied := row
+		limit := row.Prior.limit(total)
+		row.Allotted = reachFrom(limit, total) - rapid.Int64Range(0, total/100).Draw(t, "free")
+		row.settle(total)
+		reach := reachFrom(row.Base, total)
+		if shown := copied.inNextEras(1, 0).limit(total); reach > shown {
+			t.Fatalf("%d of %d may be drawn, the copy shows %d", reach, total, shown)
+		}
+	})
+}
--- a/internal/budget/prepaid/reclaim.go
+++ b/internal/budget/prepaid/reclaim.go
@@ -286,7 +286,7 @@
 			mig.holding = s.holding
 			mig.holding.Tokens = used
 		}
-		mig.total.settle()
+		mig.total.settle(m.prepaidTotal(workspace))
 		mig.total.Allotted -= returned
 		err = mig.setTotal(workspace, &s)
 		if err = errors.Join(err, mig.setHolding(holdingLocation(vm, workspace, era), &s)); err != nil {
