--- a/internal/budget/prepaid/close.go
+++ b/internal/budget/prepaid/close.go
@@ -51,7 +51,8 @@
 }
 
 // Close returns the free tokens of every holding; no request may hold a reservation any more.
-// It may be repeated after an error. If the store does not answer, other routers are told what to return.
+// It may be repeated after an error. Other routers are told what was used, since the store may not answer, or lose
+// it.
 func (m *Manager) Close(ctx context.Context) error {
 	m.init()
 	// The next incarnation recovers what is not returned in time, by the bounds of this write.
@@ -61,9 +62,7 @@
 		return m.returnAll(ctx, keepNothing)
 	}
 	err := m.returnAll(ctx, keepNothing)
-	if err != nil {
-		m.tellFinalUsage(context.WithoutCancel(ctx))
-	}
+	m.tellFinalUsage(context.WithoutCancel(ctx))
 	return err
 }
 
--- a/internal/budget/prepaid/era.go
+++ b/internal/budget/prepaid/era.go
@@ -38,7 +38,7 @@
 	// era, or if other routers need not wait for it.
 	historyKnown     bool
 	historyFromPeers bool // historyKnown is based on the notes of other routers
-	startObserved    bool // this incarnation observed the start of the era with historyKnown set
+	startObserved    bool // this incarnation observed the start of the era with historyKnown set, and knew which others had run
 	// journalOpened is set once this incarnation has taken over its VM's journal, and
 	// storeWasEmpty if the store was empty before this incarnation. Without either, it does not
 	// know what came before.
@@ -94,9 +94,9 @@
 	return s.era == era && s.historyKnown && !s.restored && !s.settled
 }
 
-// observe updates the era from the stamp of a store call. It returns the previous era and
-// version, and whether the era has changed.
-func (s *eras) observe(stamp table.Stamp, recent func() []string) (from table.Stamp, changed bool) {
+// observe updates the era from the stamp of a store call. covered reports whether recent returns all incarnations that
+// have run within the maximum age of a copy. It returns the previous era and version, and whether the era has changed.
+func (s *eras) observe(stamp table.Stamp, recent func() []string, covered bool) (from table.Stamp, changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	from = table.Stamp{Era: s.era, Version: s.newestVersion}
@@ -116,7 +116,7 @@
 		}
 		s.restored, s.settled, s.unsettledReported, s.historyFromPeers = false, false, false, false
 		s.historyKnown = s.historyKnown && (s.journalOpened || s.storeWasEmpty)
-		s.startObserved = s.historyKnown
+		s.startObserved = s.historyKnown && covered
 		s.recent = append(s.recent, recent()...)
 		changed = true
 	}
@@ -173,7 +173,7 @@
 func (m *Manager) startEra(stamp table.Stamp) (from table.Stamp, changed bool) {
 	m.eras.starting.Lock()
 	defer m.eras.starting.Unlock()
-	from, changed = m.eras.observe(stamp, m.RecentIncarnations)
+	from, changed = m.eras.observe(stamp, m.recentIncarnations, m.coverage.isComplete(time.Now()))
 	if !changed {
 		return from, false
 	}
--- a/internal/budget/prepaid/fleet_test.go
+++ b/internal/budget/prepaid/fleet_test.go
@@ -250,6 +250,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.incarnationCount++
+	startedAt := time.Now()
 	ctx, stop := context.WithCancel(context.Background())
 	inc := &testIncarnation{stop: stop, configuredTotal: make(map[string]int64)}
 	for workspace, n := range f.totals {
@@ -289,10 +290,13 @@
 		RequestFence: func(ctx context.Context, reclaimer, incarnation string, seq int64) (FenceResponse, error) {
 			return f.requestFence(ctx, vm, reclaimer, incarnation, seq)
 		},
-		SendFinalUsage: func(ctx context.Context, reclaimer, incarnation string, usage map[string]Bound) error {
-			return f.sendFinalUsage(ctx, vm, reclaimer, incarnation, usage)
+		SendFinalUsage: func(ctx context.Context, reclaimer string, usage FinalUsage) error {
+			return f.sendFinalUsage(ctx, vm, reclaimer, usage)
 		},
-		RecentIncarnations: f.recentIncarnations,
+		FetchRecent: func(ctx context.Context, incarnation string) (RecentIncarnations, error) {
+			return f.fetchRecent(ctx, vm, incarnation)
+		},
+		RecentIncarnations: func() []string { return f.recentIncarnations(startedAt) },
 		ChooseMirror:       func(current, avoid string) string { return f.chooseMirror(vm, current, avoid) },
 		SendNote: func(ctx context.Context, addr string, note MirrorNote) (MirrorResponse, error) {
 			if f.isKilled(inc) {
@@ -351,8 +355,9 @@
 	}
 }
 
-// recentIncarnations returns the incarnations that run, or ran within the maximum age of a copy.
-func (f *testFleet) recentIncarnations() []string {
+// recentIncarnations returns the incarnations that run, or ran within the maximum age of a copy, as far as an
+// incarnation that started at the given time has seen them.
+func (f *testFleet) recentIncarnations(startedAt time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
@@ -360,7 +365,7 @@
 		out = append(out, inc.manager.Incarnation)
 	}
 	for incarnation, at := range f.endedAt {
-		if time.Since(at) < maxCopyAge {
+		if time.Since(at) < maxCopyAge && !at.Before(startedAt) {
 			out = append(out, incarnation)
 		}
 	}
@@ -449,14 +454,24 @@
 	return inc.manager.Fence(incarnation, seq), nil
 }
 
-func (f *testFleet) sendFinalUsage(ctx context.Context, vm, reclaimer, incarnation string, usage map[string]Bound) error {
+func (f *testFleet) sendFinalUsage(ctx context.Context, vm, reclaimer string, usage FinalUsage) error {
 	time.Sleep(time.Millisecond)
 	inc := f.incarnationOf(VMOf(reclaimer))
 	if inc == nil || inc.manager.Incarnation != reclaimer || !f.reaches(vm, VMOf(reclaimer)) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return inc.manager.AcceptFinalUsage(incarnation, usage)
+	return inc.manager.AcceptFinalUsage(usage)
+}
+
+func (f *testFleet) fetchRecent(ctx context.Context, vm, incarnation string) (RecentIncarnations, error) {
+	time.Sleep(time.Millisecond)
+	inc := f.incarnationOf(VMOf(incarnation))
+	if inc == nil || inc.manager.Incarnation != incarnation || !f.reaches(vm, VMOf(incarnation)) {
+		<-ctx.Done()
+		return RecentIncarnations{}, ctx.Err()
+	}
+	return inc.manager.Recent(), nil
 }
 
 // setCut cuts a VM off from the other VMs, or ends that.
--- a/internal/budget/prepaid/former.go
+++ b/internal/budget/prepaid/former.go
@@ -139,6 +139,17 @@
 	}
 }
 
+// addFormer records what a former incarnation of this VM has told others in the end, which a copy of the store may not
+// show to the next one.
+func (j *journal) addFormer(usage FinalUsage) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, known := j.former[usage.Incarnation]; known || !j.open || usage.Epoch >= j.epoch {
+		return
+	}
+	j.former[usage.Incarnation] = formerIncarnation{usageBound: usageBound{Bounds: maps.Clone(usage.Usage)}, Epoch: usage.Epoch}
+}
+
 // unclosed returns the workspaces of which former incarnations may have holdings.
 func (j *journal) unclosed() []string {
 	j.mu.Lock()
--- a/internal/budget/prepaid/history_test.go
+++ b/internal/budget/prepaid/history_test.go
@@ -374,6 +374,9 @@
 func awaitOnlyRunning(m *Manager) {
 	recentIncarnations := m.RecentIncarnations
 	m.RecentIncarnations = func() []string {
+		m.coverage.mu.Lock()
+		m.coverage.lastSeen = nil
+		m.coverage.mu.Unlock()
 		return slices.DeleteFunc(recentIncarnations(), func(incarnation string) bool { return !m.IsStaying(incarnation) })
 	}
 }
--- a/internal/budget/prepaid/manager.go
+++ b/internal/budget/prepaid/manager.go
@@ -112,9 +112,12 @@
 	// RequestFence has a reclaimer, or a later incarnation on its VM, keep no further replica of the bounds of the
 	// given incarnation for journal writes up to a sequence number, and returns the replica that it has.
 	RequestFence func(ctx context.Context, reclaimer, incarnation string, seq int64) (FenceResponse, error)
-	// SendFinalUsage tells a reclaimer what an incarnation of this VM has used of its holdings, of which
-	// it uses nothing any more.
-	SendFinalUsage func(ctx context.Context, reclaimer, incarnation string, usage map[string]Bound) error
+	// SendFinalUsage tells a reclaimer what this incarnation has used of its holdings, of which it uses
+	// nothing any more.
+	SendFinalUsage func(ctx context.Context, reclaimer string, usage FinalUsage) error
+	// FetchRecent asks the router that runs as the given incarnation which others it knows to run or to have
+	// ended lately.
+	FetchRecent func(ctx context.Context, incarnation string) (RecentIncarnations, error)
 	// RecentIncarnations returns the incarnations of other VMs that are believed to run, or to
 	// have run within the maximum age of a copy of the store. It must not call the Manager.
 	RecentIncarnations func() []string
@@ -135,6 +138,7 @@
 	eras                eras
 	peerNotes           noteStore
 	reclaims            reclaims
+	coverage            coverage
 
 	latencies peerLatencies
 }
@@ -180,7 +184,12 @@
 			}
 		}
 		if m.SendFinalUsage == nil {
-			m.SendFinalUsage = func(context.Context, string, string, map[string]Bound) error { return errUnknownCause }
+			m.SendFinalUsage = func(context.Context, string, FinalUsage) error { return errUnknownCause }
+		}
+		if m.FetchRecent == nil {
+			m.FetchRecent = func(context.Context, string) (RecentIncarnations, error) {
+				return RecentIncarnations{}, errUnknownCause
+			}
 		}
 		if m.RouterAddr == nil {
 			m.RouterAddr = func(string) string { return "" }
@@ -189,6 +198,7 @@
 			m.IsStaying = func(string) bool { return false }
 		}
 		m.startedAt = time.Now()
+		m.coverage.since = m.startedAt
 		if m.Clock == nil {
 			m.Clock = func() time.Duration { return time.Since(m.startedAt) }
 		}
@@ -258,6 +268,7 @@
 	parts.Go(func() { m.runReplication(ctx) })
 	parts.Go(func() { m.runReclaims(ctx) })
 	parts.Go(func() { m.runEras(ctx) })
+	parts.Go(func() { m.runCoverage(ctx) })
 	parts.Go(func() { m.runSettlements(ctx) })
 	err := m.runJournal(ctx)
 	for errors.Is(err, errReclaimed) {
--- a/internal/budget/prepaid/notes.go
+++ b/internal/budget/prepaid/notes.go
@@ -78,7 +78,7 @@
 	s := &m.peerNotes
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := RecalledNote{RecentIncarnations: m.RecentIncarnations()}
+	out := RecalledNote{RecentIncarnations: m.recentIncarnations()}
 	note, ok := s.notes[vm]
 	if !ok || incarnation != "" && note.Incarnation != incarnation {
 		return out
--- a/internal/budget/prepaid/reach.go
+++ b/internal/budget/prepaid/reach.go
@@ -83,12 +83,13 @@
 	}
 }
 
-// correct changes the allotted tokens by those that a VM's row did not show, or showed wrongly.
+// correct changes the allotted tokens by those that a VM's row did not show, or showed wrongly. Tokens that the VM
+// had returned by then may have been drawn again, by an incarnation that nobody accounts for.
 func (r *totalRow) correct(tokens int64) {
 	r.Allotted = amount.Add(r.Allotted, tokens)
-	if r.Prior != nil && tokens > 0 {
+	if r.Prior != nil {
 		prior := *r.Prior
-		prior.Known = amount.Add(prior.Known, tokens)
+		prior.Known = max(0, amount.Add(prior.Known, tokens))
 		r.Prior = &prior
 	}
 }
--- a/internal/budget/prepaid/reclaim.go
+++ b/internal/budget/prepaid/reclaim.go
@@ -42,7 +42,7 @@
 	// fenced are the last journal writes for which this process keeps no further replica, by incarnation.
 	fenced map[string]int64
 	// final is what incarnations have used that have told so before they ended.
-	final map[string]map[string]Bound
+	final map[string]receivedUsage
 	// watched are the VMs that may be lost, by name.
 	watched map[string]watchedVM
 }
@@ -64,6 +64,7 @@
 			return
 		case <-ticker.C:
 		}
+		m.noteRunning()
 		for _, vm := range m.reclaims.watch(m.lostVMs()) {
 			m.reclaimIfLost(ctx, vm)
 		}
@@ -213,8 +214,10 @@
 		bounds[workspace] = usage.maxUsed(lost, workspace)
 		firm[workspace] = max(lost.Firm[workspace], usage.kept[workspace])
 	}
-	for workspace := range usage.final {
-		bounds[workspace] = usage.maxUsed(lost, workspace)
+	for workspace, b := range usage.final {
+		if b.Tokens > 0 {
+			bounds[workspace] = b
+		}
 	}
 	former[lost.Incarnation] = formerIncarnation{usageBound: usageBound{Bounds: bounds}, Epoch: lost.Epoch, Since: lost.Since}
 	next := journalRow{
--- a/internal/budget/prepaid/restored.go
+++ b/internal/budget/prepaid/restored.go
@@ -14,23 +14,24 @@
 // routers ran.
 type restoredRow struct {
 	// Complete means that everything that the VM has drawn is recorded in the era. Only incarnations
-	// that know their VM's history set it.
+	// that know the VM's history set it.
 	Complete bool `json:"whole,omitempty"`
-	// StartObserved means that the incarnation ran before the era began, so that Awaits contains all
-	// incarnations that it knew.
+	// StartObserved means that the incarnation ran before the era began and knew which others had run
+	// within the maximum age of a copy, so that Awaits contains all of them.
 	StartObserved bool `json:"witness,omitempty"`
 	// Incarnation is the one that wrote the row. HistoryFromPeers means that it knows its VM's history
 	// from other routers, since its predecessor ended without restoring its rows.
 	Incarnation      string `json:"life,omitempty"`
 	HistoryFromPeers bool   `json:"vouched,omitempty"`
-	// Incarnations are those of the VM that have drawn nothing before the era.
+	// Incarnations are those of the VM that have drawn nothing before the era, or have told in the end what they
+	// have used.
 	Incarnations []string `json:"lives,omitempty"`
 	// Awaits are the incarnations that may have drawn before the era, as far as the VM knows.
 	Awaits []string `json:"awaits,omitempty"`
 }
 
-func (m *Manager) restoredLocation(era uint64) table.Location {
-	return table.Location{Table: tableTokens, Key: prefixRestored + keyInEra(m.VM, era)}
+func restoredLocation(vm string, era uint64) table.Location {
+	return table.Location{Table: tableTokens, Key: prefixRestored + keyInEra(vm, era)}
 }
 
 // restoredRows are the rows of all eras, by era and VM.
@@ -90,22 +91,28 @@
 // settled reports whether an era waits for no incarnation. At least one incarnation that observed
 // the start of the era must have recorded which incarnations ran before.
 func (rows restoredRows) settled(era uint64) bool {
-	startObserved := false
+	return rows.startObserved(era) && len(rows.awaited(era)) == 0
+}
+
+// startObserved reports whether an incarnation that observed the start of an era has recorded which others ran before.
+func (rows restoredRows) startObserved(era uint64) bool {
 	for _, row := range rows[era] {
-		startObserved = startObserved || row.StartObserved
+		if row.StartObserved {
+			return true
+		}
 	}
-	return startObserved && len(rows.awaited(era)) == 0
+	return false
 }
 
-// writeRestored writes this VM's record for an era, and removes those for earlier ones.
-func (m *Manager) writeRestored(ctx context.Context, era uint64, row restoredRow, rows restoredRows) error {
+// writeRestored writes a VM's record for an era, and removes those for earlier ones.
+func (m *Manager) writeRestored(ctx context.Context, vm string, era uint64, row restoredRow, rows restoredRows) error {
 	var c table.Commit
-	if err := c.SetAt(m.restoredLocation(era), row); err != nil {
+	if err := c.SetAt(restoredLocation(vm, era), row); err != nil {
 		return fmt.Errorf("record restored rows: %w", err)
 	}
 	for old, vms := range rows {
-		if _, recorded := vms[m.VM]; recorded && old < era {
-			c.RemoveAt(m.restoredLocation(old))
+		if _, recorded := vms[vm]; recorded && old < era {
+			c.RemoveAt(restoredLocation(vm, old))
 		}
 	}
 	stamp, err := m.Commit(ctx, c)
--- a/internal/budget/prepaid/settle.go
+++ b/internal/budget/prepaid/settle.go
@@ -44,10 +44,11 @@
 	}
 	if len(rows) == 0 && m.isFirstStart(era) {
 		row := restoredRow{Complete: true, StartObserved: true, Incarnation: m.incarnation()}
-		if err := m.writeRestored(ctx, era, row, rows); err != nil {
+		if err := m.writeRestored(ctx, m.VM, era, row, rows); err != nil {
 			return err
 		}
 		m.eras.setStoreWasEmpty()
+		m.coverage.extend(time.Now().Add(-maxCopyAge))
 		rows = restoredRows{era: {m.VM: row}}
 	}
 	m.updateEra(era, rows)
@@ -176,7 +177,7 @@
 	default:
 		err = errors.Join(m.announceStart(ctx, era), m.recoverUsage(ctx, era))
 	}
-	err = errors.Join(err, m.checkEra(ctx))
+	err = errors.Join(err, m.restoreEnded(ctx, era), m.checkEra(ctx))
 	if err != nil {
 		// The next check retries it.
 		m.OnEvent(Event{Kind: RestoreFailed, To: table.Stamp{Era: era}, Err: err})
@@ -197,7 +198,7 @@
 		return nil
 	}
 	row.Incarnations = append(row.Incarnations, incarnations...)
-	return m.writeRestored(ctx, era, row, rows)
+	return m.writeRestored(ctx, m.VM, era, row, rows)
 }
 
 // restore writes the rows that this incarnation knows in the era, and records that for the other
@@ -231,7 +232,7 @@
 	row.StartObserved = row.StartObserved || startObserved
 	row.HistoryFromPeers = row.HistoryFromPeers || fromPeers
 	row.Awaits = append(row.Awaits, m.incarnationsToAwait(era, rows)...)
-	if err := m.writeRestored(ctx, era, row, rows); err != nil {
+	if err := m.writeRestored(ctx, m.VM, era, row, rows); err != nil {
 		return err
 	}
 	m.eras.setRestored(era)
--- a/internal/fleet/edge/connect.go
+++ b/internal/fleet/edge/connect.go
@@ -196,15 +196,16 @@
 	e.metrics.addGauge("rosevalve_router_withdrawn", func() float64 { return float64(boolToInt(e.withdrawn.Load())) })
 	e.transport.Self = e.view.Self
 	e.transport.Handlers = map[string]peer.Handler{
-		inner.MethodHeartbeat:       e.view.HandleHeartbeat,
-		inner.MethodProbe:           e.view.HandleProbe,
-		inner.MethodFollow:          e.handleFollow,
-		inner.MethodRequestTransfer: e.handleRequestTransfer,
-		inner.MethodTransfer:        e.handleTransfer,
-		inner.MethodDrawHint:        e.handleDrawHint,
-		inner.MethodReplicateBounds: e.handleReplicateBounds,
-		inner.MethodFence:           e.handleFence,
-		inner.MethodFinalUsage:      e.handleFinalUsage,
+		inner.MethodHeartbeat:          e.view.HandleHeartbeat,
+		inner.MethodProbe:              e.view.HandleProbe,
+		inner.MethodFollow:             e.handleFollow,
+		inner.MethodRequestTransfer:    e.handleRequestTransfer,
+		inner.MethodTransfer:           e.handleTransfer,
+		inner.MethodDrawHint:           e.handleDrawHint,
+		inner.MethodReplicateBounds:    e.handleReplicateBounds,
+		inner.MethodFence:              e.handleFence,
+		inner.MethodRecentIncarnations: e.handleRecentIncarnations,
+		inner.MethodFinalUsage:         e.handleFinalUsage,
 
 		inner.MethodQuarantine: e.handleQuarantineNews,
 
--- a/internal/fleet/edge/reclaimers.go
+++ b/internal/fleet/edge/reclaimers.go
@@ -69,9 +69,18 @@
 }
 
 // sendFinalUsage tells a reclaimer what an incarnation of this VM has used.
-func (e *Edge) sendFinalUsage(ctx context.Context, reclaimer, incarnation string, usage map[string]prepaid.Bound) error {
-	in := inner.FinalUsage{Incarnation: incarnation, Usage: wireBounds(usage)}
-	return e.callReclaimer(ctx, reclaimer, inner.MethodFinalUsage, in, &inner.FinalUsageAck{})
+func (e *Edge) sendFinalUsage(ctx context.Context, reclaimer string, usage prepaid.FinalUsage) error {
+	return e.callReclaimer(ctx, reclaimer, inner.MethodFinalUsage, wireUsage(usage), &inner.FinalUsageAck{})
+}
+
+// wireUsage converts a final usage to its wire type.
+func wireUsage(u prepaid.FinalUsage) inner.FinalUsage {
+	return inner.FinalUsage{Incarnation: u.Incarnation, Usage: wireBounds(u.Usage), Epoch: u.Epoch, Complete: u.Complete}
+}
+
+// prepaidUsage converts a final usage from its wire type.
+func prepaidUsage(in inner.FinalUsage) prepaid.FinalUsage {
+	return prepaid.FinalUsage{Incarnation: in.Incarnation, Usage: prepaidBounds(in.Usage), Epoch: in.Epoch, Complete: in.Complete}
 }
 
 // handleFinalUsage records what an incarnation of another VM has used.
@@ -80,7 +89,7 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fmt.Errorf("decode final usage: %w", err)
 	}
-	if err := e.tokens.AcceptFinalUsage(in.Incarnation, prepaidBounds(in.Usage)); err != nil {
+	if err := e.tokens.AcceptFinalUsage(prepaidUsage(in)); err != nil {
 		return nil, fmt.Errorf("accept final usage: %w", err)
 	}
 	return inner.FinalUsageAck{}, nil
--- a/internal/fleet/edge/tokens.go
+++ b/internal/fleet/edge/tokens.go
@@ -37,6 +37,7 @@
 		SendReplica:        e.sendReplica,
 		RequestFence:       e.requestFence,
 		SendFinalUsage:     e.sendFinalUsage,
+		FetchRecent:        e.fetchRecent,
 		RecentIncarnations: func() []string { return e.view.RecentIDs() },
 		RequestTransfer:    e.requestTransfer,
 		OfferTransfer:      e.offerTransfer,
--- a/internal/protocol/inner/transfer.go
+++ b/internal/protocol/inner/transfer.go
@@ -16,6 +16,9 @@
 	MethodFence = "fence"
 	// MethodFinalUsage tells the receiver what an incarnation that stops has used of its tokens.
 	MethodFinalUsage = "final_usage"
+	// MethodRecentIncarnations asks the receiver for the incarnations that it knows to run or to have ended
+	// lately.
+	MethodRecentIncarnations = "recent_incarnations"
 )
 
 // TransferRequest requests up to Tokens tokens of a workspace.
@@ -84,7 +87,24 @@
 type FinalUsage struct {
 	Incarnation string                 `json:"life"`
 	Usage       map[string]MirrorBound `json:"usage"`
+	// Epoch counts the incarnations of the VM.
+	Epoch int64 `json:"epoch,omitempty"`
+	// Complete reports whether the incarnation knew everything that its VM had drawn.
+	Complete bool `json:"complete,omitempty"`
 }
 
 // FinalUsageAck confirms that the receiver knows the usage.
 type FinalUsageAck struct{}
+
+// RecentIncarnationsRequest asks a router for the incarnations that it knows.
+type RecentIncarnationsRequest struct{}
+
+// RecentIncarnations are the incarnations that a router knows to run or to have ended lately.
+type RecentIncarnations struct {
+	// CoveredMS is the time, in milliseconds, since when the router knows of all that have run.
+	CoveredMS int64 `json:"covered_ms"`
+	// LastSeenMS are the times, in milliseconds, since when incarnations are not known to run, by ID.
+	LastSeenMS map[string]int64 `json:"last_seen_ms"`
+	// FinalUsage is what some of those that have ended have used in all.
+	FinalUsage []FinalUsage `json:"final_usage,omitempty"`
+}
