--- a/internal/budget/prepaid/drill_test.go
+++ b/internal/budget/prepaid/drill_test.go
@@ -205,6 +205,25 @@
 	}
 }
 
+// TestDrillAfterTwoRestarts guards against overspending after a rollback of the store: a VM has used tokens and restarts
+// twice. Its last incarnation, whom the others do not tell, knows that from the journal only.
+func TestDrillAfterTwoRestarts(t *testing.T) {
+	const total = 60_000
+	synctest.Test(t, func(t *testing.T) {
+		f := startDrill(total, vms...)
+		defer f.end()
+		f.mutate = func(m *Manager) { m.FetchRecent = nil }
+		copied := time.Now()
+		f.use("c", 50)
+		f.restart("c")
+		f.restart("c")
+		f.drill(copied)
+		time.Sleep(5 * time.Second)
+		f.useRest(total, 20*time.Second, "b", "c")
+		assert.NilError(t, f.result())
+	})
+}
+
 // TestNeverOverspentInDrills plays random restarts, removals and losses of VMs before one rollback of the store or two.
 func TestNeverOverspentInDrills(t *testing.T) {
 	const total = 60_000
--- a/internal/budget/prepaid/former.go
+++ b/internal/budget/prepaid/former.go
@@ -95,6 +95,7 @@
 	h := m.holding(workspace)
 	err := m.migrateRows(ctx, h)
 	if err == nil && !m.heldByFormer(h) {
+		h.noteClosed()
 		m.journal.markClosed("", workspace)
 		return
 	}
@@ -106,6 +107,14 @@
 	}
 }
 
+// noteClosed records that a former incarnation has closed the holding, not long ago perhaps: the journal must still list
+// it for the next incarnation, of which a copy of the store may show less.
+func (h *holding) noteClosed() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closedAt = time.Now()
+}
+
 func (m *Manager) heldByFormer(h *holding) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/budget/prepaid/holding.go
+++ b/internal/budget/prepaid/holding.go
@@ -44,7 +44,7 @@
 	nextRefill   time.Time // earliest time of the next draw ahead of demand
 	nextDrawHint time.Time // earliest time of the next draw hint to other routers
 
-	closedAt time.Time // when this incarnation last closed the holding; zero if never
+	closedAt time.Time // when this incarnation or a former one last closed the holding, or later; zero if never
 
 	// listedSeq is the sequence number of the first journal write that lists the workspace for
 	// the coming draws; 0 if there is none.
