--- a/internal/budget/prepaid/drill_test.go
+++ b/internal/budget/prepaid/drill_test.go
@@ -224,6 +224,23 @@
 	})
 }
 
+// TestReopenedJournalListsClosedHoldings guards against overspending after a rollback of the store: a process that opens its
+// journal again as another incarnation forgot what its closed holdings had used.
+func TestReopenedJournalListsClosedHoldings(t *testing.T) {
+	const total = 60_000
+	synctest.Test(t, func(t *testing.T) {
+		f := startDrill(total, "a", "b")
+		defer f.end()
+		f.use("a", 50)
+		m := f.incarnationOf("a").manager
+		assert.NilError(t, m.returnAll(t.Context(), keepNothing))
+		before := m.incarnation()
+		assert.NilError(t, m.reopen(t.Context(), errReclaimed))
+		used := m.journal.formerIncarnations()[before].Bounds["joiners"]
+		assert.Equal(t, used.Tokens+used.ClosedUsage, int64(total/2))
+	})
+}
+
 // TestNeverOverspentInDrills plays random restarts, removals and losses of VMs before one rollback of the store or two.
 func TestNeverOverspentInDrills(t *testing.T) {
 	const total = 60_000
--- a/internal/budget/prepaid/reopen.go
+++ b/internal/budget/prepaid/reopen.go
@@ -112,7 +112,7 @@
 	m.reopenings.Add(1)
 	bounds := make(map[string]Bound)
 	for _, h := range m.allHoldings() {
-		if b, drawn := h.abandon(); drawn {
+		if b, known := h.abandon(); known {
 			bounds[h.workspace] = b
 		}
 	}
@@ -120,15 +120,17 @@
 	return m.open(ctx)
 }
 
-// abandon forgets what the former incarnation of this process has drawn. It returns what that has used.
-func (h *holding) abandon() (used Bound, drawn bool) {
+// abandon forgets what the former incarnation of this process has drawn. It returns what that has used, and
+// what holdings that were closed before have, as far as it is known.
+func (h *holding) abandon() (used Bound, known bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	used, drawn = Bound{Tokens: h.spent, ClosedUsage: h.row.ClosedUsage}, h.drawn > 0
+	row, known := h.lastRow()
+	used, known = Bound{Tokens: h.spent, ClosedUsage: row.ClosedUsage}, known || h.drawn > 0
 	h.reset()
 	h.row, h.rowToRestore, h.stored = holdingRow{}, nil, nil
 	h.rowsCurrent = false
-	return used, drawn
+	return used, known
 }
 
 // reset makes the journal ready to be opened by another incarnation of this process than the former one, of
