Begin coverage anew after a pause

What callers could get: tokens once more that a VM used which came and went while the only other one was paused, after a return of the store. Found by reading; no case shows it.

Cause: a process that was paused took its knowledge of those that ran for complete.

Change: after 5 s without a look at the others it asks again who ran, like one that starts, and lets no era be settled before.

Measured: TestCoverageEndsWithAPause; the tests of the package pass.

--- a/internal/budget/prepaid/coverage.go
+++ b/internal/budget/prepaid/coverage.go
@@ -17,6 +17,9 @@
 	coverageInterval = 200 * time.Millisecond
 	// coverageTimeout limits one of them.
 	coverageTimeout = time.Second
+	// coverageGap is the time without a look at the other incarnations after which some may have run unseen,
+	// as when this process was paused.
+	coverageGap = 5 * time.Second
 )
 
 // RecentIncarnations is what an incarnation knows of those that run, or have run within the maximum age of a copy of the
@@ -34,8 +37,9 @@
 // coverage is what this incarnation knows of other incarnations that run or have ended.
 type coverage struct {
 	mu sync.Mutex // guards the fields below
-	// since is the time from which on all that have run are known.
-	since time.Time
+	// since is the time from which on all that have run are known, and notedAt when those that run were last
+	// noted.
+	since, notedAt time.Time
 	// lastSeen are the times until which they may have run, by ID.
 	lastSeen map[string]time.Time
 	// unreached are the incarnations that have not answered.
@@ -46,7 +50,7 @@
 func (c *coverage) isComplete(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.since) >= maxCopyAge
+	return now.Sub(c.since) >= maxCopyAge && now.Sub(c.notedAt) <= coverageGap
 }
 
 // extend records that all incarnations are known that have run since a time.
@@ -101,8 +105,20 @@
 
 // noteRunning records which incarnations run.
 func (m *Manager) noteRunning() {
+	now := time.Now()
+	m.coverage.noteLook(now)
 	running := slices.DeleteFunc(slices.Clone(m.RecentIncarnations()), m.IsLost)
-	m.coverage.noteSeen(time.Now(), running...)
+	m.coverage.noteSeen(now, running...)
+}
+
+// noteLook records when those that run are noted. After a gap, coverage begins anew.
+func (c *coverage) noteLook(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.notedAt) > coverageGap {
+		c.since = now
+	}
+	c.notedAt = now
 }
 
 // Recent returns what this incarnation knows of those that run or have ended lately.
@@ -122,22 +138,27 @@
 	return out
 }
 
-// runCoverage asks other routers for the incarnations that ran before this one started, until enough is known
-// or ctx ends.
+// runCoverage asks other routers for the incarnations that ran before this one started, or while it was paused, whenever
+// not enough of them is known, until ctx ends.
 func (m *Manager) runCoverage(ctx context.Context) {
-	for !m.coverage.isComplete(time.Now()) {
+	formerAdded := false
+	for sleep(ctx, coverageInterval) {
+		m.noteRunning()
 		if incarnation, ok := m.nextCoverage(); ok {
-			m.fetchRecent(ctx, incarnation)
-			m.closeFormer(ctx)
+			formerAdded = m.fetchRecent(ctx, incarnation) || formerAdded
 		}
-		if !sleep(ctx, coverageInterval) {
-			return
+		if _, settled := m.eras.current(); settled && formerAdded {
+			m.closeFormer(ctx)
+			formerAdded = false
 		}
 	}
 }
 
-// nextCoverage returns the incarnation to ask next, those that have not answered last.
+// nextCoverage returns the incarnation to ask next, those that have not answered last; none if enough is known.
 func (m *Manager) nextCoverage() (string, bool) {
+	if m.coverage.isComplete(time.Now()) {
+		return "", false
+	}
 	running := slices.DeleteFunc(slices.Clone(m.RecentIncarnations()), func(incarnation string) bool { return !m.IsStaying(incarnation) })
 	if len(running) == 0 {
 		return "", false
@@ -154,15 +175,15 @@
 	return running[0], true
 }
 
-// fetchRecent asks one incarnation.
-func (m *Manager) fetchRecent(ctx context.Context, incarnation string) {
+// fetchRecent asks one incarnation. It reports whether that knows of a former one of this VM that this one did not.
+func (m *Manager) fetchRecent(ctx context.Context, incarnation string) (formerAdded bool) {
 	ctx, cancel := context.WithTimeout(ctx, coverageTimeout)
 	defer cancel()
 	asked := time.Now()
 	in, err := m.FetchRecent(ctx, incarnation)
 	if err != nil || in.Covered < 0 {
 		m.coverage.noteUnreached(incarnation)
-		return
+		return false
 	}
 	for other, ago := range in.LastSeen {
 		m.coverage.noteSeen(time.Now().Add(-max(0, ago)), other)
@@ -170,10 +191,11 @@
 	for _, usage := range in.FinalUsage {
 		// One that is out of range is refused, and the incarnation is waited for.
 		if m.AcceptFinalUsage(usage) == nil && VMOf(usage.Incarnation) == m.VM {
-			m.journal.addFormer(usage)
+			formerAdded = m.journal.addFormer(usage) || formerAdded
 		}
 	}
 	m.coverage.extend(asked.Add(-in.Covered))
+	return formerAdded
 }
 
 func (c *coverage) noteUnreached(incarnation string) {
--- a/internal/budget/prepaid/drill_test.go
+++ b/internal/budget/prepaid/drill_test.go
@@ -306,3 +306,20 @@
 		f.useRest(f.totals["joiners"], 15*time.Second, running...)
 	}
 }
+
+// TestCoverageEndsWithAPause guards against an era that is settled without waiting for a VM that came and went while the only
+// one that is left was paused.
+func TestCoverageEndsWithAPause(t *testing.T) {
+	var c coverage
+	now := time.Now()
+	c.since, c.notedAt = now, now
+	for range 31 {
+		now = now.Add(time.Second)
+		c.noteLook(now)
+	}
+	assert.Assert(t, c.isComplete(now))
+	now = now.Add(coverageGap + time.Second)
+	assert.Assert(t, !c.isComplete(now), "before the next look")
+	c.noteLook(now)
+	assert.Assert(t, !c.isComplete(now), "after the next look")
+}
--- a/internal/budget/prepaid/former.go
+++ b/internal/budget/prepaid/former.go
@@ -149,14 +149,15 @@
 }
 
 // addFormer records what a former incarnation of this VM has told others in the end, which a copy of the store may not
-// show to the next one.
-func (j *journal) addFormer(usage FinalUsage) {
+// show to the next one. It reports false if it is of no use.
+func (j *journal) addFormer(usage FinalUsage) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if _, known := j.former[usage.Incarnation]; known || !j.open || usage.Epoch >= j.epoch {
-		return
+		return false
 	}
 	j.former[usage.Incarnation] = formerIncarnation{usageBound: usageBound{Bounds: maps.Clone(usage.Usage)}, Epoch: usage.Epoch}
+	return true
 }
 
 // unclosed returns the workspaces of which former incarnations may have holdings.
--- a/internal/budget/prepaid/manager.go
+++ b/internal/budget/prepaid/manager.go
@@ -199,7 +199,7 @@
 			m.IsStaying = func(string) bool { return false }
 		}
 		m.startedAt = time.Now()
-		m.coverage.since = m.startedAt
+		m.coverage.since, m.coverage.notedAt = m.startedAt, m.startedAt
 		if m.Clock == nil {
 			m.Clock = func() time.Duration { return time.Since(m.startedAt) }
 		}
--- a/internal/budget/prepaid/reclaim.go
+++ b/internal/budget/prepaid/reclaim.go
@@ -64,7 +64,6 @@
 			return
 		case <-ticker.C:
 		}
-		m.noteRunning()
 		for _, vm := range m.reclaims.watch(m.lostVMs()) {
 			m.reclaimIfLost(ctx, vm)
 		}
