Give notice of the reserve also while a holding stays open

What callers could get: 503 in place of the reserve, a 200th of the total, for as long as the holding of a VM is open that is cut off from others or can not be reclaimed.

Cause: since an open holding does not count as used any more, notice of the reserve, which is given only when nothing else is left, waited for it.

Change: after 10 s such a holding is not waited for before notice is given. Requests that only it would cover still get 503.

For the greater part the test fleet was at fault: its routers chose mirrors that they had been out of touch with, and drew at a trickle.

--- a/internal/budget/prepaid/exhausted.go
+++ b/internal/budget/prepaid/exhausted.go
@@ -21,6 +21,9 @@
 	// reserveWait is how long nothing but the reserve must be left before notice is given that it will be
 	// drawn. A router that has just started finds others that hold tokens by then.
 	reserveWait = 3 * time.Second
+	// restartWait is how long the holding of an incarnation that is leaving or has ended is waited for
+	// before that: a VM that takes longer to restart or to be reclaimed may not come back.
+	restartWait = 10 * time.Second
 )
 
 var (
@@ -45,8 +48,25 @@
 	holders []string
 	// reserveLeft is set if the reserve, which can not be drawn yet, covers the request.
 	reserveLeft bool
-	// reserveLeftSince is when this was first found, by checks that followed each other closely.
-	reserveLeftSince time.Time
+	// reserveLeftSince is when this was first found, by checks that followed each other closely, and
+	// openSince is when a holding was first found open in this way.
+	reserveLeftSince, openSince time.Time
+}
+
+// isUsable reports whether tokens that are not in the reserve may be usable soon.
+func (c *exhaustionCheck) isUsable() bool {
+	if errors.Is(c.err, errHoldingOpen) {
+		return c.at.Sub(c.openSince) < restartWait
+	}
+	return c.err != nil
+}
+
+// since returns when a state began that holds at this check, if it held at the last one not long before.
+func (c *exhaustionCheck) since(last exhaustionCheck, began time.Time) time.Time {
+	if began.IsZero() || c.at.Sub(last.at) >= reserveWait {
+		return c.at
+	}
+	return began
 }
 
 // confirmExhausted checks the store before a request for n tokens is refused because its workspace's
@@ -73,11 +93,11 @@
 	if check.err == nil {
 		check.err = m.askHolders(ctx, h, n, check.holders, transfers)
 	}
-	if check.err == nil && check.reserveLeft {
-		check.reserveLeftSince = now
-		if !last.reserveLeftSince.IsZero() && now.Sub(last.at) < reserveWait {
-			check.reserveLeftSince = last.reserveLeftSince
-		}
+	if errors.Is(check.err, errHoldingOpen) {
+		check.openSince = check.since(last, last.openSince)
+	}
+	if !check.isUsable() && check.reserveLeft {
+		check.reserveLeftSince = check.since(last, last.reserveLeftSince)
 	}
 	h.mu.Lock()
 	h.reserveNeeded = h.reserveNeeded || !check.reserveLeftSince.IsZero() && now.Sub(check.reserveLeftSince) >= reserveWait
--- a/internal/budget/prepaid/fleet_test.go
+++ b/internal/budget/prepaid/fleet_test.go
@@ -402,10 +402,15 @@
 		ended, ok := f.endedAt[incarnation]
 		return ok && time.Since(ended) >= detectionTime
 	}
-	if f.sharePart(vm, VMOf(incarnation)) {
+	return f.isOutOfTouch(vm, VMOf(incarnation))
+}
+
+// isOutOfTouch reports whether two VMs have been cut off from each other for long enough to notice. The caller holds mu.
+func (f *testFleet) isOutOfTouch(vm, other string) bool {
+	if f.sharePart(vm, other) {
 		return false
 	}
-	for _, side := range []string{vm, VMOf(incarnation)} {
+	for _, side := range []string{vm, other} {
 		if since, cut := f.cutAt[side]; cut && time.Since(since) >= detectionTime {
 			return true
 		}
@@ -551,12 +556,12 @@
 	return transfer, nil
 }
 
-// chooseMirror returns the current mirror if it runs and is not leaving, or another VM.
+// chooseMirror returns the current mirror if it is believed to run and not to be leaving, or another VM.
 func (f *testFleet) chooseMirror(vm, current, avoid string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, candidate := range append([]string{current}, f.names...) {
-		if candidate != vm && candidate != avoid && f.incarnations[candidate] != nil && !f.leaving[candidate] {
+		if candidate != vm && candidate != avoid && f.incarnations[candidate] != nil && !f.leaving[candidate] && !f.isOutOfTouch(vm, candidate) {
 			return candidate
 		}
 	}
--- a/internal/budget/prepaid/reserve.go
+++ b/internal/budget/prepaid/reserve.go
@@ -144,6 +144,11 @@
 			return nil, fmt.Errorf("%w: only the reserve of the total is left", ErrExhausted)
 		case cause == nil:
 			return nil, fmt.Errorf("%w: no router has enough tokens", ErrExhausted)
+		case errors.Is(cause, errHoldingOpen) && h.needsReserve():
+			// The draw gives notice.
+			if err := m.drawRest(ctx, h, n); err != nil {
+				return nil, err
+			}
 		case errors.Is(cause, errTokensArrived):
 			return nil, nil
 		case errors.Is(cause, errTokensLeft):
