--- a/internal/budget/prepaid/history_test.go
+++ b/internal/budget/prepaid/history_test.go
@@ -226,10 +226,10 @@
 		{name: "nothing is restored", apply: discardRowsToRestore, history: spentByOne},
 		{name: "nobody is waited for", apply: awaitNobody, history: spentElsewhere},
 		{name: "a life that ended before the return is forgotten", apply: awaitOnlyRunning, history: endedBeforeRollback},
-		{name: "reclaimers are not asked", apply: ignorePromises, history: reclaimedWhileCutOff},
+		{name: "reclaimers keep no replicas", apply: ignoreReplicas, history: reclaimedWhileCutOff},
 		{name: "unknown draws are forgotten", apply: forgetPrior, history: endedAfterCopy},
-		{name: "promises are forgotten", apply: forgetPromises, history: lostAfterPromise},
-		{name: "a life that ended counts as one that defers", apply: trustLaterIncarnations, history: reclaimersRestarted},
+		{name: "replicas are forgotten", apply: forgetReplicas, history: lostWithReplicas},
+		{name: "a life that ended counts as one that keeps a replica", apply: trustLaterIncarnations, history: reclaimersRestarted},
 	}
 	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
@@ -304,9 +304,9 @@
 	requestsOf(100, "b", 20, 1, 100*time.Millisecond),
 )
 
-// lostAfterPromise is a history in which an incarnation that has drawn most of a total goes on
+// lostWithReplicas is a history in which an incarnation that has drawn most of a total goes on
 // without the store, with the consent of the others, and is lost.
-var lostAfterPromise = slices.Concat(
+var lostWithReplicas = slices.Concat(
 	requestsOf(1, "a", 900, 0, 100*time.Millisecond),
 	requestsOf(10, "a", 20, 1, 100*time.Millisecond),
 	[]step{{kind: stepFault, vm: "a", fault: unreachable}},
--- a/internal/budget/prepaid/reclaim_test.go
+++ b/internal/budget/prepaid/reclaim_test.go
@@ -148,9 +148,9 @@
 	})
 }
 
-// TestNothingIsReclaimedAfterAPromise loses a VM that has used tokens beyond the bounds of its journal,
+// TestReplicasCountWhenReclaiming loses a VM that has used tokens beyond the bounds of its journal,
 // as the others had agreed.
-func TestNothingIsReclaimedAfterAPromise(t *testing.T) {
+func TestReplicasCountWhenReclaiming(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const total = 100_000
 		f := startFleet(total, "a", "b", "c")
@@ -165,15 +165,15 @@
 	})
 }
 
-// ignorePromises makes an incarnation believe that all reclaimers have agreed to defer.
-func ignorePromises(m *Manager) {
+// ignoreReplicas makes an incarnation believe that all reclaimers keep a replica of its bounds.
+func ignoreReplicas(m *Manager) {
 	m.SendReplica = func(_ context.Context, reclaimer string, _ BoundsReplica) (ReplicaAck, error) {
 		return ReplicaAck{Responder: reclaimer}, nil
 	}
 }
 
-// forgetPromises makes an incarnation forget at once what it has promised.
-func forgetPromises(m *Manager) {
+// forgetReplicas makes an incarnation forget at once the replicas that it keeps.
+func forgetReplicas(m *Manager) {
 	lost := m.IsLost
 	m.IsLost = func(incarnation string) bool {
 		m.reclaims.mu.Lock()
@@ -244,7 +244,7 @@
 }
 
 // TestTokensOfAVMThatStopsWithoutTheStoreAreNotUsedUp removes a VM as planned while the store refuses it. The others
-// have promised to defer, so that nobody reclaims what it could not return.
+// keep replicas of its bounds, and know in the end what it has used.
 func TestTokensOfAVMThatStopsWithoutTheStoreAreNotUsedUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const total = 100_000
