--- a/internal/budget/prepaid/event.go
+++ b/internal/budget/prepaid/event.go
@@ -89,8 +89,7 @@
 	// ReplicaFailed means that a reclaimer has not kept a replica of this VM's bounds while its journal
 	// can not be written; it is sent again.
 	ReplicaFailed // deferral_failed
-	// FinalUsageLost means that a reclaimer could not be told what this incarnation has used, which stops
-	// without the store.
+	// FinalUsageLost means that a reclaimer could not be told what this incarnation has used, which stops.
 	FinalUsageLost // final_usage_lost
 	// TransferRefused means that another router answered with a number of tokens that it can not have
 	// transferred; they are not used.
--- a/internal/fleet/eventlog/event.go
+++ b/internal/fleet/eventlog/event.go
@@ -214,7 +214,7 @@
 	JournalReclaimed:     {component: Tokens, warning: true, doc: "another router believed this VM to be lost and has taken over its token journal; this process opens it again and draws anew", fields: "err"},
 	HoldingReclaimed:     {component: Tokens, doc: "what a lost VM can not have used of a holding was returned to the store", fields: "workspace, tokens"},
 	ReclaimFailed:        {component: Tokens, warning: true, doc: "the tokens of a lost VM could not be reclaimed; this router tries again", fields: "err"},
-	FinalUsageLost:       {component: Tokens, warning: true, doc: "another router could not be told what this VM has used of its tokens, which stops without the store; they stay out of reach until one that was told returns them", fields: "err"},
+	FinalUsageLost:       {component: Tokens, warning: true, doc: "another router could not be told what this VM has used of its tokens, which stops; if the store does not answer either, they stay out of reach until one that was told returns them", fields: "err"},
 	DeferralFailed:       {component: Tokens, lowPriority: true, warning: true, doc: "another router has not kept a replica of this VM's bounds while the journal cannot be written; less is spent until it does", fields: "err"},
 	TransferRefused:      {component: Tokens, warning: true, doc: "another router answered with a number of tokens that it cannot have transferred; they are not used", fields: "workspace, tokens, err"},
 	RequestUnreadable:    {component: Requests, lowPriority: true, warning: true, doc: "a malformed request was rejected", fields: "status, err"},
