--- a/review/_drivers-3/router.go
+++ b/review/_drivers-3/router.go
@@ -49,7 +49,7 @@
 	return out
 }
 
-// writeSettings fills the template of the deploy file with the figures of the sheet of furnir-katalog.
+// writeSettings fills the template of the deploy file with the figures of the sheet of nidurfall-rounds.
 func (r *router) writeSettings(storeAddr string, zone int, seeds string) {
 	host, _, _ := net.SplitHostPort(r.frontend)
 	metrics := freeAddr(host)
@@ -73,7 +73,7 @@
 max_age = 1s
 withdraw_for = 30s
 retry_ratio = 0.2
-retry_slack = 56
+retry_slack = 54
 retry_window = 10s
 target_speeds = differ
 cold_overshoot =
--- a/review/_drivers-3/runner.go
+++ b/review/_drivers-3/runner.go
@@ -33,7 +33,7 @@
 	born := time.Now().UnixMilli()
 	beat := func(seq int) {
 		s.put("servers", id, map[string]any{
-			"backend": service, "address": r.addr, "zone": zone, "version": "v1", "capacity": 96, "lifecycle": "ready",
+			"backend": service, "address": r.addr, "zone": zone, "version": "v1", "capacity": map[string]int{"llm": 64, "app": 6}[service], "lifecycle": "ready",
 			"cold_remaining_ms": 0, "stage": "colocated", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
 			"call_seq": seq, "born": born,
 		})
@@ -55,7 +55,7 @@
 		return
 	case "/v1/report":
 		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprint(w, `{"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"call_seq":1,"waiting":0,"running":0,"kv_used":0,"kv_total":250000,"handles":0,"lifecycle":"ready"}`)
+		fmt.Fprint(w, `{"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"call_seq":1,"waiting":0,"running":0,"kv_used":0,"kv_total":763122,"handles":0,"lifecycle":"ready"}`)
 		return
 	}
 	id := in.Header.Get("Rosevalve-Attempt-Id")
--- a/review/_drivers-3/store.go
+++ b/review/_drivers-3/store.go
@@ -33,7 +33,6 @@
 	version uint64
 	era     uint64
 	changed chan struct{}
-	away    bool
 }
 
 // newStore starts a store on a loopback address and returns it with the address.
@@ -80,13 +79,6 @@
 // ServeHTTP answers one call of the store's protocol.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
-	if s.isAway() {
-		s.mu.Lock()
-		s.stamp(w)
-		s.mu.Unlock()
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	switch r.URL.Path {
 	case "/v1/rows-tx":
 		s.transact(w, r)
@@ -205,49 +197,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
 }
-
-// snapshot is a copy of the store.
-type snapshot struct {
-	rows    map[rowKey]row
-	history []row
-	version uint64
-}
-
-// copyNow returns a copy of the store as it is.
-func (s *store) copyNow() snapshot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := snapshot{rows: map[rowKey]row{}, history: append([]row(nil), s.history...), version: s.version}
-	for k, r := range s.rows {
-		out.rows[k] = r
-	}
-	return out
-}
-
-// comeBack replaces the store by a copy, as in a drill.
-func (s *store) comeBack(c snapshot) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rows = map[rowKey]row{}
-	for k, r := range c.rows {
-		s.rows[k] = r
-	}
-	s.history, s.version = append([]row(nil), c.history...), c.version
-	s.era++
-	s.away = false
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// goAway makes the store answer 503 to each call until it comes back.
-func (s *store) goAway() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = true
-}
-
-func (s *store) isAway() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.away
-}
