--- a/review/_drivers-3/config.go
+++ b/review/_drivers-3/config.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,9 +19,8 @@
 	answerEvents = 20
 	// mostTokens is what a request may consume at its most.
 	mostTokens = promptTokens + eventTokens*answerEvents
-	// contact is contact_ms, and drainFor drain_ms.
-	contact  = 3 * time.Second
-	drainFor = 2 * time.Second
+	// contact is contact_ms.
+	contact = 3 * time.Second
 )
 
 // config returns a configuration with a stream to the engines, and with a route that may run once and one that may run again
@@ -74,23 +72,6 @@
 	return resp.StatusCode, events
 }
 
-// plain sends a request to the application on a new channel. It returns the status of the answer, or 0 without one.
-func plain(addr, path, id string) int {
-	c, err := net.DialTimeout("tcp4", addr, time.Second)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
-	fmt.Fprintf(c, "POST /%s/1 HTTP/1.1\r\nHost: h.example\r\nRosevalve-Attempt-Id: %s\r\nRosevalve-Deadline-Ms: 1500\r\nApi-Key: key-1\r\nContent-Length: 0\r\n\r\n", path, id)
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0
-	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode
-}
-
 // stream answers with an event stream of some 110 ms.
 func stream(w http.ResponseWriter, _ *http.Request) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/_drivers-3/killed.go
+++ b/review/_drivers-3/killed.go
@@ -138,7 +138,10 @@
 		default:
 		}
 		owed, began := a.begin(), time.Now()
-		status, events := ask(routers[rand.IntN(len(routers))].frontend, fmt.Sprintf("k%d-%d", client, k))
+		id, r := fmt.Sprintf("k%d-%d", client, k), routers[rand.IntN(len(routers))]
+		log("client sends %s to %s", id, r.name)
+		status, events := ask(r.frontend, id)
+		log("client gets %d and %d events for %s", status, events, id)
 		a.end(began, owed, status, events)
 		if status != 200 {
 			time.Sleep(100 * time.Millisecond)
--- a/review/_drivers-3/main.go
+++ b/review/_drivers-3/main.go
@@ -56,14 +56,18 @@
 
 var rec record
 
-func note(format string, args ...any) {
+// note writes a line to the record and to the output.
+func note(format string, args ...any) { fmt.Print(log(format, args...)) }
+
+// log writes a line to the record and returns it.
+func log(format string, args ...any) string {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	line := fmt.Sprintf("%8.3f  %s\n", time.Since(rec.began).Seconds(), fmt.Sprintf(format, args...))
-	fmt.Print(line)
 	if rec.out != nil {
 		_, _ = rec.out.WriteString(line)
 	}
+	return line
 }
 
 func fail(format string, args ...any) {
--- a/review/_drivers-3/runner.go
+++ b/review/_drivers-3/runner.go
@@ -66,7 +66,9 @@
 	}
 	w.Header().Set("Rosevalve-Server-Seal", r.id+"."+id)
 	began := time.Now()
+	log("%s runs %s", r.id, id)
 	whole := r.handle(w, in)
+	log("%s ends %s; whole answer written: %v", r.id, id, whole)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs = append(r.runs, run{id: id, runner: r.id, path: in.URL.Path, began: began, ended: time.Now(), whole: whole})
